--- /dev/null
+++ b/cmake/apps.cmake
@@ -0,0 +1,23 @@
+# Small complete apps: the load tool, the experiment tool and the demonstration.
+file(GLOB CORNELSHED_LOAD_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/load/*.cpp)
+if(CORNELSHED_LOAD_FILES)
+  add_executable(cornelshed-load ${CORNELSHED_LOAD_FILES})
+  target_link_libraries(cornelshed-load PRIVATE cornelshed_runtime)
+endif()
+
+# The experiment tool's engine model is a library so that tests can drive it too.
+file(GLOB CORNELSHED_MEASURE_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/measure/*.cpp)
+list(FILTER CORNELSHED_MEASURE_FILES EXCLUDE REGEX "measure_main\\.cpp$")
+if(CORNELSHED_MEASURE_FILES)
+  add_library(cornelshed_measure STATIC ${CORNELSHED_MEASURE_FILES})
+  target_include_directories(cornelshed_measure PUBLIC ${CMAKE_SOURCE_DIR}/apps/measure)
+  target_link_libraries(cornelshed_measure PUBLIC cornelshed_core)
+  add_executable(cornelshed-measure ${CMAKE_SOURCE_DIR}/apps/measure/measure_main.cpp)
+  target_link_libraries(cornelshed-measure PRIVATE cornelshed_measure cornelshed_runtime)
+endif()
+
+file(GLOB CORNELSHED_DEMO_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/demo/*.cpp)
+if(CORNELSHED_DEMO_FILES)
+  add_executable(cornelshed-demo ${CORNELSHED_DEMO_FILES})
+  target_link_libraries(cornelshed-demo PRIVATE cornelshed_runtime)
+endif()
--- /dev/null
+++ b/cmake/runtime.cmake
@@ -0,0 +1,29 @@
+# Runtime: the shells around the decision library, and the programs that ship.
+add_library(cornelshed_wire STATIC ${CMAKE_SOURCE_DIR}/schema/wire.capnp.c++)
+target_include_directories(cornelshed_wire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/schema)
+target_link_libraries(cornelshed_wire PUBLIC CapnProto::capnp)
+target_compile_options(cornelshed_wire PRIVATE -w)
+
+# All sources of src/ that are neither in the decision library nor a program's main file.
+file(GLOB CORNELSHED_RUNTIME_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/*.cpp)
+list(REMOVE_ITEM CORNELSHED_RUNTIME_FILES ${CORNELSHED_CORE_FILES})
+list(FILTER CORNELSHED_RUNTIME_FILES EXCLUDE REGEX "_main\\.cpp$")
+
+add_library(cornelshed_runtime STATIC ${CORNELSHED_RUNTIME_FILES})
+target_link_libraries(cornelshed_runtime PUBLIC cornelshed_core cornelshed_wire
+  CapnProto::capnp CapnProto::capnp-rpc CapnProto::kj-async Boost::headers Boost::json glog::glog
+  tomlplusplus::tomlplusplus docopt xxhash Threads::Threads)
+target_compile_definitions(cornelshed_runtime PUBLIC
+  CORNELSHED_VERSION="${PROJECT_VERSION}")
+
+# One program for each src/<name>_main.cpp.
+function(cornelshed_program name main)
+  if(EXISTS ${CMAKE_SOURCE_DIR}/${main})
+    add_executable(${name} ${CMAKE_SOURCE_DIR}/${main})
+    target_link_libraries(${name} PRIVATE ${ARGN})
+  endif()
+endfunction()
+
+cornelshed_program(cornelshed-entryd src/entryd_main.cpp cornelshed_runtime)
+cornelshed_program(cornelshed-agentd src/agentd_main.cpp cornelshed_runtime)
+cornelshed_program(cornelshed src/operator_main.cpp cornelshed_runtime)
