--- /dev/null
+++ b/src/tomlreader.cpp
@@ -0,0 +1,249 @@
+// Strict TOML reader on top of toml++. Known keys are remembered by dotted path, which makes the
+// search for unknown keys one walk over the document.
+
+#include "tomlreader.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace cornelshed {
+
+std::string TomlProblem::toString() const
+{
+    return file + ":" + std::to_string(line) + ": " + key + ": found " + found
+            + ", allowed: " + allowed;
+}
+
+class TomlDocument::Private
+{
+public:
+    Private(std::string file, TomlProblems &problems)
+        : m_file(std::move(file)), m_problems(problems)
+    { }
+
+    void add(const toml::node *node, const std::string &path, std::string allowed)
+    {
+        std::ostringstream found;
+        if (node == nullptr)
+            found << "nothing";
+        else
+            node->visit([&](const auto &it) { found << it; });
+        const std::uint32_t line = node == nullptr ? 0 : node->source().begin.line;
+        m_problems.push_back({m_file, line, path, found.str(), std::move(allowed)});
+    }
+
+    void addUnknownKeys(const toml::table &table, const std::string &prefix)
+    {
+        for (const auto &[key, node] : table)
+            addUnknownKey(node, prefix + std::string(key.str()));
+    }
+
+    toml::table m_table;
+    std::string m_file;
+    TomlProblems &m_problems;
+    std::set<std::string> m_known; // dotted paths of all keys that were read
+
+private:
+    void addUnknownKey(const toml::node &node, const std::string &path)
+    {
+        if (m_known.count(path) == 0) {
+            add(&node, path, "no such key");
+            return;
+        }
+        if (const toml::table *inner = node.as_table())
+            addUnknownKeys(*inner, path + ".");
+        if (const toml::array *rows = node.as_array()) {
+            for (std::size_t n = 0; n < rows->size(); ++n) {
+                if (const toml::table *row = rows->get(n)->as_table())
+                    addUnknownKeys(*row, path + "[" + std::to_string(n) + "].");
+            }
+        }
+    }
+};
+
+class TomlSection::Private
+{
+public:
+    Private(std::shared_ptr<TomlDocument::Private> document, const toml::table *table,
+            std::string prefix)
+        : m_document(std::move(document)), m_table(table), m_prefix(std::move(prefix))
+    { }
+
+    std::string path(std::string_view key) const { return m_prefix + std::string(key); }
+
+    const toml::node *find(std::string_view key)
+    {
+        m_document->m_known.insert(path(key));
+        return m_table == nullptr ? nullptr : m_table->get(key);
+    }
+
+    void add(const toml::node *node, std::string_view key, std::string allowed)
+    {
+        m_document->add(node, path(key), std::move(allowed));
+    }
+
+    // Reads a value of the given type that also passes the test; reports it otherwise.
+    template<typename Value, typename Test>
+    Value read(std::string_view key, std::optional<Value> byDefault, const std::string &allowed,
+               Test test)
+    {
+        const toml::node *node = find(key);
+        if (node == nullptr && byDefault.has_value())
+            return *byDefault;
+        const std::optional<Value> value = node == nullptr ? std::nullopt : node->value<Value>();
+        if (value.has_value() && test(*value))
+            return *value;
+        add(node, key, allowed);
+        return byDefault.value_or(Value {});
+    }
+
+    std::shared_ptr<TomlDocument::Private> m_document;
+    const toml::table *m_table; // null: the table is missing in the file
+    std::string m_prefix;
+};
+
+TomlSection::TomlSection(std::shared_ptr<Private> section) : d(std::move(section)) { }
+
+std::string TomlSection::text(std::string_view key, std::optional<std::string> byDefault)
+{
+    const bool emptyAllowed = byDefault.has_value() && byDefault->empty();
+    return d->read<std::string>(key, std::move(byDefault), "a non-empty text",
+                                [&](const std::string &it) { return emptyAllowed || !it.empty(); });
+}
+
+std::string TomlSection::choice(std::string_view key, const std::vector<std::string> &allowed,
+                                std::optional<std::string> byDefault)
+{
+    std::string list;
+    for (const std::string &it : allowed)
+        list += (list.empty() ? "" : " | ") + it;
+    const std::string first = allowed.front();
+    const auto test = [&](const std::string &value) {
+        return std::find(allowed.begin(), allowed.end(), value) != allowed.end();
+    };
+    const std::string value = d->read<std::string>(key, std::move(byDefault), list, test);
+    return value.empty() ? first : value;
+}
+
+std::int64_t TomlSection::integer(std::string_view key, std::int64_t least, std::int64_t most,
+                                  std::optional<std::int64_t> byDefault)
+{
+    const std::string allowed =
+            "an integer from " + std::to_string(least) + " to " + std::to_string(most);
+    const toml::node *node = d->find(key);
+    if (node != nullptr && !node->is_integer()) {
+        d->add(node, key, allowed);
+        return byDefault.value_or(least);
+    }
+    return d->read<std::int64_t>(key, byDefault, allowed,
+                                 [&](std::int64_t it) { return it >= least && it <= most; });
+}
+
+double TomlSection::number(std::string_view key, double least, double most,
+                           std::optional<double> byDefault)
+{
+    std::ostringstream allowed;
+    allowed << "a number from " << least << " to " << most;
+    return d->read<double>(key, byDefault, allowed.str(),
+                           [&](double it) { return it >= least && it <= most; });
+}
+
+bool TomlSection::boolean(std::string_view key, std::optional<bool> byDefault)
+{
+    const toml::node *node = d->find(key);
+    if (node != nullptr && !node->is_boolean()) {
+        d->add(node, key, "true | false");
+        return byDefault.value_or(false);
+    }
+    return d->read<bool>(key, byDefault, "true | false", [](bool) { return true; });
+}
+
+std::vector<std::string> TomlSection::texts(std::string_view key)
+{
+    const toml::node *node = d->find(key);
+    if (node == nullptr)
+        return {};
+    const toml::array *values = node->as_array();
+    if (values == nullptr || !std::all_of(values->begin(), values->end(), [](const toml::node &it) {
+            return it.is_string();
+        })) {
+        d->add(node, key, "an array of texts");
+        return {};
+    }
+    std::vector<std::string> result;
+    for (const toml::node &it : *values)
+        result.push_back(it.value_or(std::string()));
+    return result;
+}
+
+TomlSection TomlSection::table(std::string_view key)
+{
+    const toml::node *node = d->find(key);
+    const toml::table *inner = node == nullptr ? nullptr : node->as_table();
+    if (node != nullptr && inner == nullptr)
+        d->add(node, key, "a table");
+    return TomlSection(std::make_shared<Private>(d->m_document, inner, d->path(key) + "."));
+}
+
+std::vector<TomlSection> TomlSection::tables(std::string_view key)
+{
+    const toml::node *node = d->find(key);
+    if (node == nullptr)
+        return {};
+    const toml::array *rows = node->as_array();
+    if (rows == nullptr) {
+        d->add(node, key, "an array of tables");
+        return {};
+    }
+    std::vector<TomlSection> result;
+    for (std::size_t n = 0; n < rows->size(); ++n) {
+        const toml::table *row = rows->get(n)->as_table();
+        if (row == nullptr) {
+            d->add(rows->get(n), key, "a table");
+            continue;
+        }
+        const std::string prefix = d->path(key) + "[" + std::to_string(n) + "].";
+        result.push_back(TomlSection(std::make_shared<Private>(d->m_document, row, prefix)));
+    }
+    return result;
+}
+
+bool TomlSection::has(std::string_view key) const
+{
+    return d->m_table != nullptr && d->m_table->contains(key);
+}
+
+void TomlSection::reject(std::string_view key, std::string allowed)
+{
+    d->add(d->find(key), key, std::move(allowed));
+}
+
+TomlDocument::TomlDocument(std::shared_ptr<Private> document) : d(std::move(document)) { }
+
+TomlDocument TomlDocument::parse(std::string_view text, const std::string &file,
+                                 TomlProblems &problems)
+{
+    auto document = std::make_shared<Private>(file, problems);
+    try {
+        document->m_table = toml::parse(text, file);
+    } catch (const toml::parse_error &error) {
+        problems.push_back({file, static_cast<std::uint32_t>(error.source().begin.line), "(syntax)",
+                            std::string(error.description()), "valid TOML"});
+    }
+    return TomlDocument(std::move(document));
+}
+
+TomlSection TomlDocument::root() const
+{
+    return TomlSection(std::make_shared<TomlSection::Private>(d, &d->m_table, ""));
+}
+
+void TomlDocument::reportUnknownKeys()
+{
+    d->addUnknownKeys(d->m_table, "");
+}
+
+} // namespace cornelshed
