--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -12,8 +12,8 @@
   add_library(cornelshed_measure STATIC ${CORNELSHED_MEASURE_FILES})
   target_include_directories(cornelshed_measure PUBLIC ${CMAKE_SOURCE_DIR}/apps/measure)
   target_link_libraries(cornelshed_measure PUBLIC cornelshed_core)
-  add_executable(cornelshed-measure ${CMAKE_SOURCE_DIR}/apps/measure/measure_main.cpp)
-  target_link_libraries(cornelshed-measure PRIVATE cornelshed_measure cornelshed_runtime)
+  cornelshed_program(cornelshed-measure apps/measure/measure_main.cpp cornelshed_measure
+    cornelshed_runtime)
 endif()
 
 file(GLOB CORNELSHED_DEMO_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/demo/*.cpp)
--- /dev/null
+++ b/src/burn.h
@@ -0,0 +1,84 @@
+// Service-level burn: exact counts of requests that met or missed their objective, per tier and
+// organisation, over several windows. A burn rate of 1 uses up the error budget exactly as fast as
+// the objective allows; see "multiwindow, multi-burn-rate alerts" in the reliability literature.
+
+#ifndef CORNELSHED_BURN_H
+#define CORNELSHED_BURN_H
+
+#include "types.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornelshed {
+
+// Length of a window and of the buckets it is made of; old buckets leave the window as a whole.
+struct BurnWindow
+{
+    const char *name;
+    Duration length;
+    Duration bucket;
+};
+
+constexpr std::array<BurnWindow, 4> burnWindows {{
+        {"5m", std::chrono::minutes(5), std::chrono::seconds(10)},
+        {"1h", std::chrono::hours(1), std::chrono::minutes(2)},
+        {"6h", std::chrono::hours(6), std::chrono::minutes(12)},
+        {"3d", std::chrono::hours(72), std::chrono::hours(2)},
+}};
+
+struct BurnKey
+{
+    TierRank tier = 0;
+    std::string organisation;
+
+    auto operator<=>(const BurnKey &) const = default;
+};
+
+struct BurnCount
+{
+    std::uint64_t total = 0;
+    std::uint64_t bad = 0; // not answered whole in time
+
+    bool operator==(const BurnCount &) const = default;
+};
+
+// One row of the report: counts in each window, in the order of burnWindows.
+struct BurnRow
+{
+    BurnKey key;
+    std::array<BurnCount, burnWindows.size()> counts {};
+
+    bool operator==(const BurnRow &) const = default;
+};
+
+// Share of bad answers over the share that the objective allows. objective is in (0, 1); 0 if
+// nothing was counted.
+double burnRate(const BurnCount &count, double objective);
+
+class BurnCounter
+{
+public:
+    // Beyond organisationLimit organisations, the others of a tier are counted together under the
+    // name "(other)", so that memory is bounded.
+    explicit BurnCounter(std::size_t organisationLimit = 1000);
+    ~BurnCounter();
+    BurnCounter(BurnCounter &&) noexcept;
+    BurnCounter &operator=(BurnCounter &&) noexcept;
+
+    void record(TierRank tier, const std::string &organisation, bool good, Instant now);
+
+    // Rows in order of tier and organisation.
+    std::vector<BurnRow> report(Instant now) const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_BURN_H
