--- /dev/null
+++ b/src/operator_main.cpp
@@ -0,0 +1,154 @@
+// Command line of the operator's program.
+
+#include "operatorcommands.h"
+
+#include <docopt/docopt.h>
+
+#include <charconv>
+#include <iostream>
+#include <map>
+
+using namespace cornelshed;
+
+namespace {
+
+constexpr const char *usage = R"(cornelshed: configuration of a deployment
+
+Usage:
+  cornelshed questionnaire [--output FILE]
+  cornelshed check --answers FILE
+  cornelshed generate --answers FILE --output FILE
+  cornelshed diff --configuration FILE --platform HOST:PORT
+  cornelshed accept --configuration FILE --platform HOST:PORT --operator NAME
+             [--seen VERSION] [--change ID] [--wait] [--wait-timeout-ms MS]
+  cornelshed status --platform HOST:PORT
+  cornelshed --help
+  cornelshed --version
+
+Commands:
+  questionnaire  Writes a commented answers file to fill in.
+  check          Checks an answers file and reports every wrong answer.
+  generate       Writes the configuration that follows from the answers.
+  diff           Shows what accepting the configuration would change.
+  accept         Makes the configuration the accepted one.
+  status         Shows the accepted configuration, its spread, events and leases.
+
+Options:
+  --answers FILE        Answers file (TOML).
+  --output FILE         File to write.
+  --configuration FILE  Configuration written by generate.
+  --platform HOST:PORT  IP address and port of the platform.
+  --operator NAME       Who accepts; others are shown this name.
+  --seen VERSION        Accept only if this version is the accepted one.
+  --change ID           Settles an earlier accept whose outcome is unknown (with --seen).
+  --wait                Wait until the change is in force in every entry daemon.
+  --wait-timeout-ms MS  How long to wait [default: 10000].
+  --help                Shows this text.
+  --version             Shows the version.
+
+Exit status:
+  0  success
+  1  a file is wrong or cannot be read or written; nothing was changed
+  2  wrong command line
+  3  not accepted because of another change; nothing was changed
+  4  the platform cannot be reached or refused; nothing was changed
+  5  unknown whether the change was accepted; the printed command settles it
+  6  accepted, but not in force everywhere within the time to wait
+  7  diff: the configurations differ
+)";
+
+using Arguments = std::map<std::string, docopt::value>;
+
+// Error in the values of the command line.
+struct UsageError
+{
+    std::string message;
+};
+
+std::string text(const Arguments &arguments, const char *option)
+{
+    const docopt::value &value = arguments.at(option);
+    return value ? value.asString() : std::string();
+}
+
+PlatformEndpoint platform(const Arguments &arguments)
+{
+    const auto endpoint = parseEndpoint(text(arguments, "--platform"));
+    if (!endpoint.has_value())
+        throw UsageError {"--platform: expected HOST:PORT with an IP address"};
+    return *endpoint;
+}
+
+std::optional<std::uint64_t> number(const Arguments &arguments, const char *option)
+{
+    const std::string digits = text(arguments, option);
+    if (digits.empty())
+        return std::nullopt;
+    std::uint64_t value = 0;
+    const char *end = digits.data() + digits.size();
+    const auto result = std::from_chars(digits.data(), end, value);
+    if (result.ec != std::errc() || result.ptr != end)
+        throw UsageError {std::string(option) + ": expected a number"};
+    return value;
+}
+
+AcceptOptions acceptOptions(const Arguments &arguments)
+{
+    AcceptOptions options;
+    options.configurationPath = text(arguments, "--configuration");
+    options.platform = platform(arguments);
+    options.operatorName = text(arguments, "--operator");
+    options.seenVersion = number(arguments, "--seen");
+    options.changeId = text(arguments, "--change");
+    if (!options.changeId.empty() && !options.seenVersion.has_value())
+        throw UsageError {"--change: needs --seen"};
+    constexpr std::uint64_t waitMostMs = 3600ULL * 1000;
+    const std::uint64_t waitMs = number(arguments, "--wait-timeout-ms").value_or(0);
+    if (waitMs > waitMostMs)
+        throw UsageError {"--wait-timeout-ms: at most an hour"};
+    if (arguments.at("--wait").asBool())
+        options.waitFor = std::chrono::milliseconds(waitMs);
+    return options;
+}
+
+ExitStatus runCommand(const Arguments &arguments)
+{
+    OperatorCommands commands(std::cout, std::cerr);
+    const auto chosen = [&](const char *command) { return arguments.at(command).asBool(); };
+    if (chosen("questionnaire"))
+        return commands.questionnaire(text(arguments, "--output"));
+    if (chosen("check"))
+        return commands.check(text(arguments, "--answers"));
+    if (chosen("generate"))
+        return commands.generate(text(arguments, "--answers"), text(arguments, "--output"));
+    if (chosen("diff"))
+        return commands.diff(text(arguments, "--configuration"), platform(arguments));
+    if (chosen("accept"))
+        return commands.accept(acceptOptions(arguments));
+    return commands.status(platform(arguments));
+}
+
+ExitStatus parseAndRun(const std::vector<std::string> &words)
+{
+    try {
+        return runCommand(docopt::docopt_parse(usage, words, true, true));
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        return ExitStatus::Success;
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << "cornelshed " CORNELSHED_VERSION "\n";
+        return ExitStatus::Success;
+    } catch (const docopt::DocoptArgumentError &error) {
+        std::cerr << error.what() << "\n" << usage;
+    } catch (const UsageError &error) {
+        std::cerr << error.message << "\n";
+    }
+    return ExitStatus::Usage;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return static_cast<int>(parseAndRun(std::vector<std::string>(argv + 1, argv + argc)));
+}
--- /dev/null
+++ b/src/operatorcommands.cpp
@@ -0,0 +1,242 @@
+// Subcommands that read and write files, and those that talk to the platform.
+
+#include "operatorcommands.h"
+
+#include "acceptance.h"
+#include "answers.h"
+#include "configurationdiff.h"
+#include "configurationfile.h"
+#include "configurationhead.h"
+#include "platformsession.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <fstream>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+namespace cornelshed {
+
+namespace {
+
+PlatformSettings settingsOf(const PlatformEndpoint &endpoint)
+{
+    PlatformSettings settings;
+    settings.address = endpoint.address;
+    settings.port = endpoint.port;
+    return settings;
+}
+
+// 64 random bits: two attempts must never share a change id.
+std::string drawChangeId()
+{
+    std::random_device device;
+    std::array<char, 17> buf {};
+    std::snprintf(buf.data(), buf.size(), "%08x%08x", device(), device());
+    return buf.data();
+}
+
+std::string describe(const ConfigurationHead &head)
+{
+    return "version " + std::to_string(head.version) + " by " + head.operatorName + " (change "
+            + head.changeId + ", digest " + head.digest + ")";
+}
+
+// The accepted text, empty if none was accepted.
+Result<std::string, TableError> readAcceptedText(BlockingTable &table, const SeenHead &seen)
+{
+    if (seen.rowVersion == 0)
+        return std::string();
+    return table.getObject(configurationObjectKey(seen.head.digest));
+}
+
+std::string settlingCommand(const AcceptOptions &options, const AcceptanceRequest &request,
+                            std::uint64_t seenVersion)
+{
+    return "cornelshed accept --configuration " + options.configurationPath + " --platform "
+            + options.platform.address + ":" + std::to_string(options.platform.port)
+            + " --operator " + options.operatorName + " --change " + request.changeId + " --seen "
+            + std::to_string(seenVersion);
+}
+
+} // namespace
+
+std::optional<PlatformEndpoint> parseEndpoint(const std::string &text)
+{
+    const auto at = text.rfind(':');
+    if (at == std::string::npos || at == 0)
+        return std::nullopt;
+    PlatformEndpoint endpoint {text.substr(0, at), 0};
+    if (endpoint.address.front() == '[' && endpoint.address.back() == ']')
+        endpoint.address = endpoint.address.substr(1, endpoint.address.size() - 2);
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + at + 1, end, endpoint.port);
+    if (result.ec != std::errc() || result.ptr != end || endpoint.port == 0)
+        return std::nullopt;
+    return endpoint;
+}
+
+std::optional<std::string> OperatorCommands::readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (file)
+        text << file.rdbuf();
+    if (!file || !text) {
+        m_errors << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+// Writes beside the file and renames, so that no reader sees half of it.
+ExitStatus OperatorCommands::writeFile(const std::string &path, const std::string &text)
+{
+    const std::string partial = path + ".partial";
+    std::ofstream file(partial, std::ios::binary | std::ios::trunc);
+    file << text;
+    file.close();
+    if (!file || std::rename(partial.c_str(), path.c_str()) != 0) {
+        std::remove(partial.c_str());
+        m_errors << path << ": cannot be written\n";
+        return ExitStatus::WrongInput;
+    }
+    return ExitStatus::Success;
+}
+
+std::optional<std::string> OperatorCommands::readConfiguration(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text.has_value())
+        return std::nullopt;
+    const auto parsed = parseConfiguration(*text, path);
+    if (const auto *problems = std::get_if<TomlProblems>(&parsed)) {
+        for (const TomlProblem &it : *problems)
+            m_errors << it.toString() << "\n";
+        return std::nullopt;
+    }
+    return formatConfiguration(std::get<Configuration>(parsed)); // comments are not accepted
+}
+
+ExitStatus OperatorCommands::questionnaire(const std::string &outputPath)
+{
+    if (!outputPath.empty())
+        return writeFile(outputPath, questionnaireText());
+    m_output << questionnaireText();
+    return ExitStatus::Success;
+}
+
+ExitStatus OperatorCommands::check(const std::string &answersPath)
+{
+    return generate(answersPath, "");
+}
+
+ExitStatus OperatorCommands::generate(const std::string &answersPath, const std::string &outputPath)
+{
+    const auto text = readFile(answersPath);
+    if (!text.has_value())
+        return ExitStatus::WrongInput;
+    const auto answers = parseAnswers(*text, answersPath);
+    if (const auto *problems = std::get_if<TomlProblems>(&answers)) {
+        for (const TomlProblem &it : *problems)
+            m_errors << it.toString() << "\n";
+        m_errors << answersPath << ": " << problems->size() << " problems, nothing was changed\n";
+        return ExitStatus::WrongInput;
+    }
+    const std::string configuration =
+            formatConfiguration(generateConfiguration(std::get<Answers>(answers)));
+    if (outputPath.empty()) {
+        m_output << answersPath << ": correct\n";
+        return ExitStatus::Success;
+    }
+    return writeFile(outputPath, configuration);
+}
+
+ExitStatus OperatorCommands::diff(const std::string &configurationPath,
+                                  const PlatformEndpoint &platform)
+{
+    const auto text = readConfiguration(configurationPath);
+    if (!text.has_value())
+        return ExitStatus::WrongInput;
+    PlatformSession session(settingsOf(platform));
+    const auto seen = readHead(session.table());
+    if (const auto *error = std::get_if<TableError>(&seen)) {
+        m_errors << error->message << "\n";
+        return ExitStatus::Unavailable;
+    }
+    const auto accepted = readAcceptedText(session.table(), std::get<SeenHead>(seen));
+    if (const auto *error = std::get_if<TableError>(&accepted)) {
+        m_errors << error->message << "\n";
+        return ExitStatus::Unavailable;
+    }
+    m_output << "accepted: " << describe(std::get<SeenHead>(seen).head) << "\n";
+    const auto lines = configurationDifference(std::get<std::string>(accepted), *text);
+    for (const std::string &it : lines)
+        m_output << it << "\n";
+    return lines.empty() ? ExitStatus::Success : ExitStatus::Different;
+}
+
+ExitStatus OperatorCommands::accept(const AcceptOptions &options)
+{
+    const auto text = readConfiguration(options.configurationPath);
+    if (!text.has_value())
+        return ExitStatus::WrongInput;
+    PlatformSession session(settingsOf(options.platform));
+    AcceptanceRequest request {*text, options.operatorName, options.changeId, options.seenVersion};
+    request.earlierAttempt = !options.changeId.empty();
+    if (request.changeId.empty())
+        request.changeId = drawChangeId();
+    const AcceptanceOutcome outcome = acceptConfiguration(session.table(), request);
+    if (const auto *accepted = std::get_if<Accepted>(&outcome)) {
+        m_output << "accepted: version " << accepted->version << " (change " << request.changeId
+                 << ")\n";
+        return ExitStatus::Success;
+    }
+    if (const auto *unknown = std::get_if<AcceptanceUnknown>(&outcome)) {
+        m_errors << "unknown whether the change was accepted: " << unknown->reason
+                 << "\nthis command settles it:\n  "
+                 << settlingCommand(options, request, unknown->seenVersion) << "\n";
+        return ExitStatus::Unknown;
+    }
+    const NotAccepted &refused = std::get<NotAccepted>(outcome);
+    m_errors << "not accepted: " << refused.reason << "\n";
+    if (!refused.winner.has_value())
+        return ExitStatus::Unavailable;
+    m_errors << "in the way: " << describe(refused.winner->head)
+             << "; this file would change it by\n";
+    const auto winning = readAcceptedText(session.table(), *refused.winner);
+    if (const auto *accepted = std::get_if<std::string>(&winning)) {
+        for (const std::string &it : configurationDifference(*accepted, *text))
+            m_errors << it << "\n";
+    } else {
+        m_errors << "(unknown: " << std::get<TableError>(winning).message << ")\n";
+    }
+    return ExitStatus::NotAccepted;
+}
+
+ExitStatus OperatorCommands::status(const PlatformEndpoint &platform)
+{
+    PlatformSession session(settingsOf(platform));
+    const auto seen = readHead(session.table());
+    if (const auto *error = std::get_if<TableError>(&seen)) {
+        m_errors << error->message << "\n";
+        return ExitStatus::Unavailable;
+    }
+    const SeenHead &head = std::get<SeenHead>(seen);
+    m_output << "configuration: "
+             << (head.rowVersion == 0 ? std::string("none accepted") : describe(head.head)) << "\n";
+    for (const char *prefix : {"event/", "lease/"}) {
+        const auto rows = session.table().scan(prefix);
+        if (const auto *error = std::get_if<TableError>(&rows)) {
+            m_errors << error->message << "\n";
+            return ExitStatus::Unavailable;
+        }
+        for (const auto &[key, row] : std::get<TableRows>(rows))
+            m_output << key << ": " << row.value << "\n";
+    }
+    return ExitStatus::Success;
+}
+
+} // namespace cornelshed
