Entry scheduler: reservations, at-most-once dispatch and endings

The entry side had an interface only. The scheduler now keeps each request until an agent grants a place, dispatches it against the first usable grant, and ends it exactly once. It is split into the request table, the server directory, candidate selection, placement, speed and prefix estimates, outlier detection and the retry budget, each usable alone. The request chart gains the event cancelled, because a caller that leaves or a deadline that passes after the dispatch is neither a failure nor a lost session.

--- /dev/null
+++ b/src/entrydecisions.cpp
@@ -0,0 +1,461 @@
+// Requests and servers of the entry scheduler: how each event changes them.
+
+#include "entrydecisions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshed::detail {
+
+namespace {
+
+// Callers of a full system come back after the usual time of a short request; callers for whom no
+// server is connected after about the time in which a host is replaced or returned.
+Duration retryAfter(NotRunReason reason)
+{
+    switch (reason) {
+    case NotRunReason::WaitingLimit:
+    case NotRunReason::RetryBudget:
+        return std::chrono::milliseconds(500);
+    case NotRunReason::NoBackendServer:
+        return std::chrono::seconds(1);
+    default:
+        return Duration::zero();
+    }
+}
+
+bool isServerFault(FailReason reason)
+{
+    return reason == FailReason::EngineUnreachable || reason == FailReason::EngineError
+            || reason == FailReason::StreamCut;
+}
+
+bool isTemporary(RejectReason reason)
+{
+    return reason == RejectReason::QueueFull || reason == RejectReason::Shed;
+}
+
+WorkSize workSize(const EntryRequest &request, std::uint64_t cachedTokens)
+{
+    const RequestArrival &arrival = request.arrival;
+    return {arrival.promptTokens - std::min(cachedTokens, arrival.promptTokens),
+            arrival.outputTokens};
+}
+
+StateChart chartOf(EntryParts &parts)
+{
+    return parts.requestChart ? std::move(*parts.requestChart) : defaultRequestChart();
+}
+
+std::unique_ptr<PlacementPolicy> placementOf(EntryParts &parts)
+{
+    if (parts.placement)
+        return std::move(parts.placement);
+    return std::make_unique<ScoredPlacement>();
+}
+
+OutlierSettings outlierSettings(const EntryLimits &limits)
+{
+    OutlierSettings settings;
+    settings.ejectedShareLimit = limits.ejectedShareLimit;
+    return settings;
+}
+
+} // namespace
+
+EntryDecisions::EntryDecisions(const EntryLimits &limits, std::shared_ptr<const RoutingView> view,
+                               RandomSource &random, EntryParts parts)
+    : m_limits(limits), m_random(random), m_lifecycle(chartOf(parts)),
+      m_placement(placementOf(parts)), m_selector(m_directory), m_outliers(outlierSettings(limits)),
+      m_retries(limits.retryBudgetShare, limits.retryBudgetBurst)
+{
+    m_selector.setView(std::move(view));
+}
+
+EntryActions EntryDecisions::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void EntryDecisions::send(ServerSlot slot, EntryMessage message)
+{
+    m_actions.emplace_back(SendToAgent {m_directory.at(slot).id, std::move(message)});
+}
+
+// --- servers ---
+
+void EntryDecisions::applyView(ServerSlot slot)
+{
+    const DirectoryEntry &entry = m_directory.at(slot);
+    m_directory.setBlock(slot, ServerBlock::ZoneWithdrawn,
+                         m_selector.zoneWithdrawn(entry.availabilityZone));
+    m_directory.setBlock(slot, ServerBlock::HostLeaving, m_selector.hostLeaving(entry.id.name));
+}
+
+void EntryDecisions::setView(std::shared_ptr<const RoutingView> view, Instant now)
+{
+    m_selector.setView(std::move(view));
+    for (ServerSlot slot = 0; slot < m_directory.slotCount(); ++slot)
+        if (m_directory.at(slot).connected)
+            applyView(slot);
+    withdrawWhereForbidden(now);
+    topUp(now);
+}
+
+void EntryDecisions::connected(const Welcome &welcome, Instant now)
+{
+    // A session that was opened again without a report of the loss of the old one.
+    disconnected(welcome.backendServer, now);
+    const ServerSlot slot = m_directory.add(welcome);
+    m_speeds.add(slot, m_directory.at(slot).versionNumber);
+    m_outliers.add(slot, m_directory.at(slot).poolNumber);
+    applyView(slot);
+    m_speeds.report(slot, welcome.load, now);
+    topUp(now);
+}
+
+void EntryDecisions::disconnected(const BackendServerId &backendServer, Instant now)
+{
+    const auto slot = m_directory.find(backendServer);
+    if (!slot)
+        return;
+    for (const RequestId &id : m_requests.dispatchedTo(*slot))
+        endUnknown(*m_requests.find(id), RequestEvent::SessionLost, UnknownReason::SessionLost,
+                   now);
+    std::vector<RequestId> affected;
+    for (const RequestId &id : m_requests.waiting()) {
+        EntryRequest &request = *m_requests.find(id);
+        std::erase_if(request.avoided, [&](const AvoidedServer &it) { return it.slot == *slot; });
+        EntryReservation lost;
+        if (takeReservation(request, *slot, lost))
+            affected.push_back(id);
+    }
+    m_directory.remove(*slot);
+    m_speeds.forget(*slot);
+    m_prefixes.forget(*slot);
+    m_outliers.forget(*slot);
+    std::erase(m_probing, *slot);
+    for (const RequestId &id : affected)
+        reserveOrRefuse(*m_requests.find(id), now);
+}
+
+void EntryDecisions::setBlock(ServerSlot slot, ServerBlock block, bool on, Instant now)
+{
+    if (m_directory.setBlock(slot, block, on))
+        withdrawWhereForbidden(now);
+}
+
+void EntryDecisions::syncEjection(ServerSlot slot, Instant now)
+{
+    setBlock(slot, ServerBlock::Ejected, m_outliers.state(slot) != OutlierState::Admitted, now);
+}
+
+void EntryDecisions::recordResult(ServerSlot slot, const AttemptResult &result, Instant now)
+{
+    if (m_outliers.record(slot, result, now))
+        syncEjection(slot, now);
+}
+
+// --- messages of agents ---
+
+void EntryDecisions::handle(const BackendServerId &from, const AgentMessage &message, Instant now)
+{
+    // Messages over a lost session are void: its requests have ended or are reserved elsewhere.
+    const auto slot = m_directory.find(from);
+    if (!slot)
+        return;
+    std::visit([&](const auto &it) { on(*slot, it, now); }, message);
+}
+
+void EntryDecisions::on(ServerSlot /*from*/, const Welcome & /*message*/, Instant /*now*/) { }
+
+void EntryDecisions::on(ServerSlot from, const Grant &message, Instant now)
+{
+    m_speeds.report(from, message.load, now);
+    EntryRequest *request = m_requests.find(message.request);
+    if (request != nullptr && request->state == RequestState::Dispatched
+        && request->dispatchedTo.slot == from && request->grant == message.grant)
+        return; // repeated
+    EntryReservation reservation;
+    const bool reserved = request != nullptr && request->state == RequestState::Waiting
+            && takeReservation(*request, from, reservation);
+    if (!reserved) {
+        send(from, Decline {message.request, message.grant});
+        return;
+    }
+    const RequestArrival &arrival = request->arrival;
+    const Duration expected = message.expectedTotal > Duration::zero()
+            ? message.expectedTotal
+            : m_speeds.serviceTime(from, workSize(*request, reservation.cachedTokens), now);
+    const bool inTime = now + expected + m_limits.answerMargin <= arrival.deadline;
+    if (inTime && mayGetDispatch(*request, reservation)) {
+        dispatch(*request, reservation, message, now);
+        return;
+    }
+    send(from, Decline {message.request, message.grant});
+    dropProbe(reservation);
+    request->avoided.push_back({from, true});
+    request->tooSlowSomewhere = request->tooSlowSomewhere || !inTime;
+    reserveOrRefuse(*request, now);
+}
+
+void EntryDecisions::on(ServerSlot from, const Reject &message, Instant now)
+{
+    m_speeds.report(from, message.load, now);
+    EntryRequest *request = m_requests.find(message.request);
+    EntryReservation reservation;
+    if (request == nullptr || request->state != RequestState::Waiting
+        || !takeReservation(*request, from, reservation))
+        return;
+    dropProbe(reservation);
+    request->avoided.push_back({from, !isTemporary(message.reason)});
+    if (message.reason == RejectReason::DeadlineUnreachable)
+        request->tooSlowSomewhere = true;
+    reserveOrRefuse(*request, now);
+}
+
+void EntryDecisions::on(ServerSlot from, const ResponseHead &message, Instant /*now*/)
+{
+    EntryRequest *request = m_requests.find(message.request);
+    if (request != nullptr && request->dispatchedTo.slot == from)
+        request->started = true;
+}
+
+void EntryDecisions::on(ServerSlot from, const Chunk &message, Instant /*now*/)
+{
+    EntryRequest *request = m_requests.find(message.request);
+    if (request != nullptr && request->dispatchedTo.slot == from)
+        request->started = true;
+}
+
+void EntryDecisions::on(ServerSlot from, const Finished &message, Instant now)
+{
+    m_speeds.report(from, message.load, now);
+    EntryRequest *request = m_requests.find(message.request);
+    if (request != nullptr && request->state == RequestState::Dispatched
+        && request->dispatchedTo.slot == from)
+        finish(*request, message, now);
+}
+
+void EntryDecisions::on(ServerSlot from, const Failed &message, Instant now)
+{
+    m_speeds.report(from, message.load, now);
+    EntryRequest *request = m_requests.find(message.request);
+    if (request == nullptr || request->state != RequestState::Dispatched
+        || request->dispatchedTo.slot != from)
+        return;
+    // An agent that has sent a part of the answer contradicts itself with notRun; the request may
+    // have run.
+    const bool notRun = message.notRun && !request->started;
+    const EntryReservation reservation = request->dispatchedTo;
+    if (!notRun || message.reason == FailReason::EngineUnreachable)
+        reportOutcome(*request, isServerFault(message.reason), {}, now);
+    if (notRun)
+        backToWaiting(*request, now);
+    else
+        endUnknown(*request, RequestEvent::Failed,
+                   message.reason == FailReason::StreamCut ? UnknownReason::StreamCut
+                                                           : UnknownReason::EngineError,
+                   now);
+    if (isServerFault(message.reason))
+        recordResult(from, {true, 0, 0, Duration::zero(), reservation.probe}, now);
+    else
+        dropProbe(reservation);
+}
+
+void EntryDecisions::on(ServerSlot from, const Load &message, Instant now)
+{
+    m_speeds.report(from, message.load, now);
+}
+
+void EntryDecisions::on(ServerSlot from, const Leaving & /*message*/, Instant now)
+{
+    setBlock(from, ServerBlock::Leaving, true, now);
+}
+
+// --- requests ---
+
+void EntryDecisions::submit(const RequestArrival &arrival, Instant now)
+{
+    if (m_requests.find(arrival.request) != nullptr)
+        return; // the request is known already, and its one ending is to come
+    if (m_shuttingDown) {
+        end(arrival.request, NotRun {NotRunReason::ShuttingDown, Duration::zero()});
+        return;
+    }
+    if (m_requests.waitingCount() >= m_limits.waitingRequestLimit
+        && m_requests.shedsBeforeAll(arrival)) {
+        end(arrival.request,
+            NotRun {NotRunReason::WaitingLimit, retryAfter(NotRunReason::WaitingLimit)});
+        return;
+    }
+    EntryRequest &request = m_requests.insert(arrival);
+    request.versionDraw = m_random.unit();
+    reserveOrRefuse(request, now);
+    shedOverLimit();
+}
+
+void EntryDecisions::shedOverLimit()
+{
+    while (m_requests.waitingCount() > m_limits.waitingRequestLimit)
+        refuse(*m_requests.find(*m_requests.firstToShed()), NotRunReason::WaitingLimit);
+}
+
+bool EntryDecisions::transition(EntryRequest &request, RequestEvent event)
+{
+    const auto next = m_lifecycle.next(request.state, event);
+    if (!next)
+        return false;
+    m_requests.setState(request, *next);
+    return true;
+}
+
+void EntryDecisions::dispatch(EntryRequest &request, const EntryReservation &reservation,
+                              const Grant &grant, Instant now)
+{
+    if (!transition(request, RequestEvent::GrantAccepted)) {
+        send(reservation.slot, Decline {grant.request, grant.grant});
+        return;
+    }
+    request.dispatchedTo = reservation;
+    request.grant = grant.grant;
+    request.dispatchedAt = now;
+    request.started = false;
+    const RequestArrival &arrival = request.arrival;
+    send(reservation.slot,
+         Dispatch {arrival.request, grant.grant, {}, {}, {}, {}, arrival.deadline - now});
+    withdrawAll(request);
+    m_speeds.sent(reservation.slot, workSize(request, reservation.cachedTokens));
+    if (request.offeredBackBy.empty())
+        m_retries.firstAttempt();
+    m_requests.setTimer(request, arrival.deadline);
+}
+
+void EntryDecisions::refuse(EntryRequest &request, NotRunReason reason)
+{
+    if (!transition(request, RequestEvent::Refused))
+        return;
+    withdrawAll(request);
+    end(request.arrival.request, NotRun {reason, retryAfter(reason)});
+}
+
+void EntryDecisions::end(RequestId id, Ending ending)
+{
+    m_requests.erase(id);
+    m_actions.emplace_back(EndRequest {id, ending});
+}
+
+void EntryDecisions::finish(EntryRequest &request, const Finished &message, Instant now)
+{
+    if (!transition(request, RequestEvent::Finished))
+        return;
+    const RequestArrival &arrival = request.arrival;
+    const EntryReservation reservation = request.dispatchedTo;
+    const ServerSlot slot = reservation.slot;
+    const Usage &usage = message.usage;
+    reportOutcome(request, false, usage, now);
+    m_speeds.finished(slot, usage, now);
+    if (!arrival.prefixHashes.empty())
+        m_prefixes.answered(slot,
+                            {arrival.prefixHashes, arrival.prefixTokensPerHash, usage.promptTokens},
+                            reservation.cachedTokens, usage.cachedTokens, now);
+    const Duration total =
+            usage.totalTime > Duration::zero() ? usage.totalTime : now - request.dispatchedAt;
+    end(arrival.request, Answered {usage});
+    recordResult(slot,
+                 {false, usage.promptTokens - std::min(usage.cachedTokens, usage.promptTokens),
+                  usage.outputTokens, total, reservation.probe},
+                 now);
+}
+
+void EntryDecisions::endUnknown(EntryRequest &request, RequestEvent event, UnknownReason reason,
+                                Instant now)
+{
+    if (!transition(request, event))
+        return;
+    if (event == RequestEvent::SessionLost)
+        reportOutcome(request, true, {}, now);
+    end(request.arrival.request, Unknown {reason});
+}
+
+// Stops a dispatched request at its server.
+void EntryDecisions::cancel(EntryRequest &request, UnknownReason reason, Instant now)
+{
+    const EntryReservation reservation = request.dispatchedTo;
+    send(reservation.slot, Cancel {request.arrival.request});
+    reportOutcome(request, false, {}, now);
+    endUnknown(request, RequestEvent::Cancelled, reason, now);
+    // The server was expected to finish in time, so a missed deadline speaks against it; a caller
+    // that leaves does not.
+    if (reason == UnknownReason::DeadlinePassed)
+        recordResult(reservation.slot, {true, 0, 0, Duration::zero(), reservation.probe}, now);
+    else
+        dropProbe(reservation);
+}
+
+// The agent reported that the dispatched request was not run.
+void EntryDecisions::backToWaiting(EntryRequest &request, Instant now)
+{
+    if (!transition(request, RequestEvent::NotRunReported))
+        return;
+    request.offeredBackBy.push_back(m_directory.at(request.dispatchedTo.slot).id);
+    request.dispatchedTo = {};
+    request.grant = {};
+    if (!m_retries.tryRetry()) {
+        refuse(request, NotRunReason::RetryBudget);
+        return;
+    }
+    reserveOrRefuse(request, now);
+    shedOverLimit();
+}
+
+void EntryDecisions::callerGone(RequestId id, Instant now)
+{
+    EntryRequest *request = m_requests.find(id);
+    if (request == nullptr)
+        return;
+    if (request->state == RequestState::Dispatched)
+        cancel(*request, UnknownReason::CallerGone, now);
+    else
+        refuse(*request, NotRunReason::CallerGone);
+}
+
+void EntryDecisions::reportOutcome(const EntryRequest &request, bool failed, const Usage &usage,
+                                   Instant now)
+{
+    const DirectoryEntry &server = m_directory.at(request.dispatchedTo.slot);
+    const RequestArrival &arrival = request.arrival;
+    m_actions.emplace_back(ReportOutcome {server.id, server.version, arrival.route,
+                                          arrival.organisation, arrival.tier, failed,
+                                          !failed && now <= arrival.deadline, usage});
+}
+
+// --- time ---
+
+void EntryDecisions::tick(Instant now)
+{
+    m_outliers.expire(now, m_probing);
+    while (const auto id = m_requests.takeDue(now)) {
+        EntryRequest &request = *m_requests.find(*id);
+        if (request.state == RequestState::Dispatched)
+            cancel(request, UnknownReason::DeadlinePassed, now);
+        else if (now >= request.latestStart)
+            refuse(request, NotRunReason::DeadlinePassed);
+        else
+            startRound(request, now);
+    }
+}
+
+Instant EntryDecisions::nextWake() const
+{
+    return std::min(m_requests.nextTimer(), m_outliers.nextExpiry());
+}
+
+// Asks servers again that had full queues.
+void EntryDecisions::startRound(EntryRequest &request, Instant now)
+{
+    std::erase_if(request.avoided, [](const AvoidedServer &it) { return !it.forGood; });
+    reserveOrRefuse(request, now);
+}
+
+} // namespace cornelshed::detail
--- a/src/entryscheduler.h
+++ b/src/entryscheduler.h
@@ -13,6 +13,7 @@
 
 #include "configuration.h"
 #include "messages.h"
+#include "statechart.h"
 #include "types.h"
 
 #include <memory>
@@ -147,12 +148,28 @@
 using EntryAction = std::variant<SendToAgent, EndRequest, ReportOutcome>;
 using EntryActions = std::vector<EntryAction>;
 
+class PlacementPolicy;
+
+// Parts that have defaults.
+struct EntryParts
+{
+    EntryParts();
+    ~EntryParts();
+    EntryParts(EntryParts &&) noexcept;
+    EntryParts &operator=(EntryParts &&) noexcept;
+
+    std::optional<StateChart> requestChart;     // absent: the chart of charts/request.toml
+    std::unique_ptr<PlacementPolicy> placement; // null: scored late binding
+};
+
 class EntryScheduler
 {
 public:
     // random must outlive the scheduler.
     EntryScheduler(const EntryLimits &limits, std::shared_ptr<const RoutingView> view,
                    RandomSource &random);
+    EntryScheduler(const EntryLimits &limits, std::shared_ptr<const RoutingView> view,
+                   RandomSource &random, EntryParts parts);
     ~EntryScheduler();
     EntryScheduler(EntryScheduler &&) noexcept;
     EntryScheduler &operator=(EntryScheduler &&) noexcept;
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,175 @@
+// Placement policies.
+
+#include "placement.h"
+
+#include <algorithm>
+
+namespace cornelshed {
+
+namespace {
+
+bool contains(std::span<const ServerSlot> slots, ServerSlot slot)
+{
+    return std::find(slots.begin(), slots.end(), slot) != slots.end();
+}
+
+bool chosen(const std::vector<PlacementChoice> &choices, ServerSlot slot)
+{
+    const auto same = [&](const PlacementChoice &it) { return it.slot == slot; };
+    return std::any_of(choices.begin(), choices.end(), same);
+}
+
+// Draws tried for each wanted server; more only help if nearly all candidates are excluded.
+constexpr std::size_t drawsPerChoice = 8;
+
+bool acceptable(const PlacementQuery &query, const std::vector<PlacementChoice> &choices,
+                ServerSlot slot)
+{
+    return !contains(query.excluded, slot) && !chosen(choices, slot);
+}
+
+// Takes the first acceptable candidates from the position on.
+std::size_t takeFrom(const PlacementQuery &query, std::size_t position,
+                     std::vector<PlacementChoice> &choices)
+{
+    const std::size_t n = query.candidates->size();
+    const std::size_t looked = std::min(n, query.count + query.excluded.size() + choices.size());
+    for (std::size_t i = 0; i < looked && choices.size() < query.count; ++i) {
+        const ServerSlot slot = query.candidates->at((position + i) % n);
+        if (acceptable(query, choices, slot))
+            choices.push_back({slot, {}, {}, 0});
+    }
+    return choices.size();
+}
+
+} // namespace
+
+void CandidateSet::clear()
+{
+    m_lists.clear();
+    m_size = 0;
+}
+
+void CandidateSet::add(std::span<const ServerSlot> slots)
+{
+    if (slots.empty())
+        return;
+    m_lists.push_back(slots);
+    m_size += slots.size();
+}
+
+ServerSlot CandidateSet::at(std::size_t position) const
+{
+    for (const auto &it : m_lists) {
+        if (position < it.size())
+            return it[position];
+        position -= it.size();
+    }
+    return noServerSlot;
+}
+
+ScoredPlacement::ScoredPlacement(const ScoredPlacementSettings &settings) : m_settings(settings) { }
+
+void ScoredPlacement::consider(const PlacementQuery &query, ServerSlot slot,
+                               std::uint64_t cachedTokens, RandomSource &random)
+{
+    if (contains(query.excluded, slot) || contains(m_seen, slot))
+        return;
+    m_seen.push_back(slot);
+    const WorkSize work {query.promptTokens - std::min(cachedTokens, query.promptTokens),
+                         query.outputTokens};
+    const Duration service = query.speeds->serviceTime(slot, work, query.now);
+    if (service > query.available)
+        return;
+    const Duration finish = service + query.speeds->queueDelay(slot, query.now);
+    const double score =
+            static_cast<double>(finish.count() + 1) * (1 + m_settings.nearEqual * random.unit());
+    m_scored.push_back({{slot, service, finish, cachedTokens}, score});
+}
+
+void ScoredPlacement::sample(const PlacementQuery &query, std::size_t count, RandomSource &random)
+{
+    const std::size_t n = query.candidates->size();
+    if (n == 0)
+        return;
+    // From a random position, so that the order of the list prefers no server.
+    const std::size_t start = random.below(n);
+    if (n <= 2 * count) {
+        for (std::size_t i = 0; i < n; ++i)
+            consider(query, query.candidates->at((start + i) % n), 0, random);
+        return;
+    }
+    for (std::size_t i = 0; i < count; ++i)
+        consider(query, query.candidates->at(random.below(n)), 0, random);
+}
+
+std::size_t ScoredPlacement::choose(const PlacementQuery &query, RandomSource &random,
+                                    std::vector<PlacementChoice> &choices)
+{
+    choices.clear();
+    m_seen.clear();
+    m_scored.clear();
+    for (const CachedPrefix &it : query.cached)
+        consider(query, it.slot, it.tokens, random);
+    sample(query, m_settings.sampleSize, random);
+    if (m_scored.size() < query.count)
+        sample(query, m_settings.secondSampleSize, random);
+    const std::size_t n = std::min(query.count, m_scored.size());
+    const auto middle = m_scored.begin() + static_cast<std::ptrdiff_t>(n);
+    std::partial_sort(m_scored.begin(), middle, m_scored.end(),
+                      [](const Scored &a, const Scored &b) { return a.score < b.score; });
+    for (auto it = m_scored.begin(); it != middle; ++it)
+        choices.push_back(it->choice);
+    return m_seen.size();
+}
+
+std::size_t RoundRobinPlacement::choose(const PlacementQuery &query, RandomSource & /*random*/,
+                                        std::vector<PlacementChoice> &choices)
+{
+    choices.clear();
+    const std::size_t n = query.candidates->size();
+    if (n == 0)
+        return 0;
+    const std::size_t found = takeFrom(query, m_next % n, choices);
+    ++m_next;
+    return found;
+}
+
+std::size_t RandomPlacement::choose(const PlacementQuery &query, RandomSource &random,
+                                    std::vector<PlacementChoice> &choices)
+{
+    choices.clear();
+    const std::size_t n = query.candidates->size();
+    if (n == 0)
+        return 0;
+    for (std::size_t i = 0; i < drawsPerChoice * query.count; ++i) {
+        const ServerSlot slot = query.candidates->at(random.below(n));
+        if (choices.size() < query.count && acceptable(query, choices, slot))
+            choices.push_back({slot, {}, {}, 0});
+    }
+    return takeFrom(query, random.below(n), choices);
+}
+
+std::size_t LeastOfTwoPlacement::choose(const PlacementQuery &query, RandomSource &random,
+                                        std::vector<PlacementChoice> &choices)
+{
+    choices.clear();
+    const std::size_t n = query.candidates->size();
+    if (n == 0)
+        return 0;
+    for (std::size_t i = 0; i < drawsPerChoice * query.count && choices.size() < query.count; ++i) {
+        const ServerSlot a = query.candidates->at(random.below(n));
+        const ServerSlot b = query.candidates->at(random.below(n));
+        const bool second =
+                query.speeds->lastReportedRequests(b) < query.speeds->lastReportedRequests(a);
+        const ServerSlot better = second ? b : a;
+        const ServerSlot other = second ? a : b;
+        if (acceptable(query, choices, better))
+            choices.push_back({better, {}, {}, 0});
+        else if (acceptable(query, choices, other))
+            choices.push_back({other, {}, {}, 0});
+    }
+    return takeFrom(query, random.below(n), choices);
+}
+
+} // namespace cornelshed
