Agent scheduler: tier queue, adaptive limit, grants and running work

Cause: agents need a decision part that orders reservations of all entry daemons, limits what a cold or loaded server gets, and starts each dispatch at most once.

Change: TierQueue (strict tiers with a starvation floor, deficit round robin over organisations, earliest deadline within one), AdaptiveLimit, ServerRates and ServerWork (pace against the server's own warm baseline), GrantLedger (verdict on each dispatch), AgentScheduler on top.

A grant is reported as not run at most once: Failed carries no grant id, so a second report for a doubled dispatch would be taken for the request's next dispatch and could start it twice.

--- /dev/null
+++ b/src/agentscheduler.cpp
@@ -0,0 +1,561 @@
+// Joins the queue of reservations, the ledger of grants and the work on the server.
+
+#include "agentscheduler.h"
+
+#include "grantledger.h"
+#include "serverwork.h"
+#include "tierqueue.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace cornelshed {
+
+namespace {
+
+struct Session
+{
+    Instant lastLoadAt; // when a load report was last sent to it
+};
+
+struct Reservation
+{
+    SessionId session = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0;
+};
+
+// How often a server that stopped making progress is looked at while reservations wait.
+constexpr Duration overduePoll = std::chrono::milliseconds(20);
+
+// Bounds on what a message may claim, so that sums and times cannot overflow.
+constexpr std::uint64_t largestTokenCount = 1ULL << 32U;
+constexpr Duration longestDeadline = std::chrono::hours(24);
+
+} // namespace
+
+class AgentScheduler::Private
+{
+public:
+    Private(const AgentLimits &limits, const Welcome &identity,
+            const std::vector<TierSettings> &tiers)
+        : m_limits(limits), m_identity(identity), m_queue(limits.reservationLimit, tiers),
+          m_ledger(identity.backendServer.incarnation, limits.grantHold), m_work(limits)
+    {
+        setTiers(tiers);
+    }
+
+    void setTiers(const std::vector<TierSettings> &tiers);
+    void setConfiguration(const Configuration &configuration);
+    void openSession(SessionId session);
+    void closeSession(SessionId session);
+    bool open(SessionId session) const { return m_sessions.count(session) != 0; }
+
+    void on(SessionId session, const Hello &) { }
+    void on(SessionId session, const ConfigurationNotice &) { }
+    void on(SessionId session, const Reserve &reserve);
+    void on(SessionId session, const Withdraw &withdraw);
+    void on(SessionId session, const Dispatch &dispatch);
+    void on(SessionId session, const Decline &decline);
+    void on(SessionId session, const Cancel &cancel);
+
+    void finish(RequestId request, const Usage &usage);
+    void fail(RequestId request, FailReason reason, bool notRun);
+    void setReachable(bool reachable);
+    void shutDown();
+
+    void runTimers();
+    void grantWhilePossible();
+    Instant nextWake() const;
+    LoadReport load() const;
+    bool idle() const { return m_ledger.liveCount() == 0 && m_work.size() == 0; }
+
+    ServerWork &work() { return m_work; }
+
+    // Every call of the public class starts with begin() and ends with end().
+    void begin(Instant now) { m_now = std::max(m_now, now); }
+    AgentActions end();
+
+private:
+    bool knownModel(const std::string &model) const;
+    std::optional<RejectReason> refusal(const Reserve &reserve,
+                                        const Reservation &reservation) const;
+    bool takesNewWork() const { return !m_shuttingDown && !m_zoneWithdrawn && m_reachable; }
+    bool dequeue(SessionId session, RequestId request);
+    void rejectQueued(RejectReason reason);
+    void reject(SessionId session, RequestId request, RejectReason reason);
+    void rejectEntries(const std::vector<QueueEntry> &entries, RejectReason reason);
+    void refund(const HeldPlace &place) { m_queue.refund(place.entry); }
+    void grant(const QueueEntry &entry);
+    void start(SessionId session, const Dispatch &dispatch, const HeldPlace &place);
+    ServiceEstimate estimate(const Reservation &reservation) const;
+    void send(SessionId session, AgentMessage message);
+    void sendWithLoad(SessionId session, AgentMessage message);
+    void sendDueLoads();
+
+    AgentLimits m_limits;
+    Welcome m_identity;
+    TierQueue m_queue;
+    GrantLedger m_ledger;
+    ServerWork m_work;
+    std::map<SessionId, Session> m_sessions;
+    std::unordered_map<RequestId, Reservation> m_reservations; // invariant: those in m_queue
+    TierRank m_lowestTier = 0;
+    bool m_zoneWithdrawn = false;
+    bool m_reachable = true;
+    bool m_shuttingDown = false;
+    Instant m_now;
+    AgentActions m_actions;
+};
+
+void AgentScheduler::Private::setTiers(const std::vector<TierSettings> &tiers)
+{
+    m_queue.setTiers(tiers);
+    m_lowestTier = 0;
+    for (const TierSettings &it : tiers)
+        m_lowestTier = std::max(m_lowestTier, it.rank);
+}
+
+void AgentScheduler::Private::setConfiguration(const Configuration &configuration)
+{
+    setTiers(configuration.tiers);
+    m_zoneWithdrawn = false;
+    for (const AvailabilityZoneSettings &it : configuration.availabilityZones) {
+        if (it.name == m_identity.availabilityZone)
+            m_zoneWithdrawn = it.state == AvailabilityZoneState::Withdrawn;
+    }
+    for (const PoolSettings &it : configuration.pools) {
+        if (it.name == m_identity.pool)
+            m_work.setMaximumConcurrency(
+                    std::min(it.maximumConcurrency, m_limits.maximumConcurrency));
+    }
+    if (m_zoneWithdrawn)
+        rejectQueued(RejectReason::ZoneWithdrawn);
+}
+
+void AgentScheduler::Private::openSession(SessionId session)
+{
+    m_sessions[session] = {m_now};
+    Welcome welcome = m_identity;
+    welcome.load = load();
+    send(session, welcome);
+    if (m_shuttingDown)
+        send(session, Leaving {});
+}
+
+void AgentScheduler::Private::closeSession(SessionId session)
+{
+    if (m_sessions.erase(session) == 0)
+        return;
+    std::vector<RequestId> queued;
+    for (const auto &[request, it] : m_reservations) {
+        if (it.session == session)
+            queued.push_back(request);
+    }
+    for (const RequestId &it : queued)
+        dequeue(session, it);
+    for (const HeldPlace &it : m_ledger.dropSession(session))
+        refund(it);
+    std::vector<RequestId> running = m_work.ofSession(session);
+    std::sort(running.begin(), running.end());
+    for (const RequestId &it : running) {
+        m_work.find(it)->orphaned = true;
+        m_actions.emplace_back(CancelOnServer {it});
+    }
+}
+
+void AgentScheduler::Private::on(SessionId session, const Reserve &reserve)
+{
+    const RequestId request = reserve.request;
+    const bool known = m_reservations.count(request) != 0 || m_ledger.holds(request)
+            || m_ledger.started(request) || m_work.find(request) != nullptr;
+    if (known)
+        return; // a doubled or late message
+    const Reservation reservation {session, std::min(reserve.promptTokens, largestTokenCount),
+                                   std::min(reserve.outputTokens, largestTokenCount)};
+    if (const std::optional<RejectReason> reason = refusal(reserve, reservation)) {
+        reject(session, request, *reason);
+        return;
+    }
+    QueueEntry entry;
+    entry.request = request;
+    entry.tier = std::min(reserve.tier, m_lowestTier);
+    entry.organisation = reserve.organisation;
+    entry.weight = reserve.organisationWeight;
+    entry.tokens = reservation.promptTokens + reservation.outputTokens;
+    entry.deadline = m_now + std::min(reserve.remaining, longestDeadline);
+    m_reservations[request] = reservation;
+    if (const std::optional<QueueEntry> shed = m_queue.push(entry))
+        rejectEntries({*shed}, RejectReason::Shed);
+}
+
+std::optional<RejectReason> AgentScheduler::Private::refusal(const Reserve &reserve,
+                                                             const Reservation &reservation) const
+{
+    if (m_shuttingDown)
+        return RejectReason::Draining;
+    if (m_zoneWithdrawn)
+        return RejectReason::ZoneWithdrawn;
+    if (!m_reachable)
+        return RejectReason::QueueFull; // the server bears nothing until it answers again
+    if (!knownModel(reserve.model))
+        return RejectReason::UnknownModel;
+    if (reserve.remaining.count() <= 0 || estimate(reservation).total > reserve.remaining)
+        return RejectReason::DeadlineUnreachable;
+    return std::nullopt;
+}
+
+bool AgentScheduler::Private::knownModel(const std::string &model) const
+{
+    const std::vector<std::string> &models = m_identity.models;
+    return model.empty() || std::find(models.begin(), models.end(), model) != models.end();
+}
+
+void AgentScheduler::Private::on(SessionId session, const Withdraw &withdraw)
+{
+    dequeue(session, withdraw.request);
+}
+
+void AgentScheduler::Private::on(SessionId session, const Dispatch &dispatch)
+{
+    HeldPlace place;
+    switch (m_ledger.dispatch(session, dispatch, place)) {
+    case DispatchVerdict::Start:
+        start(session, dispatch, place);
+        break;
+    case DispatchVerdict::NotRun:
+        sendWithLoad(session, Failed {dispatch.request, true, FailReason::GrantExpired, {}});
+        break;
+    case DispatchVerdict::Unknown:
+        sendWithLoad(session, Failed {dispatch.request, false, FailReason::GrantExpired, {}});
+        break;
+    case DispatchVerdict::Silent:
+        break;
+    }
+}
+
+void AgentScheduler::Private::start(SessionId session, const Dispatch &dispatch,
+                                    const HeldPlace &place)
+{
+    RunningRequest running;
+    running.session = session;
+    running.promptTokens = place.promptTokens;
+    running.outputTokens = place.outputTokens;
+    running.grantedAt = place.grantedAt;
+    running.startedAt = m_now;
+    m_work.start(dispatch.request, running);
+    m_actions.emplace_back(StartOnServer {session, dispatch});
+}
+
+void AgentScheduler::Private::on(SessionId session, const Decline &decline)
+{
+    if (const auto place = m_ledger.decline(session, decline.request, decline.grant))
+        refund(*place);
+}
+
+void AgentScheduler::Private::on(SessionId session, const Cancel &cancel)
+{
+    if (const auto place = m_ledger.cancel(session, cancel.request))
+        refund(*place);
+    dequeue(session, cancel.request);
+    const RunningRequest *running = m_work.find(cancel.request);
+    if (running != nullptr && running->session == session)
+        m_actions.emplace_back(CancelOnServer {cancel.request});
+}
+
+void AgentScheduler::Private::finish(RequestId request, const Usage &usage)
+{
+    const RunningRequest *running = m_work.find(request);
+    if (running == nullptr)
+        return;
+    const SessionId session = running->session;
+    const bool orphaned = running->orphaned;
+    const Usage whole = m_work.finish(request, usage, m_now);
+    if (!orphaned)
+        sendWithLoad(session, Finished {request, whole, {}});
+}
+
+void AgentScheduler::Private::fail(RequestId request, FailReason reason, bool notRun)
+{
+    const RunningRequest *running = m_work.find(request);
+    if (running == nullptr)
+        return;
+    const SessionId session = running->session;
+    const bool orphaned = running->orphaned;
+    // Tokens prove that the server ran it, whatever the shell believes.
+    const bool truly = notRun && !running->firstTokenAt;
+    const bool serverFault = reason == FailReason::EngineUnreachable
+            || reason == FailReason::EngineError || reason == FailReason::StreamCut;
+    m_work.fail(request, serverFault, m_now);
+    if (truly)
+        m_ledger.startedInVain(request);
+    if (!orphaned)
+        sendWithLoad(session, Failed {request, truly, reason, {}});
+}
+
+void AgentScheduler::Private::setReachable(bool reachable)
+{
+    if (reachable == m_reachable)
+        return;
+    m_reachable = reachable;
+    m_work.turnCold(m_now);
+    if (!reachable)
+        rejectQueued(RejectReason::QueueFull);
+}
+
+void AgentScheduler::Private::shutDown()
+{
+    if (m_shuttingDown)
+        return;
+    m_shuttingDown = true;
+    for (const auto &[session, it] : m_sessions)
+        send(session, Leaving {});
+    rejectQueued(RejectReason::Draining);
+}
+
+void AgentScheduler::Private::runTimers()
+{
+    for (const HeldPlace &it : m_ledger.expire(m_now))
+        refund(it);
+    rejectEntries(m_queue.expire(m_now), RejectReason::DeadlineUnreachable);
+    sendDueLoads();
+}
+
+void AgentScheduler::Private::grantWhilePossible()
+{
+    if (!takesNewWork())
+        return;
+    while (const QueueEntry *entry = m_queue.next()) {
+        const Reservation reservation = m_reservations.at(entry->request);
+        if (m_now + estimate(reservation).total > entry->deadline) {
+            const QueueEntry late = *entry;
+            m_queue.remove(late.request);
+            rejectEntries({late}, RejectReason::DeadlineUnreachable);
+            continue;
+        }
+        const Occupancy held {m_ledger.liveCount(), m_ledger.liveTokens()};
+        if (!m_work.admits(held, entry->tokens, m_now))
+            return;
+        grant(m_queue.pop());
+    }
+}
+
+void AgentScheduler::Private::grant(const QueueEntry &entry)
+{
+    const auto it = m_reservations.find(entry.request);
+    const Reservation reservation = it->second;
+    m_reservations.erase(it);
+    const ServiceEstimate expected = estimate(reservation);
+    Grant grant;
+    grant.request = entry.request;
+    grant.grant = m_ledger.issue({reservation.session, entry, reservation.promptTokens,
+                                  reservation.outputTokens, m_now});
+    grant.expectedFirstToken = expected.firstToken;
+    grant.expectedTotal = expected.total;
+    sendWithLoad(reservation.session, grant);
+}
+
+// Prompts of granted requests will be processed first.
+ServiceEstimate AgentScheduler::Private::estimate(const Reservation &reservation) const
+{
+    return m_work.estimate(reservation.promptTokens + m_ledger.livePromptTokens(),
+                           reservation.outputTokens);
+}
+
+bool AgentScheduler::Private::dequeue(SessionId session, RequestId request)
+{
+    const auto it = m_reservations.find(request);
+    if (it == m_reservations.end() || it->second.session != session)
+        return false;
+    m_reservations.erase(it);
+    return m_queue.remove(request);
+}
+
+void AgentScheduler::Private::rejectQueued(RejectReason reason)
+{
+    rejectEntries(m_queue.clear(), reason);
+}
+
+void AgentScheduler::Private::rejectEntries(const std::vector<QueueEntry> &entries,
+                                            RejectReason reason)
+{
+    for (const QueueEntry &it : entries) {
+        const auto reservation = m_reservations.find(it.request);
+        const SessionId session = reservation->second.session;
+        m_reservations.erase(reservation);
+        reject(session, it.request, reason);
+    }
+}
+
+void AgentScheduler::Private::reject(SessionId session, RequestId request, RejectReason reason)
+{
+    sendWithLoad(session, Reject {request, reason, {}});
+}
+
+void AgentScheduler::Private::send(SessionId session, AgentMessage message)
+{
+    m_actions.emplace_back(SendToEntry {session, std::move(message)});
+}
+
+void AgentScheduler::Private::sendWithLoad(SessionId session, AgentMessage message)
+{
+    const auto it = m_sessions.find(session);
+    if (it == m_sessions.end())
+        return;
+    it->second.lastLoadAt = m_now;
+    send(session, std::move(message));
+}
+
+void AgentScheduler::Private::sendDueLoads()
+{
+    for (auto &[session, it] : m_sessions) {
+        if (it.lastLoadAt + m_limits.loadReportInterval <= m_now)
+            sendWithLoad(session, Load {});
+    }
+}
+
+Instant AgentScheduler::Private::nextWake() const
+{
+    Instant wake = std::min(m_ledger.nextExpiry(), m_queue.earliestDeadline());
+    for (const auto &[session, it] : m_sessions)
+        wake = std::min(wake, it.lastLoadAt + m_limits.loadReportInterval);
+    if (m_queue.size() > 0 && m_work.overdue(m_now))
+        wake = std::min(wake, m_now + overduePoll);
+    return wake;
+}
+
+LoadReport AgentScheduler::Private::load() const
+{
+    LoadReport report = m_work.load();
+    report.waiting = static_cast<std::uint32_t>(m_queue.size());
+    return report;
+}
+
+// Load reports are filled in last, so that all messages of one call show the state after it.
+AgentActions AgentScheduler::Private::end()
+{
+    grantWhilePossible();
+    if (m_actions.empty())
+        return {};
+    const LoadReport report = load();
+    for (AgentAction &it : m_actions) {
+        auto *sent = std::get_if<SendToEntry>(&it);
+        if (sent == nullptr)
+            continue;
+        std::visit(
+                [&](auto &message) {
+                    if constexpr (requires { message.load; })
+                        message.load = report;
+                },
+                sent->message);
+    }
+    return std::exchange(m_actions, {});
+}
+
+AgentScheduler::AgentScheduler(const AgentLimits &limits, const Welcome &identity,
+                               const std::vector<TierSettings> &tiers)
+    : d(std::make_unique<Private>(limits, identity, tiers))
+{ }
+
+AgentScheduler::~AgentScheduler() = default;
+AgentScheduler::AgentScheduler(AgentScheduler &&) noexcept = default;
+AgentScheduler &AgentScheduler::operator=(AgentScheduler &&) noexcept = default;
+
+AgentActions AgentScheduler::setConfiguration(const Configuration &configuration, Instant now)
+{
+    d->begin(now);
+    d->setConfiguration(configuration);
+    return d->end();
+}
+
+AgentActions AgentScheduler::sessionOpened(SessionId session, const Hello &, Instant now)
+{
+    d->begin(now);
+    d->openSession(session);
+    return d->end();
+}
+
+AgentActions AgentScheduler::sessionClosed(SessionId session, Instant now)
+{
+    d->begin(now);
+    d->closeSession(session);
+    return d->end();
+}
+
+AgentActions AgentScheduler::handle(SessionId session, const EntryMessage &message, Instant now)
+{
+    d->begin(now);
+    d->runTimers();
+    if (d->open(session))
+        std::visit([&](const auto &it) { d->on(session, it); }, message);
+    return d->end();
+}
+
+AgentActions AgentScheduler::firstToken(RequestId request, Instant now)
+{
+    d->begin(now);
+    d->work().firstToken(request, now);
+    return d->end();
+}
+
+AgentActions AgentScheduler::tokens(RequestId request, std::uint64_t count, Instant now)
+{
+    d->begin(now);
+    d->work().tokens(request, count, now);
+    return d->end();
+}
+
+AgentActions AgentScheduler::serverFinished(RequestId request, const Usage &usage, Instant now)
+{
+    d->begin(now);
+    d->finish(request, usage);
+    return d->end();
+}
+
+AgentActions AgentScheduler::serverFailed(RequestId request, FailReason reason, bool notRun,
+                                          Instant now)
+{
+    d->begin(now);
+    d->fail(request, reason, notRun);
+    return d->end();
+}
+
+AgentActions AgentScheduler::serverReachable(bool reachable, Instant now)
+{
+    d->begin(now);
+    d->setReachable(reachable);
+    return d->end();
+}
+
+AgentActions AgentScheduler::tick(Instant now)
+{
+    d->begin(now);
+    d->runTimers();
+    return d->end();
+}
+
+Instant AgentScheduler::nextWake() const
+{
+    return d->nextWake();
+}
+
+AgentActions AgentScheduler::beginShutdown(Instant now)
+{
+    d->begin(now);
+    d->shutDown();
+    return d->end();
+}
+
+bool AgentScheduler::idle() const
+{
+    return d->idle();
+}
+
+LoadReport AgentScheduler::load() const
+{
+    return d->load();
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/serverwork.cpp
@@ -0,0 +1,280 @@
+// Judges the progress of running requests against the server's own warm baseline.
+
+#include "serverwork.h"
+
+#include <algorithm>
+
+namespace cornelshed {
+
+namespace {
+
+// A cold server is several times slower than a warm one; load within the limit changes the time
+// per token by less than twice.
+constexpr int slowFactor = 3;
+
+// Timer and network jitter that is no sign of a slow server.
+constexpr Duration jitter = std::chrono::milliseconds(20);
+
+// Tokens over which the time per token is averaged: few enough to see a cold server within a
+// fraction of a second, enough to smooth out single late tokens.
+constexpr std::uint64_t windowLength = 4;
+
+// A server that stays slow that long and finishes its requests has become slower for good; its
+// baseline is learnt anew.
+constexpr Duration relearnAfter = std::chrono::seconds(120);
+
+Duration times(Duration d, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * factor));
+}
+
+AdaptiveLimitSettings settingsOf(const AgentLimits &limits)
+{
+    return {limits.coldConcurrency, limits.maximumConcurrency, limits.coldOutstandingTokens,
+            limits.maximumOutstandingTokens};
+}
+
+} // namespace
+
+ServerWork::ServerWork(const AgentLimits &limits)
+    : m_limits(limits), m_limit(settingsOf(limits)) { }
+
+bool ServerWork::admits(const Occupancy &held, std::uint64_t requestTokens, Instant now) const
+{
+    Occupancy sum = occupancy();
+    sum.requests += held.requests;
+    sum.tokens += held.tokens;
+    return m_limit.admits(sum, requestTokens) && !overdue(now);
+}
+
+void ServerWork::start(RequestId request, const RunningRequest &running)
+{
+    if (m_running.empty())
+        m_lastProgress = running.startedAt;
+    for (auto &[id, it] : m_running)
+        it.windowPromptTokens += running.promptTokens;
+    RunningRequest added = running;
+    m_pendingPrompt += added.promptTokens;
+    m_heldTokens += added.promptTokens + added.outputTokens;
+    added.promptTokensAhead = m_pendingPrompt;
+    m_running.emplace(request, added);
+    for (auto &[id, it] : m_running)
+        it.companions = std::max(it.companions, batch());
+}
+
+RunningRequest *ServerWork::find(RequestId request)
+{
+    const auto it = m_running.find(request);
+    return it == m_running.end() ? nullptr : &it->second;
+}
+
+void ServerWork::firstToken(RequestId request, Instant now)
+{
+    RunningRequest *running = find(request);
+    if (running == nullptr || running->firstTokenAt)
+        return;
+    running->firstTokenAt = now;
+    running->windowStart = now;
+    m_pendingPrompt -= running->promptTokens;
+    running->windowPromptTokens = m_pendingPrompt;
+    m_lastProgress = now;
+    note(*running, judgeFirstToken(*running, now - running->startedAt), now);
+}
+
+void ServerWork::tokens(RequestId request, std::uint64_t count, Instant now)
+{
+    firstToken(request, now);
+    RunningRequest *running = find(request);
+    if (running == nullptr)
+        return;
+    m_lastProgress = now;
+    running->producedTokens += count;
+    if (now == *running->firstTokenAt)
+        return;
+    running->windowTokens += count;
+    if (running->windowTokens >= windowLength)
+        closeWindow(*running, now);
+}
+
+Usage ServerWork::finish(RequestId request, Usage usage, Instant now)
+{
+    RunningRequest *running = find(request);
+    if (running == nullptr)
+        return usage;
+    const Duration total = now - running->startedAt;
+    usage.queueTime = running->startedAt - running->grantedAt;
+    usage.totalTime = total;
+    usage.firstTokenTime =
+            running->firstTokenAt ? *running->firstTokenAt - running->startedAt : total;
+    Pace pace = running->slow ? Pace::Slow : Pace::Good;
+    if (!running->firstTokenAt) {
+        pace = observeWhole(*running, total);
+        note(*running, pace, now);
+    } else if (pace == Pace::Good) {
+        learnPrefill(*running, usage);
+        const std::uint64_t intervals = std::max<std::uint64_t>(usage.outputTokens, 2) - 1;
+        const Duration perToken = (total - usage.firstTokenTime) / intervals;
+        pace = perToken > m_limits.tokenIntervalTarget ? Pace::Loaded : Pace::Good;
+    }
+    m_limit.succeeded(occupancy(), pace);
+    remove(request, now);
+    relearnIfStuck(now);
+    return usage;
+}
+
+void ServerWork::fail(RequestId request, bool serverFault, Instant now)
+{
+    if (find(request) == nullptr)
+        return;
+    if (serverFault)
+        m_limit.failed(now);
+    remove(request, now);
+}
+
+ServiceEstimate ServerWork::estimate(std::uint64_t promptTokens, std::uint64_t outputTokens) const
+{
+    const Duration perToken = m_rates.interval(batch() + 1);
+    if (perToken == Duration::zero())
+        return {};
+    ServiceEstimate result;
+    result.firstToken = m_rates.prefillTime(m_pendingPrompt + promptTokens) + perToken;
+    result.total = result.firstToken;
+    if (outputTokens > 1)
+        result.total += perToken * (outputTokens - 1);
+    return result;
+}
+
+std::vector<RequestId> ServerWork::ofSession(SessionId session) const
+{
+    std::vector<RequestId> requests;
+    for (const auto &[id, it] : m_running) {
+        if (it.session == session)
+            requests.push_back(id);
+    }
+    return requests;
+}
+
+bool ServerWork::overdue(Instant now) const
+{
+    const Duration perToken = m_rates.interval(std::max(batch(), 1U));
+    if (m_running.empty() || perToken == Duration::zero())
+        return false;
+    const Duration expected = perToken + m_rates.prefillTime(m_pendingPrompt);
+    return now - m_lastProgress > expected * slowFactor + jitter;
+}
+
+Occupancy ServerWork::occupancy() const
+{
+    return {batch(), m_heldTokens};
+}
+
+LoadReport ServerWork::load() const
+{
+    LoadReport report;
+    report.running = batch();
+    for (const auto &[id, it] : m_running) {
+        const std::uint64_t left = it.outputTokens - std::min(it.outputTokens, it.producedTokens);
+        report.outstandingTokens += left + (it.firstTokenAt ? 0 : it.promptTokens);
+    }
+    report.prefillTokensPerSecond = m_rates.prefillTokensPerSecond();
+    const Duration perToken = m_rates.interval(std::max(batch(), 1U));
+    if (perToken > Duration::zero())
+        report.decodeTokensPerSecond = 1e6 / static_cast<double>(perToken.count());
+    report.concurrencyLimit = m_limit.concurrency();
+    return report;
+}
+
+// The time of a first token is compared with that of all prompt tokens ahead, its own included.
+Pace ServerWork::judgeFirstToken(const RunningRequest &running, Duration time) const
+{
+    const Duration prefill = m_rates.prefillTime(running.promptTokensAhead);
+    const Duration perToken = m_rates.interval(batch());
+    if (prefill == Duration::zero() || perToken == Duration::zero())
+        return Pace::Good;
+    if (time > (prefill + perToken * 2) * slowFactor + jitter)
+        return Pace::Slow;
+    if (time > m_limits.firstTokenTarget + times(prefill, 1.5))
+        return Pace::Loaded;
+    return Pace::Good;
+}
+
+// allowance is the time per token that prompts processed in the same batch explain.
+Pace ServerWork::judgeInterval(Duration perToken, Duration allowance) const
+{
+    const Duration baseline = m_rates.interval(batch());
+    if (baseline > Duration::zero() && perToken > (baseline + allowance) * slowFactor)
+        return Pace::Slow;
+    if (perToken > m_limits.tokenIntervalTarget)
+        return Pace::Loaded;
+    return Pace::Good;
+}
+
+void ServerWork::closeWindow(RunningRequest &running, Instant now)
+{
+    const auto count = static_cast<Duration::rep>(running.windowTokens);
+    const Duration perToken = (now - running.windowStart) / count;
+    const Duration allowance = m_rates.prefillTime(running.windowPromptTokens) / count;
+    const Pace pace = judgeInterval(perToken, allowance);
+    if (pace != Pace::Slow && running.windowPromptTokens == 0)
+        m_rates.intervalObserved(batch(), perToken);
+    note(running, pace, now);
+    running.windowStart = now;
+    running.windowTokens = 0;
+    running.windowPromptTokens = m_pendingPrompt;
+}
+
+// Learns from prompts that waited for no other one. One step of the batch passes before the first
+// token whatever the length of the prompt.
+void ServerWork::learnPrefill(const RunningRequest &running, const Usage &usage)
+{
+    if (running.promptTokensAhead != running.promptTokens)
+        return;
+    const std::uint64_t uncached =
+            running.promptTokens - std::min(running.promptTokens, usage.cachedTokens);
+    const Duration step = m_rates.interval(batch());
+    const Duration least = usage.firstTokenTime / 10;
+    m_rates.prefillObserved(uncached, std::max(usage.firstTokenTime - step, least));
+}
+
+// A plain service has no tokens; its answer as a whole counts as one.
+Pace ServerWork::observeWhole(const RunningRequest &running, Duration total)
+{
+    const Duration alone = m_rates.interval(1);
+    const Duration baseline = m_rates.interval(running.companions);
+    Pace pace = Pace::Good;
+    if (baseline > Duration::zero() && total > baseline * slowFactor + jitter)
+        pace = Pace::Slow;
+    else if (alone > Duration::zero() && total > alone * 2 + jitter)
+        pace = Pace::Loaded;
+    if (pace != Pace::Slow)
+        m_rates.intervalObserved(running.companions, total);
+    return pace;
+}
+
+void ServerWork::note(RunningRequest &running, Pace pace, Instant now)
+{
+    if (pace == Pace::Slow)
+        running.slow = true;
+    m_limit.observed(pace, occupancy(), now);
+}
+
+void ServerWork::relearnIfStuck(Instant now)
+{
+    const bool stuck = m_limit.cold() && m_limit.concurrency() == m_limits.coldConcurrency;
+    if (!stuck || now - m_limit.coldSince() < relearnAfter)
+        return;
+    m_rates.clear();
+    m_limit.restartCold(now);
+}
+
+void ServerWork::remove(RequestId request, Instant now)
+{
+    const auto it = m_running.find(request);
+    if (!it->second.firstTokenAt)
+        m_pendingPrompt -= it->second.promptTokens;
+    m_heldTokens -= it->second.promptTokens + it->second.outputTokens;
+    m_lastProgress = now;
+    m_running.erase(it);
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/serverwork.h
@@ -0,0 +1,105 @@
+// Requests on one backend server: their progress, what it shows about the server's pace, and
+// whether the server bears one more.
+
+#ifndef CORNELSHED_SERVERWORK_H
+#define CORNELSHED_SERVERWORK_H
+
+#include "adaptivelimit.h"
+#include "agentscheduler.h"
+#include "serverrates.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelshed {
+
+struct RunningRequest
+{
+    SessionId session = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0; // expected
+    Instant grantedAt;
+    Instant startedAt;
+    bool orphaned = false; // its session is gone, nobody receives the answer
+
+    // Progress.
+    std::uint64_t promptTokensAhead = 0; // not yet processed at the start, with its own
+    std::uint32_t companions = 0;        // largest number of running requests seen, with itself
+    std::optional<Instant> firstTokenAt;
+    std::uint64_t producedTokens = 0;
+    bool slow = false; // judged slow at least once
+
+    // Window over which the time per token is measured.
+    Instant windowStart;
+    std::uint64_t windowTokens = 0;
+    std::uint64_t windowPromptTokens = 0; // processed or waiting beside it during the window
+};
+
+struct ServiceEstimate
+{
+    Duration firstToken {}; // 0 while unknown
+    Duration total {};
+
+    bool operator==(const ServiceEstimate &) const = default;
+};
+
+class ServerWork
+{
+public:
+    explicit ServerWork(const AgentLimits &limits);
+
+    // True if the server bears one more request beside what runs and the places held by grants.
+    bool admits(const Occupancy &held, std::uint64_t requestTokens, Instant now) const;
+
+    void start(RequestId request, const RunningRequest &running);
+    RunningRequest *find(RequestId request);
+    void firstToken(RequestId request, Instant now);
+    void tokens(RequestId request, std::uint64_t count, Instant now);
+
+    // Takes the request off the server. The usage returned has the times as observed here.
+    Usage finish(RequestId request, Usage usage, Instant now);
+    void fail(RequestId request, bool serverFault, Instant now);
+
+    // The server restarted or cannot be reached: back to the cold limit.
+    void turnCold(Instant now) { m_limit.turnCold(now); }
+
+    void setMaximumConcurrency(std::uint32_t maximum) { m_limit.setMaximumConcurrency(maximum); }
+
+    // Time a request would need now, by the observed rates and what is on the server.
+    ServiceEstimate estimate(std::uint64_t promptTokens, std::uint64_t outputTokens) const;
+
+    // Requests of a session, in no order.
+    std::vector<RequestId> ofSession(SessionId session) const;
+
+    // True if the server made no progress for longer than its baseline and what runs explain.
+    bool overdue(Instant now) const;
+
+    std::size_t size() const { return m_running.size(); }
+    Occupancy occupancy() const;
+    LoadReport load() const;
+    const AdaptiveLimit &limit() const { return m_limit; }
+
+private:
+    std::uint32_t batch() const { return static_cast<std::uint32_t>(m_running.size()); }
+    Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
+    Pace judgeInterval(Duration perToken, Duration allowance) const;
+    void closeWindow(RunningRequest &running, Instant now);
+    void learnPrefill(const RunningRequest &running, const Usage &usage);
+    Pace observeWhole(const RunningRequest &running, Duration total);
+    void note(RunningRequest &running, Pace pace, Instant now);
+    void relearnIfStuck(Instant now);
+    void remove(RequestId request, Instant now);
+
+    AgentLimits m_limits;
+    AdaptiveLimit m_limit;
+    ServerRates m_rates;
+    std::unordered_map<RequestId, RunningRequest> m_running;
+    std::uint64_t m_heldTokens = 0;    // prompt and expected output of what runs
+    std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
+    Instant m_lastProgress;            // last token or end, or start on an empty server
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_SERVERWORK_H
--- /dev/null
+++ b/src/tierqueue.cpp
@@ -0,0 +1,208 @@
+// Order in which queued reservations are served and shed.
+
+#include "tierqueue.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cornelshed {
+
+namespace {
+
+// Tokens that one turn of the round robin adds for each unit of weight. About one short request, so
+// that organisations with short requests alternate one by one.
+constexpr std::int64_t quantumTokens = 256;
+
+// Requests of plain services have no tokens and count like a short request.
+std::int64_t costOf(const QueueEntry &entry)
+{
+    return std::max(static_cast<std::int64_t>(entry.tokens), quantumTokens);
+}
+
+std::int64_t quantumOf(std::uint32_t weight)
+{
+    return quantumTokens * static_cast<std::int64_t>(std::max(weight, 1U));
+}
+
+} // namespace
+
+TierQueue::TierQueue(std::size_t limit, const std::vector<TierSettings> &tiers)
+    : m_limit(std::max<std::size_t>(limit, 1))
+{
+    setTiers(tiers);
+}
+
+void TierQueue::setTiers(const std::vector<TierSettings> &tiers)
+{
+    for (auto &[rank, tier] : m_tiers)
+        tier.minimumShare = 0;
+    for (const TierSettings &it : tiers)
+        m_tiers[it.rank].minimumShare = it.minimumShare;
+}
+
+std::optional<QueueEntry> TierQueue::push(const QueueEntry &entry)
+{
+    Tier &tier = m_tiers[entry.tier];
+    auto [it, added] = tier.organisations.try_emplace(entry.organisation);
+    if (added)
+        tier.turn.push_back(entry.organisation);
+    it->second.order.emplace(entry.deadline, entry.request);
+    it->second.weight = entry.weight;
+    it->second.tokens += entry.tokens;
+    m_entries.emplace(entry.request, entry);
+    m_byDeadline.emplace(entry.deadline, entry.request);
+    if (m_entries.size() <= m_limit)
+        return std::nullopt;
+
+    const auto lowest = std::find_if(m_tiers.rbegin(), m_tiers.rend(),
+                                     [](const auto &t) { return !t.second.organisations.empty(); });
+    const auto &organisations = lowest->second.organisations;
+    const auto largest = std::max_element(
+            organisations.begin(), organisations.end(), [](const auto &a, const auto &b) {
+                return a.second.tokens * std::max(b.second.weight, 1U)
+                        < b.second.tokens * std::max(a.second.weight, 1U);
+            });
+    QueueEntry shed = m_entries.at(largest->second.order.rbegin()->second);
+    take(shed);
+    return shed;
+}
+
+bool TierQueue::remove(RequestId request)
+{
+    const auto it = m_entries.find(request);
+    if (it == m_entries.end())
+        return false;
+    const QueueEntry entry = it->second;
+    take(entry);
+    return true;
+}
+
+const QueueEntry *TierQueue::next()
+{
+    Tier *tier = nextTier();
+    return tier == nullptr ? nullptr : &nextOf(*tier);
+}
+
+QueueEntry TierQueue::pop()
+{
+    QueueEntry entry = *next();
+    chargeTiers(entry.tier, 1);
+    m_tiers[entry.tier].organisations[entry.organisation].deficit -= costOf(entry);
+    take(entry);
+    return entry;
+}
+
+void TierQueue::refund(const QueueEntry &entry)
+{
+    chargeTiers(entry.tier, -1);
+    Tier &tier = m_tiers[entry.tier];
+    const auto it = tier.organisations.find(entry.organisation);
+    if (it != tier.organisations.end())
+        it->second.deficit += costOf(entry);
+}
+
+std::vector<QueueEntry> TierQueue::expire(Instant now)
+{
+    std::vector<QueueEntry> expired;
+    while (!m_byDeadline.empty() && m_byDeadline.begin()->first <= now) {
+        expired.push_back(m_entries.at(m_byDeadline.begin()->second));
+        take(expired.back());
+    }
+    return expired;
+}
+
+Instant TierQueue::earliestDeadline() const
+{
+    return m_byDeadline.empty() ? instantNever : m_byDeadline.begin()->first;
+}
+
+std::vector<QueueEntry> TierQueue::clear()
+{
+    std::vector<QueueEntry> entries;
+    for (const auto &[rank, tier] : m_tiers) {
+        for (const auto &[name, queue] : tier.organisations) {
+            for (const auto &[deadline, request] : queue.order)
+                entries.push_back(m_entries.at(request));
+        }
+    }
+    for (const QueueEntry &it : entries)
+        take(it);
+    return entries;
+}
+
+// The highest tier, unless a lower one is owed a grant by its floor.
+TierQueue::Tier *TierQueue::nextTier()
+{
+    Tier *highest = nullptr;
+    for (auto &[rank, tier] : m_tiers) {
+        if (tier.organisations.empty())
+            continue;
+        if (highest == nullptr)
+            highest = &tier;
+        else if (tier.credit >= 1)
+            return &tier;
+    }
+    return highest;
+}
+
+const QueueEntry &TierQueue::nextOf(Tier &tier)
+{
+    for (;;) {
+        for (std::size_t n = 0; n < tier.turn.size(); ++n) {
+            const OrganisationQueue &queue = tier.organisations.at(tier.turn.front());
+            const QueueEntry &entry = m_entries.at(queue.order.begin()->second);
+            if (queue.deficit >= costOf(entry))
+                return entry;
+            tier.turn.push_back(std::move(tier.turn.front()));
+            tier.turn.pop_front();
+        }
+        addTurns(tier);
+    }
+}
+
+// Adds as many turns to all organisations as the first one to be served needs.
+void TierQueue::addTurns(Tier &tier)
+{
+    std::int64_t turns = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[name, queue] : tier.organisations) {
+        const QueueEntry &entry = m_entries.at(queue.order.begin()->second);
+        const std::int64_t lacking = costOf(entry) - queue.deficit;
+        const std::int64_t quantum = quantumOf(queue.weight);
+        turns = std::min(turns, (lacking + quantum - 1) / quantum);
+    }
+    for (auto &[name, queue] : tier.organisations)
+        queue.deficit += std::max<std::int64_t>(turns, 1) * quantumOf(queue.weight);
+}
+
+// Every tier with entries earns its minimum share of each grant. An idle tier keeps no credit, so
+// that it cannot save up for a burst.
+void TierQueue::chargeTiers(TierRank served, double grants)
+{
+    for (auto &[rank, tier] : m_tiers) {
+        if (tier.organisations.empty())
+            continue;
+        tier.credit += tier.minimumShare * grants;
+        if (rank == served)
+            tier.credit = std::max(tier.credit - grants, 0.0);
+        tier.credit = std::clamp(tier.credit, 0.0, 2.0);
+    }
+}
+
+void TierQueue::take(const QueueEntry &entry)
+{
+    Tier &tier = m_tiers[entry.tier];
+    const auto it = tier.organisations.find(entry.organisation);
+    it->second.order.erase({entry.deadline, entry.request});
+    it->second.tokens -= entry.tokens;
+    if (it->second.order.empty()) {
+        std::erase(tier.turn, entry.organisation);
+        tier.organisations.erase(it);
+        if (tier.organisations.empty())
+            tier.credit = 0;
+    }
+    m_byDeadline.erase({entry.deadline, entry.request});
+    const RequestId request = entry.request;
+    m_entries.erase(request);
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/test/correctness/agentscheduler.cpp
@@ -0,0 +1,248 @@
+// Guards the agent's part of the protocol: grants, dispatches that come late or twice, the cold
+// start, withdrawal of the zone, loss of a session, and shutdown.
+
+#include "agentdriver.h"
+
+#include <doctest/doctest.h>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+Grant onlyGrant(const AgentDriver &driver)
+{
+    REQUIRE(driver.sent<Grant>().size() == 1);
+    return driver.sent<Grant>().front();
+}
+
+// Requests that the agent grants at once when enough reservations wait.
+std::size_t grantedAtOnce(AgentDriver &driver, std::uint64_t firstSequence)
+{
+    driver.forget();
+    for (std::uint64_t n = 0; n < 70; ++n)
+        driver.send(reservation(firstSequence + n));
+    const std::vector<Grant> grants = driver.sent<Grant>();
+    for (std::uint64_t n = 0; n < 70; ++n)
+        driver.send(Withdraw {requestId(firstSequence + n)});
+    for (const Grant &it : driver.sent<Grant>())
+        driver.send(Decline {it.request, it.grant});
+    return grants.size();
+}
+
+// Runs requests one batch after the other, each batch as large as the agent grants.
+void warmUp(AgentDriver &driver, int batches)
+{
+    std::uint64_t sequence = 100000;
+    for (int n = 0; n < batches; ++n) {
+        driver.forget();
+        for (int k = 0; k < 20; ++k)
+            driver.send(reservation(sequence++));
+        const std::vector<Grant> grants = driver.sent<Grant>();
+        for (std::uint64_t k = sequence - 20; k < sequence; ++k)
+            driver.send(Withdraw {requestId(k)});
+        for (const Grant &it : grants)
+            driver.send(AgentDriver::dispatchFor(it));
+        for (const Grant &it : grants) {
+            driver.advance(5ms);
+            driver.keep(driver.agent().firstToken(it.request, driver.now()));
+        }
+        for (int k = 0; k < 12; ++k) {
+            driver.advance(10ms);
+            for (const Grant &it : grants)
+                driver.keep(driver.agent().tokens(it.request, 1, driver.now()));
+        }
+        for (const Grant &it : grants)
+            driver.keep(driver.agent().serverFinished(it.request, {100, 13}, driver.now()));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a dispatch against a live grant starts the request, a doubled one does nothing")
+{
+    AgentDriver driver;
+    driver.send(reservation(1));
+    const Dispatch dispatch = AgentDriver::dispatchFor(onlyGrant(driver));
+    driver.send(dispatch);
+    driver.send(dispatch);
+    driver.serve(requestId(1), 5ms, 10ms, 5);
+    driver.send(dispatch);
+    CHECK(driver.started().size() == 1);
+    CHECK(driver.sent<Failed>().empty());
+    CHECK(driver.sent<Finished>().size() == 1);
+}
+
+TEST_CASE("a dispatch after the hold time is reported as not run, once")
+{
+    AgentDriver driver;
+    driver.send(reservation(1));
+    const Dispatch dispatch = AgentDriver::dispatchFor(onlyGrant(driver));
+    driver.advance(50ms);
+    driver.send(dispatch);
+    driver.send(dispatch);
+    REQUIRE(driver.sent<Failed>().size() == 1);
+    CHECK(driver.sent<Failed>().front().notRun);
+    CHECK(driver.sent<Failed>().front().reason == FailReason::GrantExpired);
+    CHECK(driver.started().empty());
+}
+
+TEST_CASE("a dispatch of another session or incarnation is not started")
+{
+    AgentDriver driver({}, 2);
+    driver.send(reservation(1));
+    const Dispatch dispatch = AgentDriver::dispatchFor(onlyGrant(driver));
+    driver.send(dispatch, 2);
+    Dispatch foreign = dispatch;
+    foreign.grant.agentIncarnation += 1;
+    driver.send(foreign);
+    CHECK(driver.started().empty());
+    for (const Failed &it : driver.sent<Failed>())
+        CHECK_FALSE(it.notRun);
+    driver.send(dispatch);
+    CHECK(driver.started().size() == 1);
+}
+
+TEST_CASE("a cold server gets one request, and the limit doubles on success")
+{
+    AgentDriver driver;
+    CHECK(grantedAtOnce(driver, 1) == 1);
+    warmUp(driver, 1);
+    CHECK(grantedAtOnce(driver, 1000) == 2);
+    warmUp(driver, 1);
+    CHECK(driver.agent().load().concurrencyLimit >= 4);
+}
+
+TEST_CASE("a server that silently turned cold is back at the cold limit within three requests")
+{
+    AgentDriver driver;
+    warmUp(driver, 6);
+    REQUIRE(driver.agent().load().concurrencyLimit >= 8);
+    driver.forget();
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        driver.send(reservation(n));
+    const std::vector<Grant> grants = driver.sent<Grant>();
+    REQUIRE(grants.size() == 3);
+    for (const Grant &it : grants)
+        driver.send(AgentDriver::dispatchFor(it));
+    driver.advance(500ms); // a warm server needs 5 ms
+    for (const Grant &it : grants)
+        driver.keep(driver.agent().firstToken(it.request, driver.now()));
+    CHECK(driver.agent().load().concurrencyLimit == 1);
+}
+
+TEST_CASE("a server that stalls gets nothing new although it has reported nothing yet")
+{
+    AgentDriver driver;
+    warmUp(driver, 6);
+    driver.forget();
+    driver.send(reservation(1));
+    driver.send(AgentDriver::dispatchFor(onlyGrant(driver)));
+    driver.advance(500ms);
+    driver.forget();
+    driver.send(reservation(2));
+    CHECK(driver.sent<Grant>().empty());
+    driver.keep(driver.agent().firstToken(requestId(1), driver.now()));
+    CHECK(driver.sent<Grant>().size() == 1);
+}
+
+TEST_CASE("a reservation that cannot finish in time is refused early, an expired one is dropped")
+{
+    AgentDriver driver;
+    warmUp(driver, 4);
+    Reserve reserve = reservation(1);
+    reserve.outputTokens = 10000; // at 10 ms each
+    driver.forget();
+    driver.send(reserve);
+    REQUIRE(driver.sent<Reject>().size() == 1);
+    CHECK(driver.sent<Reject>().front().reason == RejectReason::DeadlineUnreachable);
+
+    AgentDriver full;
+    full.send(reservation(1));
+    Reserve second = reservation(2);
+    second.remaining = 20ms;
+    full.send(second);
+    full.advance(30ms);
+    REQUIRE(full.sent<Reject>().size() == 1);
+    CHECK(full.sent<Reject>().front().request == requestId(2));
+}
+
+TEST_CASE("withdrawing the zone rejects what waits and grants nothing new until it returns")
+{
+    AgentDriver driver;
+    driver.send(reservation(1));
+    driver.send(reservation(2));
+    Configuration configuration;
+    configuration.tiers = threeTiers();
+    configuration.availabilityZones = {{"tas-south-a", "tas", AvailabilityZoneState::Withdrawn}};
+    driver.keep(driver.agent().setConfiguration(configuration, driver.now()));
+    driver.advance(100ms);
+    driver.send(reservation(3));
+    CHECK(driver.sent<Grant>().size() == 1); // from before
+    REQUIRE(driver.sent<Reject>().size() == 2);
+    CHECK(driver.sent<Reject>().front().reason == RejectReason::ZoneWithdrawn);
+    configuration.availabilityZones.front().state = AvailabilityZoneState::Serving;
+    driver.keep(driver.agent().setConfiguration(configuration, driver.now()));
+    driver.send(reservation(4));
+    CHECK(driver.sent<Grant>().size() == 2);
+}
+
+TEST_CASE("a lost session cancels its running work and frees its grants and reservations")
+{
+    AgentDriver driver({}, 2);
+    driver.send(reservation(1));
+    driver.send(AgentDriver::dispatchFor(onlyGrant(driver)));
+    driver.send(reservation(2));
+    driver.keep(driver.agent().sessionClosed(1, driver.now()));
+    CHECK(driver.cancelled() == 1);
+    CHECK_FALSE(driver.agent().idle());
+    driver.forget();
+    driver.send(reservation(3), 2);
+    CHECK(driver.sent<Grant>().empty());
+    driver.keep(
+            driver.agent().serverFailed(requestId(1), FailReason::Cancelled, false, driver.now()));
+    CHECK(driver.sent<Failed>().empty());
+    CHECK(onlyGrant(driver).request == requestId(3));
+}
+
+TEST_CASE("shutdown rejects what waits and finishes what runs")
+{
+    AgentDriver driver;
+    driver.send(reservation(1));
+    driver.send(AgentDriver::dispatchFor(onlyGrant(driver)));
+    driver.send(reservation(2));
+    driver.keep(driver.agent().beginShutdown(driver.now()));
+    CHECK(driver.sent<Leaving>().size() == 1);
+    REQUIRE(driver.sent<Reject>().size() == 1);
+    CHECK(driver.sent<Reject>().front().reason == RejectReason::Draining);
+    CHECK(driver.cancelled() == 0);
+    CHECK_FALSE(driver.agent().idle());
+    driver.serve(requestId(1), 5ms, 10ms, 5);
+    CHECK(driver.sent<Finished>().size() == 1);
+    CHECK(driver.agent().idle());
+}
+
+TEST_CASE("a request that never reached the server may be reserved and started again")
+{
+    AgentDriver driver;
+    driver.send(reservation(1));
+    driver.send(AgentDriver::dispatchFor(onlyGrant(driver)));
+    driver.keep(driver.agent().serverFailed(requestId(1), FailReason::EngineUnreachable, true,
+                                            driver.now()));
+    REQUIRE(driver.sent<Failed>().size() == 1);
+    CHECK(driver.sent<Failed>().front().notRun);
+    driver.forget();
+    driver.send(reservation(1));
+    driver.send(AgentDriver::dispatchFor(onlyGrant(driver)));
+    CHECK(driver.started().size() == 1);
+}
+
+TEST_CASE("an idle agent reports its load once in each interval")
+{
+    AgentDriver driver;
+    for (int n = 0; n < 35; ++n)
+        driver.advance(1s);
+    CHECK(driver.sent<Load>().size() == 3);
+    CHECK(driver.agent().nextWake() <= driver.now() + 10s);
+}
