--- a/src/agentscheduler.cpp
+++ b/src/agentscheduler.cpp
@@ -27,8 +27,8 @@
     std::uint64_t outputTokens = 0;
 };
 
-// How often a server that stopped making progress is looked at while reservations wait.
-constexpr Duration overduePoll = std::chrono::milliseconds(20);
+// How often a server whose progress has a gap is looked at while reservations wait.
+constexpr Duration suspectPoll = std::chrono::milliseconds(20);
 
 // Bounds on what a message may claim, so that sums and times cannot overflow.
 constexpr std::uint64_t largestTokenCount = 1ULL << 32U;
@@ -421,8 +421,8 @@
     Instant wake = std::min(m_ledger.nextExpiry(), m_queue.earliestDeadline());
     for (const auto &[session, it] : m_sessions)
         wake = std::min(wake, it.lastLoadAt + m_limits.loadReportInterval);
-    if (m_queue.size() > 0 && m_work.overdue(m_now))
-        wake = std::min(wake, m_now + overduePoll);
+    if (m_queue.size() > 0 && m_work.suspect(m_now))
+        wake = std::min(wake, m_now + suspectPoll);
     return wake;
 }
 
--- a/src/serverrates.cpp
+++ b/src/serverrates.cpp
@@ -12,13 +12,13 @@
 // About ten observations dominate the average; single outliers move it by a tenth.
 constexpr double weightOfNew = 0.1;
 
-// Prompt tokens after which one observation moves the average by a half. The time of short prompts
-// is mostly fixed cost, so they say little about the rate.
-constexpr double halfWeightTokens = 8000;
+// Prompt tokens that the average covers. It weighs by tokens, because the time of a short prompt is
+// mostly fixed cost and says little about the rate.
+constexpr double prefillMemoryTokens = 16000;
 
-double averaged(double old, double observed, double weight)
+double averaged(double old, double observed)
 {
-    return old == 0 ? observed : old + weight * (observed - old);
+    return old == 0 ? observed : old + weightOfNew * (observed - old);
 }
 
 std::size_t bucketOf(std::uint32_t batch, std::size_t count)
@@ -33,10 +33,11 @@
 {
     if (tokens == 0 || time.count() <= 0)
         return;
-    const double rate = static_cast<double>(tokens) * 1e6 / static_cast<double>(time.count());
-    const double weight =
-            static_cast<double>(tokens) / (static_cast<double>(tokens) + halfWeightTokens);
-    m_prefillRate = averaged(m_prefillRate, rate, weight);
+    m_prefillTokens += static_cast<double>(tokens);
+    m_prefillUs += static_cast<double>(time.count());
+    const double kept = std::min(1.0, prefillMemoryTokens / m_prefillTokens);
+    m_prefillTokens *= kept;
+    m_prefillUs *= kept;
 }
 
 void ServerRates::intervalObserved(std::uint32_t batch, Duration interval)
@@ -44,12 +45,13 @@
     if (interval.count() <= 0)
         return;
     double &bucket = m_intervalUs[bucketOf(batch, bucketCount)];
-    bucket = averaged(bucket, static_cast<double>(interval.count()), weightOfNew);
+    bucket = averaged(bucket, static_cast<double>(interval.count()));
 }
 
 void ServerRates::clear()
 {
-    m_prefillRate = 0;
+    m_prefillTokens = 0;
+    m_prefillUs = 0;
     m_intervalUs.fill(0);
 }
 
@@ -66,11 +68,17 @@
     return Duration::zero();
 }
 
+double ServerRates::prefillTokensPerSecond() const
+{
+    return m_prefillUs == 0 ? 0 : m_prefillTokens * 1e6 / m_prefillUs;
+}
+
 Duration ServerRates::prefillTime(std::uint64_t tokens) const
 {
-    if (m_prefillRate == 0)
+    if (m_prefillTokens == 0)
         return Duration::zero();
-    return Duration(static_cast<Duration::rep>(static_cast<double>(tokens) * 1e6 / m_prefillRate));
+    const double us = static_cast<double>(tokens) * m_prefillUs / m_prefillTokens;
+    return Duration(static_cast<Duration::rep>(us));
 }
 
 } // namespace cornelshed
--- a/src/serverrates.h
+++ b/src/serverrates.h
@@ -25,7 +25,7 @@
     void clear();
 
     // 0 while unknown.
-    double prefillTokensPerSecond() const { return m_prefillRate; }
+    double prefillTokensPerSecond() const;
 
     // Time between tokens at a batch size, from the nearest batch size observed; 0 while unknown.
     Duration interval(std::uint32_t batch) const;
@@ -37,7 +37,8 @@
     // One bucket for each power of two of the batch size.
     static constexpr std::size_t bucketCount = 12;
 
-    double m_prefillRate = 0;
+    double m_prefillTokens = 0; // observed, the older ones with less weight
+    double m_prefillUs = 0;     // time they took
     std::array<double, bucketCount> m_intervalUs {};
 };
 
--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -44,7 +44,9 @@
     Occupancy sum = occupancy();
     sum.requests += held.requests;
     sum.tokens += held.tokens;
-    return m_limit.admits(sum, requestTokens) && !overdue(now);
+    if (sum.requests > 0 && suspect(now))
+        return false;
+    return m_limit.admits(sum, requestTokens);
 }
 
 void ServerWork::start(RequestId request, const RunningRequest &running)
@@ -77,8 +79,8 @@
     running->windowStart = now;
     m_pendingPrompt -= running->promptTokens;
     running->windowPromptTokens = m_pendingPrompt;
-    m_lastProgress = now;
-    note(*running, judgeFirstToken(*running, now - running->startedAt), now);
+    progressed(now);
+    note(*running, judgeFirstToken(*running, now - running->startedAt), running->startedAt, now);
 }
 
 void ServerWork::tokens(RequestId request, std::uint64_t count, Instant now)
@@ -87,7 +89,7 @@
     RunningRequest *running = find(request);
     if (running == nullptr)
         return;
-    m_lastProgress = now;
+    progressed(now);
     running->producedTokens += count;
     if (now == *running->firstTokenAt)
         return;
@@ -109,13 +111,15 @@
     Pace pace = running->slow ? Pace::Slow : Pace::Good;
     if (!running->firstTokenAt) {
         pace = observeWhole(*running, total);
-        note(*running, pace, now);
+        note(*running, pace, running->startedAt, now);
     } else if (pace == Pace::Good) {
         learnPrefill(*running, usage);
         const std::uint64_t intervals = std::max<std::uint64_t>(usage.outputTokens, 2) - 1;
         const Duration perToken = (total - usage.firstTokenTime) / intervals;
-        pace = perToken > m_limits.tokenIntervalTarget ? Pace::Loaded : Pace::Good;
+        pace = perToken > m_limits.tokenIntervalTarget ? Pace::Loaded : running->latestPace;
     }
+    if (m_suspect)
+        pace = Pace::Slow; // its earlier tokens say nothing about the server now
     m_limit.succeeded(occupancy(), pace);
     remove(request, now);
     relearnIfStuck(now);
@@ -154,7 +158,7 @@
     return requests;
 }
 
-bool ServerWork::overdue(Instant now) const
+bool ServerWork::stalled(Instant now) const
 {
     const Duration perToken = m_rates.interval(std::max(batch(), 1U));
     if (m_running.empty() || perToken == Duration::zero())
@@ -163,6 +167,17 @@
     return now - m_lastProgress > expected * slowFactor + jitter;
 }
 
+// A gap in the progress shows a cold server one token after it turned, where the averaged time per
+// token needs several; in that time requests end and others would take their places.
+void ServerWork::progressed(Instant now)
+{
+    if (stalled(now)) {
+        m_suspect = true;
+        m_suspectSince = now;
+    }
+    m_lastProgress = now;
+}
+
 Occupancy ServerWork::occupancy() const
 {
     return {batch(), m_heldTokens};
@@ -217,7 +232,7 @@
     const Pace pace = judgeInterval(perToken, allowance);
     if (pace != Pace::Slow && running.windowPromptTokens == 0)
         m_rates.intervalObserved(batch(), perToken);
-    note(running, pace, now);
+    note(running, pace, running.windowStart, now);
     running.windowStart = now;
     running.windowTokens = 0;
     running.windowPromptTokens = m_pendingPrompt;
@@ -251,10 +266,13 @@
     return pace;
 }
 
-void ServerWork::note(RunningRequest &running, Pace pace, Instant now)
+void ServerWork::note(RunningRequest &running, Pace pace, Instant since, Instant now)
 {
+    running.latestPace = pace;
     if (pace == Pace::Slow)
         running.slow = true;
+    else if (since >= m_suspectSince)
+        m_suspect = false;
     m_limit.observed(pace, occupancy(), now);
 }
 
@@ -273,8 +291,8 @@
     if (!it->second.firstTokenAt)
         m_pendingPrompt -= it->second.promptTokens;
     m_heldTokens -= it->second.promptTokens + it->second.outputTokens;
-    m_lastProgress = now;
     m_running.erase(it);
+    m_lastProgress = now;
 }
 
 } // namespace cornelshed
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -28,7 +28,8 @@
     std::uint32_t companions = 0;        // largest number of running requests seen, with itself
     std::optional<Instant> firstTokenAt;
     std::uint64_t producedTokens = 0;
-    bool slow = false; // judged slow at least once
+    bool slow = false;            // judged slow at least once
+    Pace latestPace = Pace::Good; // of the last observation
 
     // Window over which the time per token is measured.
     Instant windowStart;
@@ -72,8 +73,9 @@
     // Requests of a session, in no order.
     std::vector<RequestId> ofSession(SessionId session) const;
 
-    // True if the server made no progress for longer than its baseline and what runs explain.
-    bool overdue(Instant now) const;
+    // True if the server makes no progress, or made none for a time that its baseline and what runs
+    // do not explain, and has not shown its usual pace since. Nothing is admitted beside what runs.
+    bool suspect(Instant now) const { return m_suspect || stalled(now); }
 
     std::size_t size() const { return m_running.size(); }
     Occupancy occupancy() const;
@@ -82,12 +84,15 @@
 
 private:
     std::uint32_t batch() const { return static_cast<std::uint32_t>(m_running.size()); }
+    bool stalled(Instant now) const;
+    void progressed(Instant now);
     Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
     Pace judgeInterval(Duration perToken, Duration allowance) const;
     void closeWindow(RunningRequest &running, Instant now);
     void learnPrefill(const RunningRequest &running, const Usage &usage);
     Pace observeWhole(const RunningRequest &running, Duration total);
-    void note(RunningRequest &running, Pace pace, Instant now);
+    // since: start of the time that the pace was measured over.
+    void note(RunningRequest &running, Pace pace, Instant since, Instant now);
     void relearnIfStuck(Instant now);
     void remove(RequestId request, Instant now);
 
@@ -98,6 +103,8 @@
     std::uint64_t m_heldTokens = 0;    // prompt and expected output of what runs
     std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
     Instant m_lastProgress;            // last token or end, or start on an empty server
+    bool m_suspect = false;            // set by a gap in the progress
+    Instant m_suspectSince;
 };
 
 } // namespace cornelshed
--- a/test/correctness/agentscheduler.cpp
+++ b/test/correctness/agentscheduler.cpp
@@ -132,7 +132,7 @@
     CHECK(driver.agent().load().concurrencyLimit == 1);
 }
 
-TEST_CASE("a server that stalls gets nothing new although it has reported nothing yet")
+TEST_CASE("a server that stalls gets nothing new until it shows its usual pace again")
 {
     AgentDriver driver;
     warmUp(driver, 6);
@@ -144,6 +144,11 @@
     driver.send(reservation(2));
     CHECK(driver.sent<Grant>().empty());
     driver.keep(driver.agent().firstToken(requestId(1), driver.now()));
+    CHECK(driver.sent<Grant>().empty()); // one late token shows no pace
+    for (int n = 0; n < 4; ++n) {
+        driver.advance(10ms);
+        driver.keep(driver.agent().tokens(requestId(1), 1, driver.now()));
+    }
     CHECK(driver.sent<Grant>().size() == 1);
 }
 
