Stand-ins of engine, plain service and platform

The daemons' tests and the demonstration need outside systems that fail on request and count what they ran.

--- /dev/null
+++ b/standins/answertext.cpp
@@ -0,0 +1,48 @@
+// Derivation and check of answer texts.
+
+#include "answertext.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+namespace cornelshed::standins {
+
+std::string findMarker(std::string_view text)
+{
+    constexpr std::string_view opening = "[marker:";
+    const std::size_t begin = text.find(opening);
+    if (begin == std::string_view::npos)
+        return {};
+    const std::size_t end = text.find(']', begin);
+    if (end == std::string_view::npos)
+        return {};
+    const std::size_t first = begin + opening.size();
+    return std::string(text.substr(first, end - first));
+}
+
+std::string answerToken(const std::string &requestId, const std::string &marker, std::uint64_t n)
+{
+    const std::string key = requestId + '|' + marker;
+    const auto hash = static_cast<unsigned>(XXH64(key.data(), key.size(), n));
+    std::array<char, 9> digits {};
+    std::snprintf(digits.data(), digits.size(), "%08x", hash);
+    return ' ' + marker + '.' + std::to_string(n) + '.' + digits.data();
+}
+
+AnswerCheck checkAnswer(std::string_view text, const std::string &requestId,
+                        const std::string &marker, std::uint64_t tokenCount)
+{
+    for (std::uint64_t n = 0; n < tokenCount; ++n) {
+        const std::string token = answerToken(requestId, marker, n);
+        if (text.substr(0, token.size()) != token) {
+            const bool isPrefix = std::string_view(token).substr(0, text.size()) == text;
+            return isPrefix ? AnswerCheck::Truncated : AnswerCheck::MixedUp;
+        }
+        text.remove_prefix(token.size());
+    }
+    return text.empty() ? AnswerCheck::Whole : AnswerCheck::MixedUp;
+}
+
+} // namespace cornelshed::standins
--- /dev/null
+++ b/standins/httpserver.cpp
@@ -0,0 +1,203 @@
+// HTTP/1.1 server of the stand-ins on Beast coroutines.
+
+#include "httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <iostream>
+
+namespace cornelshed::standins {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t bodyLimitBytes = 64ULL << 20U;
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
+    return text;
+}
+
+void parseQuery(const std::string &text, std::map<std::string, std::string> &query)
+{
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        const std::size_t end = std::min(text.find('&', begin), text.size());
+        const std::string part = text.substr(begin, end - begin);
+        const std::size_t equals = std::min(part.find('='), part.size());
+        query[part.substr(0, equals)] = equals < part.size() ? part.substr(equals + 1) : "";
+        begin = end + 1;
+    }
+}
+
+HttpCall toCall(http::request<http::string_body> &&request)
+{
+    HttpCall call;
+    call.method = std::string(request.method_string());
+    const std::string target(request.target());
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    call.path = target.substr(0, mark);
+    if (mark < target.size())
+        parseQuery(target.substr(mark + 1), call.query);
+    for (const auto &it : request)
+        call.headers[lowerCase(std::string(it.name_string()))] = std::string(it.value());
+    call.body = std::move(request.body());
+    return call;
+}
+
+class ConnectionAnswer final : public HttpAnswer
+{
+public:
+    ConnectionAnswer(Tcp::socket &socket, bool keepAlive) : m_socket(socket), m_keepAlive(keepAlive)
+    { }
+
+    asio::awaitable<bool> whole(unsigned status, std::string body) override
+    {
+        http::response<http::string_body> response;
+        response.version(11);
+        response.result(status);
+        response.set(http::field::content_type, "application/json");
+        response.keep_alive(m_keepAlive);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        boost::system::error_code ec;
+        co_await http::async_write(m_socket, response,
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        m_complete = !ec;
+        co_return m_complete;
+    }
+
+    asio::awaitable<bool> beginStream() override
+    {
+        http::response<http::empty_body> response(http::status::ok, 11);
+        response.set(http::field::content_type, "text/event-stream");
+        response.keep_alive(m_keepAlive);
+        response.chunked(true);
+        http::response_serializer<http::empty_body> serializer(response);
+        boost::system::error_code ec;
+        co_await http::async_write_header(m_socket, serializer,
+                                          asio::redirect_error(asio::use_awaitable, ec));
+        co_return !ec;
+    }
+
+    asio::awaitable<bool> chunk(std::string data) override
+    {
+        boost::system::error_code ec;
+        const auto buf = http::make_chunk(asio::const_buffer(data.data(), data.size()));
+        co_await asio::async_write(m_socket, buf, asio::redirect_error(asio::use_awaitable, ec));
+        co_return !ec;
+    }
+
+    asio::awaitable<bool> endStream() override
+    {
+        boost::system::error_code ec;
+        const auto buf = http::make_chunk_last();
+        co_await asio::async_write(m_socket, buf, asio::redirect_error(asio::use_awaitable, ec));
+        m_complete = !ec;
+        co_return m_complete;
+    }
+
+    void drop() override { m_complete = false; }
+
+    [[nodiscard]] bool reusable() const { return m_complete && m_keepAlive; }
+
+private:
+    Tcp::socket &m_socket;
+    bool m_keepAlive;
+    bool m_complete = false;
+};
+
+asio::awaitable<bool> serveCall(Tcp::socket &socket, beast::flat_buffer &buf,
+                                const HttpHandler &handler)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(bodyLimitBytes);
+    boost::system::error_code ec;
+    co_await http::async_read(socket, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+        co_return false;
+    ConnectionAnswer answer(socket, parser.get().keep_alive());
+    const HttpCall call = toCall(parser.release());
+    std::string problem;
+    try {
+        co_await handler(call, answer);
+    } catch (const std::exception &error) {
+        problem = error.what();
+    }
+    if (!problem.empty()) {
+        std::clog << "event=call_failed path=" << call.path << " error=\"" << problem << "\"\n";
+        co_await answer.whole(400, "{\"error\":\"malformed call\"}");
+    }
+    co_return answer.reusable();
+}
+
+asio::awaitable<void> serveConnection(Tcp::socket socket, const HttpHandler &handler)
+{
+    beast::flat_buffer buf;
+    boost::system::error_code ec;
+    socket.set_option(Tcp::no_delay(true), ec);
+    bool open = true;
+    while (open)
+        open = co_await serveCall(socket, buf, handler);
+    socket.shutdown(Tcp::socket::shutdown_both, ec);
+}
+
+asio::awaitable<void> acceptConnections(Tcp::acceptor acceptor, HttpHandler handler)
+{
+    for (;;) {
+        boost::system::error_code ec;
+        Tcp::socket socket =
+                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            continue;
+        asio::co_spawn(acceptor.get_executor(), serveConnection(std::move(socket), handler),
+                       asio::detached);
+    }
+}
+
+} // namespace
+
+std::string HttpCall::header(const std::string &name) const
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? std::string() : it->second;
+}
+
+std::uint16_t serveHttp(asio::io_context &context, const std::string &address, std::uint16_t port,
+                        HttpHandler handler)
+{
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::make_address(address), port));
+    const std::uint16_t bound = acceptor.local_endpoint().port();
+    asio::co_spawn(context, acceptConnections(std::move(acceptor), std::move(handler)),
+                   asio::detached);
+    return bound;
+}
+
+int runHttpProgram(asio::io_context &context, const std::string &address, std::uint16_t port,
+                   HttpHandler handler)
+{
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+    const std::uint16_t bound = serveHttp(context, address, port, std::move(handler));
+    std::cout << "event=listening port=" << bound << std::endl;
+    context.run();
+    return 0;
+}
+
+} // namespace cornelshed::standins
