--- a/standins/completionformat.cpp
+++ b/standins/completionformat.cpp
@@ -50,13 +50,14 @@
             {"choices", std::move(choices)}};
 }
 
-json::object choiceObject(const CompletionRequest &request, const char *chatKey, std::string text)
+json::object choiceObject(const CompletionRequest &request, const char *chatKey,
+                          const std::string &text)
 {
     json::object choice {{"index", 0}};
     if (request.chat)
-        choice[chatKey] = json::object {{"role", "assistant"}, {"content", std::move(text)}};
+        choice[chatKey] = json::object {{"role", "assistant"}, {"content", text}};
     else
-        choice["text"] = std::move(text);
+        choice["text"] = text;
     return choice;
 }
 
@@ -89,7 +90,7 @@
     std::string text;
     for (std::uint64_t n = request.resumeAfter; n < request.maximumTokens; ++n)
         text += answerToken(request.requestId, request.marker, n);
-    json::object choice = choiceObject(request, "message", std::move(text));
+    json::object choice = choiceObject(request, "message", text);
     choice["finish_reason"] = "length";
     json::object answer = answerObject(request, {std::move(choice)});
     answer["usage"] = usageObject(usage);
@@ -98,8 +99,8 @@
 
 std::string formatTokenEvent(const CompletionRequest &request, std::uint64_t n)
 {
-    std::string token = answerToken(request.requestId, request.marker, n);
-    return formatEvent(answerObject(request, {choiceObject(request, "delta", std::move(token))}));
+    const std::string token = answerToken(request.requestId, request.marker, n);
+    return formatEvent(answerObject(request, {choiceObject(request, "delta", token)}));
 }
 
 std::string formatStreamEnd(const CompletionRequest &request, const CompletionUsage &usage)
--- a/standins/engine_main.cpp
+++ b/standins/engine_main.cpp
@@ -27,6 +27,7 @@
   --checks-fencing                  Refuse commands with an old fencing number.
   --start-cold                      Start in the cold state.
   --model-version NAME              Version that is loaded at start [default: v1].
+  --ledger-file FILE                Keep the starts of runs in a file [default: ].
   --seed N                          Seed of the lost cache events [default: 1].
   -h --help                         Show this text.
 )";
@@ -53,6 +54,7 @@
     options.checksFencing = arguments.at("--checks-fencing").asBool();
     options.startsCold = arguments.at("--start-cold").asBool();
     options.version = arguments.at("--model-version").asString();
+    options.ledgerFile = arguments.at("--ledger-file").asString();
     options.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
     return options;
 }
--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -68,7 +68,8 @@
                   [this](bool stored, std::uint64_t hash) {
                       m_cacheEvents.add(Clock::now(), stored, hash);
                   }),
-          m_version(m_options.version), m_wakeLoop(context, Clock::time_point::max())
+          m_ledger(m_options.ledgerFile), m_version(m_options.version),
+          m_wakeLoop(context, Clock::time_point::max())
     {
         if (m_options.startsCold)
             m_faults.turnCold();
@@ -184,8 +185,8 @@
         co_await answer.whole(404, R"({"error":"unknown request"})");
         co_return;
     }
-    LedgerCounts &counts = m_ledger.entry(key);
-    (request.resume ? counts.resumed : counts.started) += 1;
+    LedgerCounts &counts = request.resume ? m_ledger.entry(key) : m_ledger.start(key);
+    counts.resumed += request.resume ? 1 : 0;
     if (m_faults.failsArrival(call.path, m_model.runningCount())) {
         counts.failed += 1;
         co_await answer.whole(500, R"({"error":"engine failure"})");
@@ -356,8 +357,10 @@
         const std::uint64_t n = after == call.query.end() ? 0 : std::stoull(after->second);
         reply = m_cacheEvents.toJson(Clock::now(), n);
     }
-    const unsigned status = reply.empty() ? 404 : 200;
-    co_await answer.whole(status, reply.empty() ? "{}" : std::move(reply));
+    if (reply.empty())
+        co_await answer.whole(404, "{}");
+    else
+        co_await answer.whole(200, std::move(reply));
 }
 
 EngineServer::EngineServer(asio::io_context &context, EngineOptions options)
--- a/standins/engineserver.h
+++ b/standins/engineserver.h
@@ -29,6 +29,7 @@
     bool checksFencing = false;
     bool startsCold = false;
     std::string version = "v1";
+    std::string ledgerFile; // empty: the ledger is lost with the process
     std::uint64_t seed = 1;
 };
 
--- a/standins/runledger.cpp
+++ b/standins/runledger.cpp
@@ -1,4 +1,4 @@
-// JSON form of the run ledger.
+// Run ledger: file of starts and JSON form.
 
 #include "runledger.h"
 
@@ -6,6 +6,27 @@
 
 namespace cornelshed::standins {
 
+RunLedger::RunLedger(const std::string &fileName)
+{
+    if (fileName.empty())
+        return;
+    std::ifstream earlier(fileName);
+    LedgerKey key;
+    while (std::getline(earlier, key.idempotencyKey, '\t')
+           && std::getline(earlier, key.requestId, '\t') && std::getline(earlier, key.marker))
+        m_entries[key].started += 1;
+    m_file.open(fileName, std::ios::app);
+}
+
+LedgerCounts &RunLedger::start(const LedgerKey &key)
+{
+    if (m_file.is_open())
+        m_file << key.idempotencyKey << '\t' << key.requestId << '\t' << key.marker << std::endl;
+    LedgerCounts &counts = m_entries[key];
+    counts.started += 1;
+    return counts;
+}
+
 std::string RunLedger::toJson() const
 {
     boost::json::array rows;
--- a/standins/runledger.h
+++ b/standins/runledger.h
@@ -4,6 +4,7 @@
 #define CORNELSHED_STANDINS_RUNLEDGER_H
 
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <string>
 
@@ -30,6 +31,16 @@
 class RunLedger
 {
 public:
+    RunLedger() = default;
+
+    // Appends each start to the file before it counts, and takes over the starts that an earlier
+    // process wrote there, so that the counts survive kill -9. An empty name means no file.
+    explicit RunLedger(const std::string &fileName);
+
+    // Counts a run; keys must not contain tabs or line feeds.
+    LedgerCounts &start(const LedgerKey &key);
+
+    // Returns the counts of a key that has runs.
     LedgerCounts &entry(const LedgerKey &key) { return m_entries[key]; }
     [[nodiscard]] bool contains(const LedgerKey &key) const { return m_entries.count(key) > 0; }
 
@@ -39,6 +50,7 @@
 
 private:
     std::map<LedgerKey, LedgerCounts> m_entries;
+    std::ofstream m_file;
 };
 
 } // namespace cornelshed::standins
--- a/standins/serviceserver.cpp
+++ b/standins/serviceserver.cpp
@@ -27,7 +27,7 @@
     const LedgerKey key {call.header("idempotency-key"), call.header("x-request-id"), marker};
     const bool recorded = call.method == "POST";
     if (recorded)
-        m_ledger.entry(key).started += 1;
+        m_ledger.start(key);
     if (m_delay.count() > 0) {
         asio::steady_timer timer(m_context, m_delay);
         co_await timer.async_wait(asio::use_awaitable);
--- a/standins/serviceserver.h
+++ b/standins/serviceserver.h
@@ -13,8 +13,9 @@
 class ServiceServer
 {
 public:
-    ServiceServer(boost::asio::io_context &context, std::chrono::milliseconds delay)
-        : m_context(context), m_delay(delay)
+    ServiceServer(boost::asio::io_context &context, std::chrono::milliseconds delay,
+                  const std::string &ledgerFile)
+        : m_context(context), m_delay(delay), m_ledger(ledgerFile)
     { }
 
     // The handler refers to this object.
