Wire codec and framed connection

Cause: entry daemons and agents need their messages as bytes over TCP. Change: conversion between the message structs and schema/wire.capnp with limits on size, traversal and nesting, and a connection that frames them with a bounded write queue.

--- /dev/null
+++ b/src/framedconnection.cpp
@@ -0,0 +1,141 @@
+// Framing over a socket. Frames queued while a write is under way leave together in the next one,
+// so that a busy session costs one system call for many messages.
+
+#include "framedconnection.h"
+
+#include "wirecodec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace cornelshed {
+
+namespace {
+
+constexpr std::size_t initialInputBytes = std::size_t {16} << 10U;
+
+} // namespace
+
+FramedConnection::FramedConnection(boost::asio::ip::tcp::socket socket,
+                                   const FramedConnectionLimits &limits)
+    : m_socket(std::move(socket)), m_limits(limits), m_input(initialInputBytes, '\0')
+{
+    boost::system::error_code ec;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+}
+
+void FramedConnection::start(FrameCallback frame, ClosedCallback closed)
+{
+    m_frame = std::move(frame);
+    m_closed = std::move(closed);
+    readSome();
+}
+
+void FramedConnection::send(std::string frame)
+{
+    if (!m_socket.is_open())
+        return;
+    if (m_queued.size() + m_writing.size() + frame.size() > m_limits.writeQueueLimitBytes) {
+        close("write queue over its limit");
+        return;
+    }
+    if (m_queued.empty())
+        m_queued = std::move(frame);
+    else
+        m_queued += frame;
+    if (!m_isWriting)
+        writeSome();
+}
+
+void FramedConnection::close(const std::string &reason)
+{
+    if (!m_socket.is_open())
+        return;
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
+    m_socket.close(ec);
+    // Posted, because close() may run inside a callback of the owner.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] {
+        const ClosedCallback closed = std::exchange(self->m_closed, nullptr);
+        self->m_frame = nullptr;
+        if (closed)
+            closed(reason);
+    });
+}
+
+void FramedConnection::readSome()
+{
+    auto space = boost::asio::buffer(m_input.data() + m_end, m_input.size() - m_end);
+    m_socket.async_read_some(space, [self = shared_from_this()](auto ec, std::size_t n) {
+        if (!self->m_socket.is_open())
+            return;
+        if (ec) {
+            self->close(ec.message());
+            return;
+        }
+        self->m_end += n;
+        self->consumeFrames();
+    });
+}
+
+void FramedConnection::consumeFrames()
+{
+    while (m_end - m_begin >= frameHeaderBytes) {
+        const std::string_view unread(m_input.data() + m_begin, m_end - m_begin);
+        const std::size_t length = frameLength(unread);
+        if (length > m_limits.frameLimitBytes) {
+            close("frame over its limit");
+            return;
+        }
+        if (unread.size() < frameHeaderBytes + length)
+            break;
+        if (!m_frame(unread.substr(frameHeaderBytes, length)))
+            close("malformed message");
+        if (!m_socket.is_open())
+            return;
+        m_begin += frameHeaderBytes + length;
+    }
+    makeRoom();
+    readSome();
+}
+
+// Moves the unread bytes to the front and makes room for the rest of the frame that has begun.
+void FramedConnection::makeRoom()
+{
+    const std::size_t unread = m_end - m_begin;
+    if (m_begin > 0 && unread > 0)
+        std::memmove(m_input.data(), m_input.data() + m_begin, unread);
+    m_begin = 0;
+    m_end = unread;
+    std::size_t needed = initialInputBytes;
+    if (unread >= frameHeaderBytes)
+        needed = std::max(needed, frameHeaderBytes + frameLength(m_input));
+    // A large frame must not keep its memory for the life of the session.
+    if (needed > m_input.size() || (unread == 0 && m_input.size() > initialInputBytes))
+        m_input.resize(needed);
+}
+
+void FramedConnection::writeSome()
+{
+    m_isWriting = true;
+    m_writing.clear();
+    std::swap(m_writing, m_queued);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+                             [self = shared_from_this()](auto ec, std::size_t) {
+                                 self->m_isWriting = false;
+                                 self->m_writing.clear();
+                                 if (!self->m_socket.is_open())
+                                     return;
+                                 if (ec)
+                                     self->close(ec.message());
+                                 else if (!self->m_queued.empty())
+                                     self->writeSome();
+                             });
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/framedconnection.h
@@ -0,0 +1,65 @@
+// One TCP session that carries frames: a 4-byte little-endian length, then one message. All calls
+// and callbacks run on the socket's executor (a strand, or the only thread of the io_context).
+
+#ifndef CORNELSHED_FRAMEDCONNECTION_H
+#define CORNELSHED_FRAMEDCONNECTION_H
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cornelshed {
+
+struct FramedConnectionLimits
+{
+    std::size_t frameLimitBytes = std::size_t {16} << 20U;
+    std::size_t writeQueueLimitBytes = std::size_t {64} << 20U;
+
+    bool operator==(const FramedConnectionLimits &) const = default;
+};
+
+class FramedConnection : public std::enable_shared_from_this<FramedConnection>
+{
+public:
+    // The view is valid during the call only. Returns false to close the connection.
+    using FrameCallback = std::function<bool(std::string_view)>;
+    using ClosedCallback = std::function<void(const std::string &reason)>;
+
+    FramedConnection(boost::asio::ip::tcp::socket socket, const FramedConnectionLimits &limits);
+
+    // Starts reading. closed runs exactly once, and nothing is called after it.
+    void start(FrameCallback frame, ClosedCallback closed);
+
+    // Queues a whole frame (with header). A peer that does not read fast enough to keep the queue
+    // within its limit is disconnected, because an unbounded queue would exhaust the memory.
+    void send(std::string frame);
+
+    void close(const std::string &reason);
+
+    bool isOpen() const { return m_socket.is_open(); }
+
+private:
+    void readSome();
+    void consumeFrames();
+    void makeRoom();
+    void writeSome();
+
+    boost::asio::ip::tcp::socket m_socket;
+    FramedConnectionLimits m_limits;
+    FrameCallback m_frame;
+    ClosedCallback m_closed;
+    std::string m_input;
+    std::size_t m_begin = 0; // invariant: m_begin <= m_end <= m_input.size(); unread bytes between
+    std::size_t m_end = 0;
+    std::string m_queued;  // frames not yet handed to the socket
+    std::string m_writing; // invariant: unchanged while a write is under way
+    bool m_isWriting = false;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_FRAMEDCONNECTION_H
--- /dev/null
+++ b/src/wirecodec.h
@@ -0,0 +1,48 @@
+// Converts the messages between entry daemons and agents to and from the bytes of
+// schema/wire.capnp. Decoding never throws: whatever a peer sends gives a message or a WireError.
+
+#ifndef CORNELSHED_WIRECODEC_H
+#define CORNELSHED_WIRECODEC_H
+
+#include "messages.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace cornelshed {
+
+struct WireError
+{
+    std::string message;
+
+    bool operator==(const WireError &) const = default;
+};
+
+struct WireLimits
+{
+    std::size_t frameLimitBytes = std::size_t {16} << 20U;
+    int nestingLimit = 16; // the schema nests four deep
+
+    bool operator==(const WireLimits &) const = default;
+};
+
+// Bytes before each message: its length in little-endian order.
+constexpr std::size_t frameHeaderBytes = 4;
+
+// Return a whole frame: header and message.
+std::string encodeFrame(const EntryMessage &message);
+std::string encodeFrame(const AgentMessage &message);
+
+// Length of the message that follows the header; header has frameHeaderBytes bytes.
+std::size_t frameLength(std::string_view header);
+
+// Decode the message of a frame, without its header.
+Result<EntryMessage, WireError> decodeEntryMessage(std::string_view bytes,
+                                                   const WireLimits &limits);
+Result<AgentMessage, WireError> decodeAgentMessage(std::string_view bytes,
+                                                   const WireLimits &limits);
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_WIRECODEC_H
