Agent daemon: sessions, backend client, probe, settings, admin port

Cause: the agent is the only path to a backend server and needs a shell around its scheduler. Change: single-threaded daemon that carries out the scheduler's actions, streams answers back as whole events and reports their end only when the server's answer is complete.

--- /dev/null
+++ b/src/adminserver.cpp
@@ -0,0 +1,120 @@
+// Answers the admin port. Requests are small and rare; each connection has a time limit, so that
+// forgotten ones do not pile up.
+
+#include "adminserver.h"
+
+#include "listener.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace cornelshed {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::chrono::seconds connectionTimeLimit {10};
+constexpr std::uint32_t headerLimitBytes = 8192;
+
+http::response<http::string_body> answer(const AdminHandlers &handlers,
+                                         const http::request<http::empty_body> &request)
+{
+    http::response<http::string_body> response(http::status::ok, request.version());
+    response.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+    response.keep_alive(request.keep_alive());
+    if (request.target() == "/metrics") {
+        response.body() = handlers.metrics();
+    } else if (request.target() == "/health") {
+        response.body() = "healthy\n";
+    } else if (request.target() == "/ready") {
+        const bool ready = handlers.ready();
+        response.result(ready ? http::status::ok : http::status::service_unavailable);
+        response.body() = ready ? "ready\n" : "not ready\n";
+    } else {
+        response.result(http::status::not_found);
+        response.body() = "not found\n";
+    }
+    response.prepare_payload();
+    return response;
+}
+
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(boost::asio::ip::tcp::socket socket, std::shared_ptr<const AdminHandlers> handlers)
+        : m_stream(std::move(socket)), m_handlers(std::move(handlers))
+    { }
+
+    void readNext()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(headerLimitBytes);
+        m_stream.expires_after(connectionTimeLimit);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](auto ec, std::size_t) {
+                             if (!ec)
+                                 self->respond();
+                         });
+    }
+
+private:
+    void respond()
+    {
+        m_response = answer(*m_handlers, m_parser->get());
+        http::async_write(m_stream, m_response, [self = shared_from_this()](auto ec, std::size_t) {
+            if (!ec && self->m_response.keep_alive())
+                self->readNext();
+        });
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<const AdminHandlers> m_handlers;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::empty_body>> m_parser;
+    http::response<http::string_body> m_response;
+};
+
+} // namespace
+
+class AdminServer::Private
+{
+public:
+    Private(boost::asio::io_context &context, AdminHandlers handlers)
+        : m_listener(std::make_shared<detail::Listener>(context, true)),
+          m_handlers(std::make_shared<const AdminHandlers>(std::move(handlers)))
+    { }
+
+    std::shared_ptr<detail::Listener> m_listener;
+    std::shared_ptr<const AdminHandlers> m_handlers;
+};
+
+AdminServer::AdminServer(boost::asio::io_context &context, AdminHandlers handlers)
+    : d(std::make_shared<Private>(context, std::move(handlers)))
+{ }
+
+AdminServer::~AdminServer()
+{
+    d->m_listener->stop();
+}
+
+std::optional<std::string> AdminServer::listen(const std::string &address, std::uint16_t port)
+{
+    return d->m_listener->listen(address, port, [handlers = d->m_handlers](auto socket) {
+        auto session = std::make_shared<Session>(std::move(socket), handlers);
+        session->readNext();
+    });
+}
+
+std::uint16_t AdminServer::port() const
+{
+    return d->m_listener->port();
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/agentd_main.cpp
@@ -0,0 +1,59 @@
+// Program cornelshed-agentd.
+
+#include "agentdaemon.h"
+#include "agentsettings.h"
+#include "daemonoptions.h"
+#include "eventlog.h"
+
+#include <iostream>
+
+using namespace cornelshed;
+
+namespace {
+
+int check(const AgentSettings &settings)
+{
+    const std::vector<std::string> problems = checkStateCharts(settings.chartsDirectory);
+    for (const std::string &it : problems)
+        std::cerr << it << '\n';
+    return static_cast<int>(problems.empty() ? DaemonStatus::Success : DaemonStatus::SettingsError);
+}
+
+int serve(const AgentSettings &settings, const char *program)
+{
+    EventLog::initialize(program);
+    AgentDaemon daemon(settings);
+    if (const auto problem = daemon.listen()) {
+        EventLog("start_failed", EventLevel::Error).field("reason", *problem);
+        return static_cast<int>(DaemonStatus::RuntimeFailure);
+    }
+    daemon.handleSignals();
+    return static_cast<int>(daemon.run());
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto parsed = parseDaemonOptions(
+            argc, argv, "cornelshed-agentd",
+            "agent beside a backend server; queues, grants and runs the system's requests.");
+    if (const auto *status = std::get_if<DaemonStatus>(&parsed))
+        return static_cast<int>(*status);
+    const auto &options = std::get<DaemonOptions>(parsed);
+    const auto text = readTextFile(options.settingsFile);
+    if (!text) {
+        std::cerr << options.settingsFile << ": cannot be read\n";
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const auto settings = parseAgentSettings(*text, options.settingsFile);
+    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
+        for (const TomlProblem &it : *problems)
+            std::cerr << it.toString() << '\n';
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const int status = check(std::get<AgentSettings>(settings));
+    if (status != 0 || options.checkOnly)
+        return status;
+    return serve(std::get<AgentSettings>(settings), argv[0]);
+}
--- /dev/null
+++ b/src/agentdaemon.cpp
@@ -0,0 +1,411 @@
+// Carries out what the agent's scheduler decides: messages to entry daemons, requests to the
+// backend server, cancellations. One thread does all of it, so that nothing here needs a lock.
+
+#include "agentdaemon.h"
+
+#include "adminserver.h"
+#include "agentrun.h"
+#include "agentscheduler.h"
+#include "agentserver.h"
+#include "backendclient.h"
+#include "configurationfile.h"
+#include "daemonsignals.h"
+#include "eventlog.h"
+#include "httpheaders.h"
+#include "metrics.h"
+#include "monotonicclock.h"
+#include "serverprobe.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <unordered_map>
+#include <utility>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The entry daemon cancels at the deadline; the margin only ends requests whose cancellation was
+// lost with the session.
+constexpr Duration deadlineMargin = std::chrono::seconds(5);
+constexpr Duration longestTimeLimit = std::chrono::hours(1);
+// Entry daemons read what is left for them and close; one that hangs must not delay the exit.
+constexpr std::chrono::milliseconds sessionEndTimeLimit {500};
+constexpr std::chrono::milliseconds shutdownPollInterval {5};
+
+struct RunningCall
+{
+    std::shared_ptr<AgentRun> run;
+    std::shared_ptr<BackendCall> call;
+};
+
+Welcome identityOf(const AgentSettings &settings)
+{
+    Welcome identity;
+    identity.backendServer = {settings.name, randomIncarnation()};
+    identity.pool = settings.pool;
+    identity.availabilityZone = settings.availabilityZone;
+    identity.version = settings.serverVersion;
+    identity.models = settings.models;
+    return identity;
+}
+
+AgentLimits limitsOf(const AgentSettings &settings)
+{
+    AgentLimits limits;
+    limits.maximumConcurrency = settings.maximumConcurrencyCount;
+    return limits;
+}
+
+} // namespace
+
+class AgentDaemon::Private final : public AgentRunOwner
+{
+public:
+    explicit Private(const AgentSettings &settings);
+
+    void start();
+    void beginShutdown();
+    void pollShutdown();
+    void finishSessions();
+
+    void sendToEntry(SessionId session, const AgentMessage &message) override;
+    void runFirstToken(RequestId request) override;
+    void runTokens(RequestId request, std::uint64_t count) override;
+    void runFinished(RequestId request, const Usage &usage) override;
+    void runFailed(RequestId request, FailReason reason, bool notRun) override;
+
+    void handleMessage(SessionId session, EntryMessage message);
+    void install(const ConfigurationNotice &notice);
+    void carryOut(const AgentActions &actions);
+    void carryOut(const SendToEntry &action);
+    void carryOut(const StartOnServer &action);
+    void carryOut(const CancelOnServer &action);
+    BackendRequest backendRequest(const Dispatch &dispatch) const;
+    void setReachable(bool reachable);
+    void armTimer();
+    void addMetrics();
+    AgentServerEvents serverEvents();
+
+    AgentSettings m_settings;
+    asio::io_context m_context {1}; // first member: everything below uses it
+    Metrics m_metrics;
+    Welcome m_identity;
+    AgentScheduler m_scheduler;
+    BackendClient m_client;
+    ServerProbe m_probe;
+    AgentServer m_server;
+    AdminServer m_admin;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_shutdownTimer;
+    std::unique_ptr<DaemonSignals> m_signals;
+    std::unordered_map<RequestId, RunningCall> m_calls; // invariant: those not ended
+    Instant m_armed = instantNever;                     // when m_timer fires
+    Instant m_shutdownDeadline = instantNever;
+    std::uint64_t m_configurationVersion = 0;
+    std::atomic<bool> m_reachable {false};
+    bool m_shuttingDown = false;
+    DaemonStatus m_status = DaemonStatus::Success;
+    Counter &m_started;
+    Counter &m_finished;
+    Counter &m_failed;
+    Counter &m_notRun;
+    Counter &m_tokens;
+    TimeSummary &m_firstTokenTime;
+};
+
+AgentDaemon::Private::Private(const AgentSettings &settings)
+    : m_settings(settings), m_identity(identityOf(settings)),
+      m_scheduler(limitsOf(settings), m_identity, {}),
+      m_client(m_context, settings.serverAddress, settings.serverPort),
+      m_probe(m_context, {settings.serverKind, settings.serverAddress, settings.serverPort},
+              m_client, [this](bool reachable) { setReachable(reachable); }),
+      m_server(m_context, {settings.frameLimitBytes, settings.sessionLimitCount}, serverEvents()),
+      m_admin(m_context,
+              {[this] { return m_metrics.text(); },
+               [this] { return m_reachable && !m_shuttingDown; }}),
+      m_timer(m_context), m_shutdownTimer(m_context),
+      m_started(m_metrics.counter("cornelshed_agent_requests_started_total",
+                                  "Requests sent to the backend server.")),
+      m_finished(m_metrics.counter("cornelshed_agent_requests_finished_total",
+                                   "Requests answered completely.")),
+      m_failed(m_metrics.counter("cornelshed_agent_requests_failed_total",
+                                 "Requests that failed after they may have run.")),
+      m_notRun(m_metrics.counter("cornelshed_agent_requests_not_run_total",
+                                 "Requests that never reached the backend server.")),
+      m_tokens(m_metrics.counter("cornelshed_agent_stream_tokens_total",
+                                 "Token events passed on in streams.")),
+      m_firstTokenTime(m_metrics.summary("cornelshed_agent_first_token_seconds",
+                                         "Start on the server to first token of streams."))
+{
+    addMetrics();
+}
+
+AgentServerEvents AgentDaemon::Private::serverEvents()
+{
+    AgentServerEvents events;
+    events.opened = [this](SessionId session, const Hello &hello) {
+        carryOut(m_scheduler.sessionOpened(session, hello, monotonicNow()));
+    };
+    events.closed = [this](SessionId session) {
+        carryOut(m_scheduler.sessionClosed(session, monotonicNow()));
+    };
+    events.message = [this](SessionId session, EntryMessage message) {
+        handleMessage(session, std::move(message));
+    };
+    return events;
+}
+
+// The gauges run on the only thread, as the admin server does.
+void AgentDaemon::Private::addMetrics()
+{
+    m_metrics.gauge("cornelshed_agent_running", "Requests on the backend server.",
+                    [this] { return static_cast<double>(m_scheduler.load().running); });
+    m_metrics.gauge("cornelshed_agent_waiting", "Reservations queued.",
+                    [this] { return static_cast<double>(m_scheduler.load().waiting); });
+    m_metrics.gauge("cornelshed_agent_concurrency_limit", "Requests the server bears.",
+                    [this] { return static_cast<double>(m_scheduler.load().concurrencyLimit); });
+    m_metrics.gauge("cornelshed_agent_sessions", "Sessions of entry daemons.",
+                    [this] { return static_cast<double>(m_server.sessionCount()); });
+    m_metrics.gauge("cornelshed_agent_configuration_version", "Configuration in force.",
+                    [this] { return static_cast<double>(m_configurationVersion); });
+}
+
+// Nothing is granted before the probe has cancelled what an earlier incarnation left running.
+void AgentDaemon::Private::start()
+{
+    carryOut(m_scheduler.serverReachable(false, monotonicNow()));
+    m_probe.start();
+    EventLog("agent_started")
+            .field("name", m_settings.name)
+            .field("incarnation", m_identity.backendServer.incarnation)
+            .field("entry_port", m_server.port())
+            .field("admin_port", m_admin.port());
+}
+
+void AgentDaemon::Private::setReachable(bool reachable)
+{
+    m_reachable = reachable;
+    carryOut(m_scheduler.serverReachable(reachable, monotonicNow()));
+}
+
+void AgentDaemon::Private::handleMessage(SessionId session, EntryMessage message)
+{
+    if (const auto *notice = std::get_if<ConfigurationNotice>(&message))
+        install(*notice);
+    else
+        carryOut(m_scheduler.handle(session, message, monotonicNow()));
+}
+
+// Versions only grow, so that a late notice cannot bring an old configuration back.
+void AgentDaemon::Private::install(const ConfigurationNotice &notice)
+{
+    if (notice.version <= m_configurationVersion)
+        return;
+    Result<Configuration, TomlProblems> parsed = parseConfiguration(notice.text, "configuration");
+    if (const auto *problems = std::get_if<TomlProblems>(&parsed)) {
+        EventLog("configuration_refused", EventLevel::Error)
+                .field("version", notice.version)
+                .field("reason", problems->front().toString());
+        return;
+    }
+    auto &configuration = std::get<Configuration>(parsed);
+    configuration.version = notice.version;
+    m_configurationVersion = notice.version;
+    EventLog("configuration_installed").field("version", notice.version);
+    carryOut(m_scheduler.setConfiguration(configuration, monotonicNow()));
+}
+
+void AgentDaemon::Private::carryOut(const AgentActions &actions)
+{
+    for (const AgentAction &it : actions)
+        std::visit([this](const auto &action) { carryOut(action); }, it);
+    armTimer();
+}
+
+void AgentDaemon::Private::carryOut(const SendToEntry &action)
+{
+    const auto *welcome = std::get_if<Welcome>(&action.message);
+    if (welcome == nullptr) {
+        m_server.send(action.session, action.message);
+        return;
+    }
+    Welcome current = *welcome;
+    current.configurationVersion = m_configurationVersion;
+    m_server.send(action.session, current);
+}
+
+void AgentDaemon::Private::carryOut(const StartOnServer &action)
+{
+    const RequestId request = action.dispatch.request;
+    m_started.add();
+    auto run = std::make_shared<AgentRun>(action.session, action.dispatch, *this);
+    auto call = m_client.start(backendRequest(action.dispatch), run);
+    m_calls[request] = {std::move(run), std::move(call)};
+}
+
+BackendRequest AgentDaemon::Private::backendRequest(const Dispatch &dispatch) const
+{
+    BackendRequest request;
+    request.method = dispatch.method;
+    request.path = dispatch.path;
+    request.headers = endToEndHeaders(dispatch.headers);
+    request.body = dispatch.body;
+    request.timeLimit = std::clamp(dispatch.remaining, Duration(0), longestTimeLimit);
+    request.timeLimit += deadlineMargin;
+    return request;
+}
+
+// A plain service has no way to cancel; its request keeps its place until it ends, and its answer
+// is dropped.
+void AgentDaemon::Private::carryOut(const CancelOnServer &action)
+{
+    const auto it = m_calls.find(action.request);
+    if (it == m_calls.end())
+        return;
+    it->second.run->cancel();
+    if (m_settings.serverKind == PoolKind::Service)
+        return;
+    const std::string json = "{\"request_id\":\"" + it->second.run->serverRequestId() + "\"}";
+    m_client.post("/control/cancel", json,
+                  [call = it->second.call](std::uint32_t) { call->abandon(); });
+}
+
+void AgentDaemon::Private::sendToEntry(SessionId session, const AgentMessage &message)
+{
+    m_server.send(session, message);
+}
+
+void AgentDaemon::Private::runFirstToken(RequestId request)
+{
+    carryOut(m_scheduler.firstToken(request, monotonicNow()));
+}
+
+void AgentDaemon::Private::runTokens(RequestId request, std::uint64_t count)
+{
+    m_tokens.add(count);
+    carryOut(m_scheduler.tokens(request, count, monotonicNow()));
+}
+
+void AgentDaemon::Private::runFinished(RequestId request, const Usage &usage)
+{
+    m_finished.add();
+    if (usage.firstTokenTime.count() > 0)
+        m_firstTokenTime.record(usage.firstTokenTime);
+    m_calls.erase(request);
+    carryOut(m_scheduler.serverFinished(request, usage, monotonicNow()));
+}
+
+void AgentDaemon::Private::runFailed(RequestId request, FailReason reason, bool notRun)
+{
+    (notRun ? m_notRun : m_failed).add();
+    m_calls.erase(request);
+    if (reason == FailReason::EngineUnreachable)
+        m_probe.suspect();
+    carryOut(m_scheduler.serverFailed(request, reason, notRun, monotonicNow()));
+}
+
+void AgentDaemon::Private::armTimer()
+{
+    const Instant wake = m_scheduler.nextWake();
+    if (wake >= m_armed)
+        return;
+    m_armed = wake;
+    m_timer.expires_at(toSteadyTime(wake, monotonicNow()));
+    m_timer.async_wait([this](auto ec) {
+        if (ec)
+            return;
+        m_armed = instantNever;
+        carryOut(m_scheduler.tick(monotonicNow()));
+    });
+}
+
+void AgentDaemon::Private::beginShutdown()
+{
+    if (m_shuttingDown)
+        return;
+    m_shuttingDown = true;
+    EventLog("shutdown_started").field("running", m_scheduler.load().running);
+    m_shutdownDeadline = monotonicNow() + std::chrono::milliseconds(m_settings.shutdownTimeoutMs);
+    m_server.stopAccepting();
+    carryOut(m_scheduler.beginShutdown(monotonicNow()));
+    pollShutdown();
+}
+
+void AgentDaemon::Private::pollShutdown()
+{
+    const bool isLate = monotonicNow() >= m_shutdownDeadline;
+    if (m_scheduler.idle() || isLate) {
+        m_status = m_scheduler.idle() ? DaemonStatus::Success : DaemonStatus::ShutdownTimeout;
+        m_shutdownDeadline = monotonicNow() + sessionEndTimeLimit;
+        m_server.finishAll();
+        finishSessions();
+        return;
+    }
+    m_shutdownTimer.expires_after(shutdownPollInterval);
+    m_shutdownTimer.async_wait([this](auto) { pollShutdown(); });
+}
+
+void AgentDaemon::Private::finishSessions()
+{
+    if (m_server.sessionCount() == 0 || monotonicNow() >= m_shutdownDeadline) {
+        EventLog("shutdown_finished").field("status", static_cast<int>(m_status));
+        m_probe.stop();
+        m_context.stop();
+        return;
+    }
+    m_shutdownTimer.expires_after(shutdownPollInterval);
+    m_shutdownTimer.async_wait([this](auto) { finishSessions(); });
+}
+
+AgentDaemon::AgentDaemon(const AgentSettings &settings) : d(std::make_unique<Private>(settings)) { }
+
+AgentDaemon::~AgentDaemon() = default;
+
+std::optional<std::string> AgentDaemon::listen()
+{
+    if (auto problem = d->m_server.listen(d->m_settings.listenAddress, d->m_settings.entryPort))
+        return problem;
+    return d->m_admin.listen(d->m_settings.listenAddress, d->m_settings.adminPort);
+}
+
+void AgentDaemon::handleSignals()
+{
+    d->m_signals = std::make_unique<DaemonSignals>(d->m_context, [this] { d->beginShutdown(); });
+}
+
+DaemonStatus AgentDaemon::run()
+{
+    d->start();
+    d->m_context.run();
+    return d->m_status;
+}
+
+void AgentDaemon::requestShutdown()
+{
+    asio::post(d->m_context, [this] { d->beginShutdown(); });
+}
+
+std::uint16_t AgentDaemon::entryPort() const
+{
+    return d->m_server.port();
+}
+
+std::uint16_t AgentDaemon::adminPort() const
+{
+    return d->m_admin.port();
+}
+
+const BackendServerId &AgentDaemon::backendServer() const
+{
+    return d->m_identity.backendServer;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/agentsettings.cpp
@@ -0,0 +1,69 @@
+// Reads the agent's settings; limits and their ranges stand here only.
+
+#include "agentsettings.h"
+
+#include "settingsvalues.h"
+
+namespace cornelshed {
+
+using namespace detail;
+
+namespace {
+
+void readAgent(TomlSection section, AgentSettings &settings)
+{
+    settings.name = readName(section, "name");
+    settings.pool = readName(section, "pool");
+    settings.availabilityZone = readName(section, "availability_zone");
+    settings.listenAddress = readAddress(section, "listen_address");
+    settings.entryPort = readPort(section, "entry_port", 0);
+    settings.adminPort = readPort(section, "admin_port", 0);
+}
+
+void readServer(TomlSection section, AgentSettings &settings)
+{
+    const std::string kind = section.choice("kind", {"engine", "service"});
+    settings.serverKind = kind == "service" ? PoolKind::Service : PoolKind::Engine;
+    settings.serverAddress = readAddress(section, "address");
+    settings.serverPort = readPort(section, "port", 1);
+    settings.serverVersion = readName(section, "version");
+    settings.models = section.texts("models");
+    settings.checksFencing = section.boolean("checks_fencing", false);
+    if (settings.serverKind == PoolKind::Service && !settings.models.empty())
+        section.reject("models", "no models for kind \"service\"");
+}
+
+void readLimits(TomlSection section, AgentSettings &settings)
+{
+    settings.frameLimitBytes =
+            readCount(section, "frame_limit_bytes", 4096, 1 << 30, settings.frameLimitBytes);
+    settings.sessionLimitCount =
+            readCount(section, "session_limit_count", 1, 65536, settings.sessionLimitCount);
+    settings.shutdownTimeoutMs =
+            readCount(section, "shutdown_timeout_ms", 0, 3600000, settings.shutdownTimeoutMs);
+    settings.maximumConcurrencyCount = readCount(section, "maximum_concurrency_count", 1, 65536,
+                                                 settings.maximumConcurrencyCount);
+}
+
+} // namespace
+
+Result<AgentSettings, TomlProblems> parseAgentSettings(std::string_view text,
+                                                       const std::string &file)
+{
+    TomlProblems problems;
+    TomlDocument document = TomlDocument::parse(text, file, problems);
+    if (!problems.empty())
+        return problems;
+    AgentSettings settings;
+    TomlSection root = document.root();
+    settings.chartsDirectory = readName(root, "charts_directory");
+    readAgent(root.table("agent"), settings);
+    readServer(root.table("server"), settings);
+    readLimits(root.table("limits"), settings);
+    document.reportUnknownKeys();
+    if (!problems.empty())
+        return problems;
+    return settings;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/agentsettings.h
@@ -0,0 +1,49 @@
+// Settings of cornelshed-agentd (docs/design.md, section 13).
+
+#ifndef CORNELSHED_AGENTSETTINGS_H
+#define CORNELSHED_AGENTSETTINGS_H
+
+#include "configuration.h"
+#include "tomlreader.h"
+#include "types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelshed {
+
+struct AgentSettings
+{
+    std::string chartsDirectory;
+
+    std::string name;
+    std::string pool;
+    std::string availabilityZone;
+    std::string listenAddress;
+    std::uint16_t entryPort = 0; // 0: any free port
+    std::uint16_t adminPort = 0; // 0: any free port
+
+    PoolKind serverKind = PoolKind::Engine;
+    std::string serverAddress;
+    std::uint16_t serverPort = 0;
+    std::string serverVersion;
+    std::vector<std::string> models;
+    bool checksFencing = false;
+
+    std::uint32_t frameLimitBytes = 16U << 20U;
+    std::uint32_t sessionLimitCount = 1024;
+    std::uint32_t shutdownTimeoutMs = 30000;
+    std::uint32_t maximumConcurrencyCount = 64;
+
+    bool operator==(const AgentSettings &) const = default;
+};
+
+// Returns the settings, or all problems of the file.
+Result<AgentSettings, TomlProblems> parseAgentSettings(std::string_view text,
+                                                       const std::string &file);
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_AGENTSETTINGS_H
--- /dev/null
+++ b/src/entrysettings.h
@@ -0,0 +1,47 @@
+// Settings of cornelshed-entryd (docs/design.md, section 13).
+
+#ifndef CORNELSHED_ENTRYSETTINGS_H
+#define CORNELSHED_ENTRYSETTINGS_H
+
+#include "tomlreader.h"
+#include "types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cornelshed {
+
+struct EntrySettings
+{
+    std::string chartsDirectory;
+
+    std::string name;
+    std::string availabilityZone;
+    std::string listenAddress;
+    std::uint16_t callerPort = 0; // 0: any free port
+    std::uint16_t adminPort = 0;  // 0: any free port
+    std::uint16_t peerPort = 0;
+    std::uint32_t trafficThreads = 2;
+
+    std::string platformAddress;
+    std::uint16_t platformPort = 0;
+
+    std::uint32_t headerLimitBytes = 16U << 10U;
+    std::uint32_t bodyLimitBytes = 8U << 20U;
+    std::uint32_t connectionLimitCount = 8192;
+    std::uint32_t waitingLimitCount = 4096;
+    std::uint32_t headerTimeoutMs = 10000;
+    std::uint32_t shutdownTimeoutMs = 30000;
+    std::uint32_t reservationCount = 3;
+
+    bool operator==(const EntrySettings &) const = default;
+};
+
+// Returns the settings, or all problems of the file.
+Result<EntrySettings, TomlProblems> parseEntrySettings(std::string_view text,
+                                                       const std::string &file);
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_ENTRYSETTINGS_H
--- /dev/null
+++ b/src/eventlog.h
@@ -0,0 +1,48 @@
+// Logs one line of key=value pairs for each event, through glog:
+//
+//     EventLog("session_opened").field("agent", name).field("port", port);
+//
+// The line is written when the object goes out of scope.
+
+#ifndef CORNELSHED_EVENTLOG_H
+#define CORNELSHED_EVENTLOG_H
+
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace cornelshed {
+
+enum class EventLevel { Info, Warning, Error };
+
+class EventLog
+{
+public:
+    explicit EventLog(std::string_view event, EventLevel level = EventLevel::Info);
+    ~EventLog();
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    // Values with spaces, quotes or control characters are quoted and escaped, so that a value from
+    // outside cannot forge a line.
+    EventLog &field(std::string_view key, std::string_view value);
+
+    template<typename Number>
+    requires std::is_arithmetic_v<Number> EventLog &field(std::string_view key, Number value)
+    {
+        return raw(key, std::to_string(value));
+    }
+
+    // Prepares glog to write to standard error; call once at the start of a program.
+    static void initialize(const char *program);
+
+private:
+    EventLog &raw(std::string_view key, std::string_view value);
+
+    std::string m_line;
+    EventLevel m_level;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_EVENTLOG_H
--- a/src/framedconnection.cpp
+++ b/src/framedconnection.cpp
@@ -38,7 +38,7 @@
 
 void FramedConnection::send(std::string frame)
 {
-    if (!m_socket.is_open())
+    if (!m_socket.is_open() || m_isFinishing)
         return;
     if (m_queued.size() + m_writing.size() + frame.size() > m_limits.writeQueueLimitBytes) {
         close("write queue over its limit");
@@ -68,6 +68,15 @@
     });
 }
 
+void FramedConnection::finish()
+{
+    m_isFinishing = true;
+    if (!m_socket.is_open() || m_isWriting)
+        return;
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+}
+
 void FramedConnection::readSome()
 {
     auto space = boost::asio::buffer(m_input.data() + m_end, m_input.size() - m_end);
@@ -135,6 +144,8 @@
                                      self->close(ec.message());
                                  else if (!self->m_queued.empty())
                                      self->writeSome();
+                                 else if (self->m_isFinishing)
+                                     self->finish();
                              });
 }
 
--- a/src/framedconnection.h
+++ b/src/framedconnection.h
@@ -40,6 +40,9 @@
 
     void close(const std::string &reason);
 
+    // Ends the sending side once the queue is empty; the peer then closes the connection.
+    void finish();
+
     bool isOpen() const { return m_socket.is_open(); }
 
 private:
@@ -58,6 +61,7 @@
     std::string m_queued;  // frames not yet handed to the socket
     std::string m_writing; // invariant: unchanged while a write is under way
     bool m_isWriting = false;
+    bool m_isFinishing = false;
 };
 
 } // namespace cornelshed
--- /dev/null
+++ b/src/listener.h
@@ -0,0 +1,47 @@
+// Accepts TCP connections. Not a public header: it is included by the servers' sources only.
+
+#ifndef CORNELSHED_LISTENER_H
+#define CORNELSHED_LISTENER_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cornelshed::detail {
+
+class Listener : public std::enable_shared_from_this<Listener>
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    using Accepted = std::function<void(Socket)>;
+
+    // With strands, each accepted socket gets a strand of its own as executor.
+    Listener(boost::asio::io_context &context, bool strands);
+
+    // Returns what went wrong, if anything. Port 0 takes any free port.
+    std::optional<std::string> listen(const std::string &address, std::uint16_t port,
+                                      Accepted accepted);
+    std::uint16_t port() const;
+    void stop(); // safe from any thread
+
+private:
+    void acceptNext();
+    void handleAccept(const boost::system::error_code &ec, Socket socket);
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retry;
+    Accepted m_accepted;
+    std::uint16_t m_port = 0;
+    bool m_strands;
+};
+
+} // namespace cornelshed::detail
+
+#endif // CORNELSHED_LISTENER_H
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,153 @@
+// Registry of metrics and their text form.
+
+#include "metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <string_view>
+
+namespace cornelshed {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> quantiles {0.5, 0.95, 0.99};
+
+using Accumulator = acc::accumulator_set<
+        double, acc::stats<acc::tag::extended_p_square, acc::tag::sum, acc::tag::count>>;
+
+std::string familyOf(const std::string &name)
+{
+    return name.substr(0, name.find('{'));
+}
+
+void printLine(std::string &out, const std::string &name, const std::string &value)
+{
+    out += name;
+    out += ' ';
+    out += value;
+    out += '\n';
+}
+
+} // namespace
+
+class TimeSummary::Private
+{
+public:
+    mutable std::mutex m_mutex;
+    Accumulator m_accumulator {acc::tag::extended_p_square::probabilities = quantiles};
+};
+
+TimeSummary::TimeSummary() : d(std::make_unique<Private>()) { }
+
+TimeSummary::~TimeSummary() = default;
+
+void TimeSummary::record(Duration duration)
+{
+    const std::lock_guard lock(d->m_mutex);
+    d->m_accumulator(static_cast<double>(duration.count()) * 1e-6);
+}
+
+void TimeSummary::print(const std::string &name, std::string &out) const
+{
+    const std::lock_guard lock(d->m_mutex);
+    const auto estimates = acc::extended_p_square(d->m_accumulator);
+    for (std::size_t n = 0; n < quantiles.size(); ++n) {
+        std::string label = std::to_string(quantiles[n]);
+        label.erase(label.find_last_not_of('0') + 1);
+        printLine(out, name + "{quantile=\"" + label + "\"}",
+                  std::to_string(estimates[static_cast<std::ptrdiff_t>(n)]));
+    }
+    printLine(out, name + "_sum", std::to_string(acc::sum(d->m_accumulator)));
+    printLine(out, name + "_count", std::to_string(acc::count(d->m_accumulator)));
+}
+
+class Metrics::Private
+{
+public:
+    struct Entry
+    {
+        std::string help;
+        std::unique_ptr<Counter> counter; // exactly one of the three is set
+        std::unique_ptr<TimeSummary> summary;
+        std::function<double()> gauge;
+    };
+
+    static void print(const std::string &name, const Entry &entry, std::string &out)
+    {
+        if (entry.counter)
+            printLine(out, name, std::to_string(entry.counter->value()));
+        else if (entry.summary)
+            entry.summary->print(name, out);
+        else
+            printLine(out, name, std::to_string(entry.gauge()));
+    }
+
+    static const char *kind(const Entry &entry)
+    {
+        return entry.counter ? "counter" : entry.summary ? "summary" : "gauge";
+    }
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, Entry> m_entries; // ordered, so that a family's lines stand together
+};
+
+Metrics::Metrics() : d(std::make_unique<Private>()) { }
+
+Metrics::~Metrics() = default;
+
+Counter &Metrics::counter(const std::string &name, const std::string &help)
+{
+    const std::lock_guard lock(d->m_mutex);
+    Private::Entry &entry = d->m_entries[name];
+    if (!entry.counter) {
+        entry.help = help;
+        entry.counter = std::make_unique<Counter>();
+    }
+    return *entry.counter;
+}
+
+TimeSummary &Metrics::summary(const std::string &name, const std::string &help)
+{
+    const std::lock_guard lock(d->m_mutex);
+    Private::Entry &entry = d->m_entries[name];
+    if (!entry.summary) {
+        entry.help = help;
+        entry.summary = std::make_unique<TimeSummary>();
+    }
+    return *entry.summary;
+}
+
+void Metrics::gauge(const std::string &name, const std::string &help, std::function<double()> read)
+{
+    const std::lock_guard lock(d->m_mutex);
+    Private::Entry &entry = d->m_entries[name];
+    entry.help = help;
+    entry.gauge = std::move(read);
+}
+
+std::string Metrics::text() const
+{
+    const std::lock_guard lock(d->m_mutex);
+    std::string out;
+    std::string family;
+    for (const auto &[name, entry] : d->m_entries) {
+        if (familyOf(name) != family) {
+            family = familyOf(name);
+            out += "# HELP " + family + ' ' + entry.help + '\n';
+            out += "# TYPE " + family + ' ' + Private::kind(entry) + '\n';
+        }
+        Private::print(name, entry, out);
+    }
+    return out;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/monotonicclock.h
@@ -0,0 +1,28 @@
+// The time that daemons feed to the decision library: the host's steady clock as an Instant.
+
+#ifndef CORNELSHED_MONOTONICCLOCK_H
+#define CORNELSHED_MONOTONICCLOCK_H
+
+#include "types.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cornelshed {
+
+inline Instant monotonicNow()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return Instant(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+// The clock's time point for an Instant; instants too far away to represent become a day ahead.
+inline std::chrono::steady_clock::time_point toSteadyTime(Instant instant, Instant now)
+{
+    const Duration ahead = std::min<Duration>(instant - now, std::chrono::hours(24));
+    return std::chrono::steady_clock::now() + ahead;
+}
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_MONOTONICCLOCK_H
--- /dev/null
+++ b/src/serverprobe.h
@@ -0,0 +1,55 @@
+// Health probe of the backend server. Before it first reports an engine as reachable, it cancels
+// everything that an earlier incarnation of the agent may have left running there.
+
+#ifndef CORNELSHED_SERVERPROBE_H
+#define CORNELSHED_SERVERPROBE_H
+
+#include "backendclient.h"
+#include "configuration.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cornelshed {
+
+struct ServerProbeSettings
+{
+    PoolKind kind = PoolKind::Engine;
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const ServerProbeSettings &) const = default;
+};
+
+class ServerProbe
+{
+public:
+    // client must outlive the probe. changed is called whenever the state changes; it starts as
+    // unreachable.
+    ServerProbe(boost::asio::io_context &context, const ServerProbeSettings &settings,
+                BackendClient &client, std::function<void(bool reachable)> changed);
+    ~ServerProbe();
+    ServerProbe(const ServerProbe &) = delete;
+    ServerProbe &operator=(const ServerProbe &) = delete;
+
+    void start();
+
+    // Probes now, because a connection was refused.
+    void suspect();
+
+    void stop();
+
+private:
+    class Private;
+    std::shared_ptr<Private> d; // shared with the handlers of the io_context
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_SERVERPROBE_H
--- /dev/null
+++ b/src/settingsvalues.cpp
@@ -0,0 +1,40 @@
+// Checks of single settings values.
+
+#include "settingsvalues.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace cornelshed::detail {
+
+std::string readAddress(TomlSection &section, std::string_view key)
+{
+    std::string address = section.text(key);
+    if (!section.has(key))
+        return address;
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(address, ec);
+    if (ec)
+        section.reject(key, "an IP address");
+    return address;
+}
+
+std::uint16_t readPort(TomlSection &section, std::string_view key, std::int64_t leastPort)
+{
+    return static_cast<std::uint16_t>(section.integer(key, leastPort, 65535));
+}
+
+std::uint32_t readCount(TomlSection &section, std::string_view key, std::int64_t least,
+                        std::int64_t most, std::int64_t byDefault)
+{
+    return static_cast<std::uint32_t>(section.integer(key, least, most, byDefault));
+}
+
+std::string readName(TomlSection &section, std::string_view key)
+{
+    std::string name = section.text(key);
+    if (section.has(key) && name.empty())
+        section.reject(key, "a text that is not empty");
+    return name;
+}
+
+} // namespace cornelshed::detail
--- a/src/wirecodec.cpp
+++ b/src/wirecodec.cpp
@@ -279,8 +279,8 @@
 AgentMessage read(wire::Grant::Reader in)
 {
     return Grant {read(in.getRequest()), read(in.getGrant()),
-                  Duration(in.getExpectedFirstTokenMicros()),
-                  Duration(in.getExpectedTotalMicros()), read(in.getLoad())};
+                  Duration(in.getExpectedFirstTokenMicros()), Duration(in.getExpectedTotalMicros()),
+                  read(in.getLoad())};
 }
 
 // The enumerators of both languages stand in the same order.
