--- a/src/acceptance.h
+++ b/src/acceptance.h
@@ -29,8 +29,8 @@
 {
     std::string text; // a checked configuration
     std::string operatorName;
-    std::string changeId;                     // the same one settles an unknown outcome
-    std::optional<std::uint64_t> seenVersion; // accepted version it replaces; else the present one
+    std::string changeId;                        // the same one settles an unknown outcome
+    std::optional<std::uint64_t> seenVersion {}; // version it replaces; else the present one
     bool earlierAttempt = false; // settles an earlier run with the same change id and seen version
     int attemptCount = 5;        // transactions sent at most
 };
--- a/src/configurationdiff.cpp
+++ b/src/configurationdiff.cpp
@@ -3,7 +3,9 @@
 
 #include "configurationdiff.h"
 
+#include <algorithm>
 #include <map>
+#include <sstream>
 
 namespace cornelshed {
 
@@ -61,9 +63,12 @@
 {
     for (const auto &[key, value] : to) {
         const auto old = from.find(key);
-        if (old == from.end() || old->second != value)
-            lines.push_back("~ " + name + "." + key + ": "
-                            + (old == from.end() ? "nothing" : old->second) + " -> " + value);
+        if (old != from.end() && old->second == value)
+            continue;
+        std::ostringstream line;
+        line << "~ " << name << "." << key << ": ";
+        line << (old == from.end() ? "nothing" : old->second) << " -> " << value;
+        lines.push_back(line.str());
     }
 }
 
--- a/src/platformclient.cpp
+++ b/src/platformclient.cpp
@@ -83,7 +83,8 @@
                          optionalText(it, "role"), optionalText(it, "pool"),
                          optionalText(it, "state")});
     }
-    std::sort(hosts.begin(), hosts.end());
+    std::sort(hosts.begin(), hosts.end(),
+              [](const auto &left, const auto &right) { return left.name < right.name; });
     return hosts;
 }
 
--- a/src/platformclient.h
+++ b/src/platformclient.h
@@ -26,8 +26,8 @@
 {
     std::string address; // IP address
     std::uint16_t port = 0;
-    Duration timeout = std::chrono::seconds(2);         // for a whole call
-    std::uint64_t answerLimitBytes = 64U * 1024 * 1024; // larger answers are errors
+    Duration timeout = std::chrono::seconds(2);           // for a whole call
+    std::uint64_t answerLimitBytes = 64ULL * 1024 * 1024; // larger answers are errors
 
     bool operator==(const PlatformSettings &) const = default;
 };
@@ -44,7 +44,7 @@
     std::string pool;
     std::string state; // live | leaving
 
-    auto operator<=>(const PlatformHost &) const = default;
+    bool operator==(const PlatformHost &) const = default;
 };
 
 class PlatformClient final : public PlatformTable
