Judge gaps in a server's progress against the usual gap, not the prompts waiting

Pending prompts at a roughly learnt prefill rate explained gaps of six times the baseline. Change: while streams are past their first token, a gap is compared with the largest gap of late at usual pace; a suspected gap that the next windows do not confirm becomes usual.

--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -23,6 +23,9 @@
 // baseline is learnt anew.
 constexpr Duration relearnAfter = std::chrono::seconds(120);
 
+// How long a gap counts as usual.
+constexpr Duration gapMemory = std::chrono::seconds(30);
+
 Duration times(Duration d, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * factor));
@@ -57,6 +60,7 @@
         it.windowPromptTokens += running.promptTokens;
     RunningRequest added = running;
     m_pendingPrompt += added.promptTokens;
+    ++m_prefilling;
     m_heldTokens += added.promptTokens + added.outputTokens;
     added.promptTokensAhead = m_pendingPrompt;
     m_running.emplace(request, added);
@@ -77,9 +81,10 @@
         return;
     running->firstTokenAt = now;
     running->windowStart = now;
+    progressed(now);
     m_pendingPrompt -= running->promptTokens;
+    --m_prefilling;
     running->windowPromptTokens = m_pendingPrompt;
-    progressed(now);
     note(*running, judgeFirstToken(*running, now - running->startedAt), running->startedAt, now);
 }
 
@@ -163,21 +168,34 @@
     const Duration perToken = m_rates.interval(std::max(batch(), 1U));
     if (m_running.empty() || perToken == Duration::zero())
         return false;
-    const Duration expected = perToken + m_rates.prefillTime(m_pendingPrompt);
-    return now - m_lastProgress > expected * slowFactor + jitter;
+    const Duration gap = now - m_lastProgress;
+    if (m_prefilling == batch()) // no stream is past its first token
+        return gap > (perToken + m_rates.prefillTime(m_pendingPrompt)) * slowFactor + jitter;
+    return gap > std::max(perToken * slowFactor, m_usualGap * 2) + jitter;
 }
 
 // A gap in the progress shows a cold server one token after it turned, where the averaged time per
 // token needs several; in that time requests end and others would take their places.
 void ServerWork::progressed(Instant now)
 {
+    const Duration gap = now - m_lastProgress;
     if (stalled(now)) {
         m_suspect = true;
+        m_suspectGap = gap;
         m_suspectSince = now;
+    } else if (!m_suspect && m_prefilling < batch()) {
+        learnGap(gap);
     }
     m_lastProgress = now;
 }
 
+// A decaying maximum: prompts processed beside the streams make gaps that the time per token of a
+// quiet server does not show.
+void ServerWork::learnGap(Duration gap)
+{
+    m_usualGap = std::max(gap, m_usualGap - m_usualGap * gap.count() / gapMemory.count());
+}
+
 Occupancy ServerWork::occupancy() const
 {
     return {batch(), m_heldTokens};
@@ -271,8 +289,10 @@
     running.latestPace = pace;
     if (pace == Pace::Slow)
         running.slow = true;
-    else if (since >= m_suspectSince)
+    else if (m_suspect && since >= m_suspectSince) {
         m_suspect = false;
+        learnGap(m_suspectGap); // the pace is as usual, so the gap had another cause
+    }
     m_limit.observed(pace, occupancy(), now);
 }
 
@@ -288,8 +308,10 @@
 void ServerWork::remove(RequestId request, Instant now)
 {
     const auto it = m_running.find(request);
-    if (!it->second.firstTokenAt)
+    if (!it->second.firstTokenAt) {
         m_pendingPrompt -= it->second.promptTokens;
+        --m_prefilling;
+    }
     m_heldTokens -= it->second.promptTokens + it->second.outputTokens;
     m_running.erase(it);
     m_lastProgress = now;
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -86,6 +86,7 @@
     std::uint32_t batch() const { return static_cast<std::uint32_t>(m_running.size()); }
     bool stalled(Instant now) const;
     void progressed(Instant now);
+    void learnGap(Duration gap);
     Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
     Pace judgeInterval(Duration perToken, Duration allowance) const;
     void closeWindow(RunningRequest &running, Instant now);
@@ -103,7 +104,10 @@
     std::uint64_t m_heldTokens = 0;    // prompt and expected output of what runs
     std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
     Instant m_lastProgress;            // last token or end, or start on an empty server
+    std::uint32_t m_prefilling = 0;    // requests without a first token
+    Duration m_usualGap {};            // largest gap in the progress of late, at usual pace
     bool m_suspect = false;            // set by a gap in the progress
+    Duration m_suspectGap {};
     Instant m_suspectSince;
 };
 
