--- /dev/null
+++ b/apps/load/loadrun.cpp
@@ -0,0 +1,231 @@
+// Open loop over one io_context; one coroutine for each request.
+
+#include "loadrun.h"
+
+#include "replycheck.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace cornelshed::load {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+using standins::HttpClientCall;
+using standins::HttpClientReply;
+using standins::HttpTransport;
+
+namespace {
+
+constexpr std::size_t bytesPerToken = 4; // as the engine stand-in counts
+
+// Longest sleep of the sending loop, so that stopSending() takes effect soon.
+constexpr std::chrono::milliseconds longestPause {20};
+
+double millisecondsBetween(Clock::time_point begin, Clock::time_point end)
+{
+    return std::chrono::duration<double, std::milli>(end - begin).count();
+}
+
+std::string promptText(const PlannedRequest &request, const std::string &marker)
+{
+    const std::size_t size = std::size_t(request.promptTokens) * bytesPerToken;
+    const std::string pattern = "shared prefix " + std::to_string(request.sharedPrefix) + ' ';
+    std::string text;
+    while (text.size() < size / 2)
+        text += pattern;
+    text += "[marker:" + marker + "] ";
+    while (text.size() < size)
+        text += marker + ' ';
+    return text;
+}
+
+std::string requestBody(const PlannedRequest &request, const std::string &marker,
+                        const std::string &model)
+{
+    const std::string prompt = promptText(request, marker);
+    if (request.kind == RequestKind::Order)
+        return json::serialize(json::object {{"order", prompt}});
+    json::object body {{"model", model},
+                       {"max_tokens", request.outputTokens},
+                       {"stream", request.kind == RequestKind::Stream}};
+    if (request.path == "/v1/chat/completions") {
+        json::array messages;
+        messages.push_back({{"role", "user"}, {"content", prompt}});
+        body["messages"] = std::move(messages);
+    } else {
+        body["prompt"] = prompt;
+    }
+    return json::serialize(body);
+}
+
+} // namespace
+
+class LoadRun::Private
+{
+public:
+    Private(Day day, LoadOptions options)
+        : m_day(std::move(day)), m_options(std::move(options)), m_context(1)
+    { }
+
+    asio::awaitable<void> sendAll();
+    asio::awaitable<void> sendOne(std::size_t number);
+
+    Day m_day;
+    LoadOptions m_options;
+    asio::io_context m_context;
+    std::vector<RequestRecord> m_records;
+    std::atomic<bool> m_stopping {false};
+    std::atomic<std::uint64_t> m_ended {0};
+    std::atomic<std::uint64_t> m_answered {0};
+
+private:
+    asio::awaitable<HttpClientReply> attempt(HttpClientCall call, std::size_t firstEntry,
+                                             std::chrono::milliseconds timeout);
+    asio::awaitable<void> pause(std::chrono::milliseconds length);
+    HttpClientCall makeCall(const PlannedRequest &request, const RequestRecord &record) const;
+    void end(std::size_t number, RequestRecord record);
+
+    std::uint32_t m_openCount = 0;
+};
+
+asio::awaitable<void> LoadRun::Private::pause(std::chrono::milliseconds length)
+{
+    asio::steady_timer timer(m_context, length);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> LoadRun::Private::sendAll()
+{
+    const Clock::time_point start = Clock::now();
+    m_records.reserve(m_day.size());
+    for (std::size_t n = 0; n < m_day.size(); ++n) {
+        const double offset = static_cast<double>(m_day[n].offset.count()) / m_options.compression;
+        const Clock::time_point due =
+                start + std::chrono::microseconds(static_cast<std::int64_t>(offset * 1000));
+        while (!m_stopping && Clock::now() < due) {
+            asio::steady_timer timer(m_context, std::min(due, Clock::now() + longestPause));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (m_stopping)
+            co_return;
+        asio::co_spawn(m_context, sendOne(n), [](const std::exception_ptr &error) {
+            if (error)
+                std::rethrow_exception(error);
+        });
+    }
+}
+
+HttpClientCall LoadRun::Private::makeCall(const PlannedRequest &request,
+                                          const RequestRecord &record) const
+{
+    HttpClientCall call {"POST", request.path, {}, ""};
+    call.headers = {{"Content-Type", "application/json"},
+                    {"Cornelshed-Organisation", request.organisation},
+                    {"Cornelshed-Deadline-Ms", std::to_string(request.deadlineMs)}};
+    if (!record.idempotencyKey.empty())
+        call.headers.emplace_back("Idempotency-Key", record.idempotencyKey);
+    call.body = requestBody(request, record.marker, m_options.model);
+    return call;
+}
+
+// Goes on to the next entry daemon while no connection can be made, because nothing was sent.
+asio::awaitable<HttpClientReply> LoadRun::Private::attempt(HttpClientCall call,
+                                                           std::size_t firstEntry,
+                                                           std::chrono::milliseconds timeout)
+{
+    HttpClientReply reply;
+    for (std::size_t i = 0; i < m_options.entries.size(); ++i) {
+        const auto entry = m_options.entries[(firstEntry + i) % m_options.entries.size()];
+        reply = co_await standins::callHttp(entry, call, timeout);
+        if (reply.transport != HttpTransport::ConnectFailed)
+            break;
+    }
+    co_return reply;
+}
+
+asio::awaitable<void> LoadRun::Private::sendOne(std::size_t number)
+{
+    const PlannedRequest &request = m_day[number];
+    RequestRecord record;
+    record.tier = request.tier;
+    record.stream = request.kind == RequestKind::Stream;
+    record.marker = m_options.markerPrefix + '-' + std::to_string(number);
+    if (request.kind == RequestKind::Order)
+        record.idempotencyKey = "order-" + record.marker;
+    if (m_openCount >= m_options.openRequestLimit) {
+        record.outcome = Outcome::Unsent;
+        end(number, std::move(record));
+        co_return;
+    }
+    m_openCount += 1;
+    const HttpClientCall call = makeCall(request, record);
+    const Clock::time_point start = Clock::now();
+    const auto timeout = std::chrono::milliseconds(request.deadlineMs) + m_options.replyGrace;
+    const std::uint32_t attempts =
+            request.kind == RequestKind::Order ? m_options.orderAttemptCount : 1;
+    record.claimsNotRun = true;
+    for (std::uint32_t n = 0; n < attempts; ++n) {
+        const HttpClientReply reply = co_await attempt(call, number + n, timeout);
+        const ReplyVerdict verdict =
+                judgeReply(request, record.marker, record.idempotencyKey, reply);
+        record.outcome = verdict.outcome;
+        record.code = verdict.code;
+        record.claimsNotRun &=
+                verdict.outcome == Outcome::NotRun || verdict.outcome == Outcome::Unsent;
+        record.totalMs = millisecondsBetween(start, reply.endTime);
+        record.firstByteMs = millisecondsBetween(start, reply.firstByteTime);
+        if (verdict.outcome != Outcome::Broken && verdict.outcome != Outcome::Unsent)
+            break;
+        co_await pause(m_options.orderRetryDelay * (1U << n));
+    }
+    if (record.outcome == Outcome::InTime && record.totalMs > request.deadlineMs)
+        record.outcome = Outcome::Late;
+    m_openCount -= 1;
+    end(number, std::move(record));
+}
+
+void LoadRun::Private::end(std::size_t number, RequestRecord record)
+{
+    if (record.outcome == Outcome::InTime || record.outcome == Outcome::Late)
+        m_answered += 1;
+    m_records.push_back(std::move(record));
+    m_ended += 1;
+}
+
+LoadRun::LoadRun(Day day, LoadOptions options)
+    : d(std::make_unique<Private>(std::move(day), std::move(options)))
+{ }
+
+LoadRun::~LoadRun() = default;
+
+std::vector<RequestRecord> LoadRun::run()
+{
+    asio::co_spawn(d->m_context, d->sendAll(), asio::detached);
+    d->m_context.run();
+    return std::move(d->m_records);
+}
+
+void LoadRun::stopSending()
+{
+    d->m_stopping = true;
+}
+
+std::uint64_t LoadRun::endedCount() const
+{
+    return d->m_ended;
+}
+
+std::uint64_t LoadRun::answeredCount() const
+{
+    return d->m_answered;
+}
+
+} // namespace cornelshed::load
--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -1,8 +1,14 @@
 # Small complete apps: the load tool, the experiment tool and the demonstration.
 file(GLOB CORNELSHED_LOAD_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/load/*.cpp)
+cornelshed_exempt_coroutines(${CORNELSHED_LOAD_FILES})
+list(FILTER CORNELSHED_LOAD_FILES EXCLUDE REGEX "load_main\\.cpp$")
+# A library, because the demonstration and the process tests send load too.
 if(CORNELSHED_LOAD_FILES)
-  add_executable(cornelshed-load ${CORNELSHED_LOAD_FILES})
-  target_link_libraries(cornelshed-load PRIVATE cornelshed_runtime)
+  add_library(cornelshed_load STATIC ${CORNELSHED_LOAD_FILES})
+  target_include_directories(cornelshed_load PUBLIC ${CMAKE_SOURCE_DIR}/apps/load)
+  target_link_libraries(cornelshed_load PUBLIC cornelshed_standins)
+  add_executable(cornelshed-load ${CMAKE_SOURCE_DIR}/apps/load/load_main.cpp)
+  target_link_libraries(cornelshed-load PRIVATE cornelshed_load)
 endif()
 
 # The experiment tool's engine model is a library so that tests can drive it too.
--- a/standins/runledger.h
+++ b/standins/runledger.h
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace cornelshed::standins {
 
@@ -16,7 +17,11 @@
     std::string requestId;
     std::string marker;
 
-    auto operator<=>(const LedgerKey &) const = default;
+    bool operator<(const LedgerKey &other) const
+    {
+        return std::tie(idempotencyKey, requestId, marker)
+                < std::tie(other.idempotencyKey, other.requestId, other.marker);
+    }
 };
 
 struct LedgerCounts
