--- /dev/null
+++ b/src/answerbody.cpp
@@ -0,0 +1,110 @@
+// Maps endings to statuses, codes and bodies.
+
+#include "answerbody.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace cornelshed {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t defaultRetryAfterMs = 100;
+
+struct Reason
+{
+    std::uint32_t status;
+    std::string_view code;
+    std::string_view message;
+};
+
+Reason describe(NotRunReason reason)
+{
+    switch (reason) {
+    case NotRunReason::NoBackendServer:
+        return {503, "no_backend_server", "no backend server serves the route now"};
+    case NotRunReason::WaitingLimit:
+        return {429, "waiting_limit", "too many requests wait"};
+    case NotRunReason::DeadlineUnreachable:
+        return {504, "deadline_unreachable", "the request cannot finish by its deadline"};
+    case NotRunReason::DeadlinePassed:
+        return {504, "deadline_passed", "no backend server had room in time"};
+    case NotRunReason::RetryBudget:
+        return {503, "retry_budget", "the backend server refused, and no retry is allowed now"};
+    case NotRunReason::ShuttingDown:
+        return {503, "shutting_down", "the entry daemon shuts down"};
+    case NotRunReason::CallerGone:
+        return {503, "caller_gone", "the caller closed the connection"};
+    }
+    return {503, "not_run", "the request was not run"};
+}
+
+Reason describe(UnknownReason reason)
+{
+    switch (reason) {
+    case UnknownReason::SessionLost:
+        return {502, "session_lost", "the connection to the agent was lost"};
+    case UnknownReason::EngineError:
+        return {502, "engine_error", "the backend server failed"};
+    case UnknownReason::StreamCut:
+        return {502, "stream_cut", "the backend server's answer broke off"};
+    case UnknownReason::DeadlinePassed:
+        return {502, "deadline_passed", "the answer was not complete by the deadline"};
+    case UnknownReason::CallerGone:
+        return {502, "caller_gone", "the caller closed the connection"};
+    }
+    return {502, "outcome_unknown", "it is not known whether the request ran"};
+}
+
+std::string format(std::string_view type, const Reason &reason, std::uint32_t retryAfterMs)
+{
+    json::object error {{"type", type}, {"code", reason.code}, {"message", reason.message}};
+    if (retryAfterMs > 0)
+        error["retry_after_ms"] = retryAfterMs;
+    return json::serialize(json::object {{"error", std::move(error)}});
+}
+
+} // namespace
+
+ErrorAnswer errorAnswer(const InputError &error)
+{
+    const Reason reason {error.status, error.code, error.message};
+    return {error.status, outcomeNotRun, format("invalid_request", reason, 0), 0};
+}
+
+ErrorAnswer notRunAnswer(std::uint32_t status, std::string_view code, std::string_view message,
+                         std::uint32_t retryAfterMs)
+{
+    const std::uint32_t retry = std::max(retryAfterMs, 1U);
+    return {status, outcomeNotRun, format("not_run", {status, code, message}, retry), retry};
+}
+
+ErrorAnswer errorAnswer(const NotRun &ending)
+{
+    const Reason reason = describe(ending.reason);
+    const auto milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(ending.retryAfter).count();
+    return notRunAnswer(reason.status, reason.code, reason.message,
+                        milliseconds > 0 ? static_cast<std::uint32_t>(milliseconds)
+                                         : defaultRetryAfterMs);
+}
+
+ErrorAnswer errorAnswer(const Unknown &ending)
+{
+    const Reason reason = describe(ending.reason);
+    return {reason.status, outcomeUnknown, format("outcome_unknown", reason, 0), 0};
+}
+
+ErrorAnswer openClaimAnswer()
+{
+    constexpr std::uint32_t retryAfterMs = 1000;
+    const Reason reason {502, "claim_open",
+                         "a request with this idempotency key has not ended, or its end is "
+                         "unknown"};
+    return {502, outcomeUnknown, format("outcome_unknown", reason, retryAfterMs), retryAfterMs};
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/answerwriter.cpp
@@ -0,0 +1,129 @@
+// HTTP/1.1 message framing of answers (RFC 9112).
+
+#include "answerwriter.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace cornelshed {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+
+void appendNumber(std::string &out, std::size_t number, int base)
+{
+    std::array<char, 20> digits {};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, base).ptr;
+    out.append(digits.data(), end);
+}
+
+void appendHeader(std::string &out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += lineEnd;
+}
+
+void appendHead(std::string &out, const AnswerHead &head)
+{
+    out += "HTTP/1.1 ";
+    appendNumber(out, head.status, 10);
+    out += ' ';
+    const auto status = boost::beast::http::int_to_status(head.status);
+    out += std::string_view(boost::beast::http::obsolete_reason(status));
+    out += lineEnd;
+    for (const auto &[name, value] : head.headers)
+        appendHeader(out, name, value);
+    if (!head.keepAlive)
+        appendHeader(out, "Connection", "close");
+}
+
+bool mayHaveBody(std::uint32_t status)
+{
+    return status != 204 && status != 304;
+}
+
+} // namespace
+
+AnswerWriter::AnswerWriter(boost::asio::ip::tcp::socket &socket, AnswerWriterOwner &owner)
+    : m_socket(socket), m_owner(owner)
+{ }
+
+void AnswerWriter::whole(const AnswerHead &head, std::string_view body)
+{
+    appendHead(m_queued, head);
+    if (mayHaveBody(head.status)) {
+        m_queued += "Content-Length: ";
+        appendNumber(m_queued, body.size(), 10);
+        m_queued += lineEnd;
+    }
+    m_queued += lineEnd;
+    if (mayHaveBody(head.status))
+        m_queued += body;
+    m_complete = true;
+    flush();
+}
+
+void AnswerWriter::beginStream(const AnswerHead &head)
+{
+    appendHead(m_queued, head);
+    appendHeader(m_queued, "Transfer-Encoding", "chunked");
+    appendHeader(m_queued, "Trailer", "Cornelshed-Outcome");
+    m_queued += lineEnd;
+    flush();
+}
+
+void AnswerWriter::chunk(std::string_view data)
+{
+    if (data.empty())
+        return; // an empty chunk would end the stream
+    appendNumber(m_queued, data.size(), 16);
+    m_queued += lineEnd;
+    m_queued += data;
+    m_queued += lineEnd;
+    flush();
+}
+
+void AnswerWriter::endStream(std::string_view outcome)
+{
+    m_queued += "0\r\n";
+    appendHeader(m_queued, "Cornelshed-Outcome", outcome);
+    m_queued += lineEnd;
+    m_complete = true;
+    flush();
+}
+
+void AnswerWriter::raw(std::string_view bytes)
+{
+    m_queued += bytes;
+    flush();
+}
+
+void AnswerWriter::flush()
+{
+    if (m_isWriting || m_queued.empty())
+        return;
+    m_isWriting = true;
+    m_writing.clear();
+    std::swap(m_writing, m_queued);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+                             [this, alive = m_owner.keepAlive()](auto ec, std::size_t) {
+                                 m_isWriting = false;
+                                 m_writing.clear();
+                                 if (ec)
+                                     m_owner.writeFailed();
+                                 else if (!m_queued.empty())
+                                     flush();
+                                 else if (std::exchange(m_complete, false))
+                                     m_owner.answerSent();
+                             });
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/callercontext.h
@@ -0,0 +1,74 @@
+// What the connections of callers share.
+
+#ifndef CORNELSHED_CALLERCONTEXT_H
+#define CORNELSHED_CALLERCONTEXT_H
+
+#include "controllink.h"
+#include "entrydispatcher.h"
+#include "entrysettings.h"
+#include "metrics.h"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace cornelshed {
+
+struct CallerMetrics
+{
+    explicit CallerMetrics(Metrics &metrics);
+
+    Counter &answered;
+    Counter &notRun;
+    Counter &unknown;
+    Counter &invalid;
+    Counter &chunks;
+    TimeSummary &answerTime;
+};
+
+// References must outlive the connections.
+class CallerContext
+{
+public:
+    CallerContext(const EntrySettings &settings, std::uint64_t entryIncarnation,
+                  EntryDispatcher &dispatcher, ControlLink &control, Metrics &metrics)
+        : settings(settings), dispatcher(dispatcher), control(control), metrics(metrics),
+          m_entryIncarnation(entryIncarnation)
+    { }
+
+    // Null until a configuration is known.
+    std::shared_ptr<const Configuration> configuration() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_configuration;
+    }
+
+    void setConfiguration(std::shared_ptr<const Configuration> configuration)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_configuration = std::move(configuration);
+    }
+
+    RequestId nextRequestId() { return {m_entryIncarnation, ++m_sequence}; }
+
+    const EntrySettings &settings;
+    EntryDispatcher &dispatcher;
+    ControlLink &control;
+    CallerMetrics metrics;
+    std::atomic<std::size_t> connectionCount {0};
+    std::atomic<std::size_t> activeCount {0}; // requests received and not answered
+    std::atomic<bool> shuttingDown {false};
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const Configuration> m_configuration;
+    std::uint64_t m_entryIncarnation;
+    std::atomic<std::uint64_t> m_sequence {0};
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_CALLERCONTEXT_H
--- /dev/null
+++ b/src/controllink.h
@@ -0,0 +1,29 @@
+// What the traffic side of an entry daemon asks of its control side. The daemon connects it to the
+// control thread; tests give a double.
+
+#ifndef CORNELSHED_CONTROLLINK_H
+#define CORNELSHED_CONTROLLINK_H
+
+#include "controlthread.h"
+#include "types.h"
+
+#include <string>
+
+namespace cornelshed {
+
+// The members mean the same as those of ControlThread and are safe from any thread.
+class ControlLink
+{
+public:
+    virtual ~ControlLink() = default;
+    virtual void claim(const ClaimKey &key, RequestId request, std::uint64_t bodyDigest,
+                       ControlThread::ClaimCallback callback) = 0;
+    virtual void finishClaim(const ClaimKey &key, RequestId request, StoredAnswer answer) = 0;
+    virtual void releaseClaim(const ClaimKey &key, RequestId request) = 0;
+    virtual void recordOutcome(const ReportOutcome &outcome) = 0;
+    virtual void agentLeaving(const std::string &name) = 0;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_CONTROLLINK_H
--- /dev/null
+++ b/src/entryd_main.cpp
@@ -0,0 +1,58 @@
+// Program cornelshed-entryd.
+
+#include "daemonoptions.h"
+#include "entrydaemon.h"
+#include "entrysettings.h"
+#include "eventlog.h"
+
+#include <iostream>
+
+using namespace cornelshed;
+
+namespace {
+
+int check(const EntrySettings &settings)
+{
+    const std::vector<std::string> problems = checkStateCharts(settings.chartsDirectory);
+    for (const std::string &it : problems)
+        std::cerr << it << '\n';
+    return static_cast<int>(problems.empty() ? DaemonStatus::Success : DaemonStatus::SettingsError);
+}
+
+int serve(const EntrySettings &settings, const char *program)
+{
+    EventLog::initialize(program);
+    EntryDaemon daemon(settings);
+    if (const auto problem = daemon.start()) {
+        EventLog("start_failed", EventLevel::Error).field("reason", *problem);
+        return static_cast<int>(DaemonStatus::RuntimeFailure);
+    }
+    return static_cast<int>(daemon.run());
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto parsed = parseDaemonOptions(
+            argc, argv, "cornelshed-entryd",
+            "entry daemon; takes callers' requests and schedules them on backend servers.");
+    if (const auto *status = std::get_if<DaemonStatus>(&parsed))
+        return static_cast<int>(*status);
+    const auto &options = std::get<DaemonOptions>(parsed);
+    const auto text = readTextFile(options.settingsFile);
+    if (!text) {
+        std::cerr << options.settingsFile << ": cannot be read\n";
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const auto settings = parseEntrySettings(*text, options.settingsFile);
+    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
+        for (const TomlProblem &it : *problems)
+            std::cerr << it.toString() << '\n';
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const int status = check(std::get<EntrySettings>(settings));
+    if (status != 0 || options.checkOnly)
+        return status;
+    return serve(std::get<EntrySettings>(settings), argv[0]);
+}
