Settings: use the configuration's check of names

Cause: two functions readName were linked into one program after a merge. Change: the daemons' settings use the stricter one of the configuration.

--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -2,6 +2,7 @@
 
 #include "agentsettings.h"
 
+#include "configurationsections.h"
 #include "settingsvalues.h"
 
 namespace cornelshed {
@@ -26,7 +27,7 @@
     settings.serverKind = kind == "service" ? PoolKind::Service : PoolKind::Engine;
     settings.serverAddress = readAddress(section, "address");
     settings.serverPort = readPort(section, "port", 1);
-    settings.serverVersion = readName(section, "version");
+    settings.serverVersion = readVersion(section, "version");
     settings.models = section.texts("models");
     settings.checksFencing = section.boolean("checks_fencing", false);
     if (settings.serverKind == PoolKind::Service && !settings.models.empty())
@@ -56,7 +57,7 @@
         return problems;
     AgentSettings settings;
     TomlSection root = document.root();
-    settings.chartsDirectory = readName(root, "charts_directory");
+    settings.chartsDirectory = root.text("charts_directory");
     readAgent(root.table("agent"), settings);
     readServer(root.table("server"), settings);
     readLimits(root.table("limits"), settings);
--- a/src/entrysettings.cpp
+++ b/src/entrysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "entrysettings.h"
 
+#include "configurationsections.h"
 #include "settingsvalues.h"
 
 namespace cornelshed {
@@ -57,7 +58,7 @@
         return problems;
     EntrySettings settings;
     TomlSection root = document.root();
-    settings.chartsDirectory = readName(root, "charts_directory");
+    settings.chartsDirectory = root.text("charts_directory");
     readEntry(root.table("entry"), settings);
     readPlatform(root.table("platform"), settings);
     readLimits(root.table("limits"), settings);
--- a/src/settingsvalues.h
+++ b/src/settingsvalues.h
@@ -20,9 +20,6 @@
 std::uint32_t readCount(TomlSection &section, std::string_view key, std::int64_t least,
                         std::int64_t most, std::int64_t byDefault);
 
-// A text that must not be empty.
-std::string readName(TomlSection &section, std::string_view key);
-
 } // namespace cornelshed::detail
 
 #endif // CORNELSHED_SETTINGSVALUES_H
