Capacity tool: slopes of messages, memory and processor time

Change: cornelshed-capacity measures bytes of each message, cost per agent, session, reservation, waiting request, organisation and configuration change.

--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -27,3 +27,5 @@
   add_executable(cornelshed-demo ${CORNELSHED_DEMO_FILES})
   target_link_libraries(cornelshed-demo PRIVATE cornelshed_runtime)
 endif()
+
+cornelshed_program(cornelshed-capacity apps/capacity/capacity_main.cpp cornelshed_runtime)
