--- a/src/controlthread.h
+++ b/src/controlthread.h
@@ -6,6 +6,7 @@
 #ifndef CORNELSHED_CONTROLTHREAD_H
 #define CORNELSHED_CONTROLTHREAD_H
 
+#include "claims.h"
 #include "entryscheduler.h"
 #include "types.h"
 
@@ -50,40 +51,6 @@
     std::vector<AgentAddress> agents;                     // sorted by name
 };
 
-enum class ClaimVerdict {
-    Claimed,      // this request owns the key and may be dispatched
-    Finished,     // the key's request has ended; its stored answer is in the result
-    Open,         // another request with the key has not ended, or its end is unknown
-    BodyMismatch, // the key was used with another body
-    Unavailable   // the table cannot be reached or did not answer: do not dispatch
-};
-
-// Answer of a finished call that a retry with the same key gets again.
-struct StoredAnswer
-{
-    std::uint32_t status = 0;
-    std::string contentType;
-    std::string body;
-
-    bool operator==(const StoredAnswer &) const = default;
-};
-
-struct ClaimResult
-{
-    ClaimVerdict verdict = ClaimVerdict::Unavailable;
-    StoredAnswer answer; // set if Finished
-
-    bool operator==(const ClaimResult &) const = default;
-};
-
-struct ClaimKey
-{
-    std::string organisation;
-    std::string idempotencyKey;
-
-    auto operator<=>(const ClaimKey &) const = default;
-};
-
 class ControlThread
 {
 public:
