Experiment tool: engine model, workloads, baselines, reference, scheduling figures

Cause: the targets of scheduling need figures with baselines in the same run. Change: apps/measure with an event queue, an engine model, seeded workloads, the decision library over them, push baselines, a perfect-knowledge reference and a registry of experiments. The experiments showed at once that raw token intervals beside prompt processing counted as load, so that limits shrank to almost nothing under evening load; the agent now judges load by steps without prompts, counts 128 tokens at good pace as a success, and grants nothing while the prompts before take longer than the target for the first token. Several targets are still missed: wasted prefill, shed order across entry daemons, top tier under evening overload.

--- /dev/null
+++ b/apps/measure/cornelshedsystem.cpp
@@ -0,0 +1,388 @@
+// The decision library under experiment: entry schedulers and agent schedulers joined by messages
+// with a delay, over the engines of the run.
+
+#include "system.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+
+namespace cornelshed::measure {
+
+namespace {
+
+constexpr Duration reportSamplePeriod = std::chrono::milliseconds(200);
+
+// Timers of the schedulers are not run more often than this.
+constexpr Duration timerResolution = std::chrono::microseconds(100);
+
+std::vector<TierSettings> tiers()
+{
+    return {{"gold", 0, 0}, {"silver", 1, 0.05}, {"bronze", 2, 0.02}};
+}
+
+std::shared_ptr<const RoutingView> routingView()
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = 1;
+    configuration->tiers = tiers();
+    configuration->availabilityZones = {{"a", "region", AvailabilityZoneState::Serving}};
+    PoolSettings pool;
+    pool.name = "writers";
+    pool.models = {"reed"};
+    configuration->pools = {pool};
+    RouteSettings route;
+    route.path = "/v1/completions";
+    route.pools = {"writers"};
+    configuration->routes = {route};
+    auto view = std::make_shared<RoutingView>();
+    view->configuration = configuration;
+    return view;
+}
+
+Welcome identity(std::size_t agent)
+{
+    Welcome welcome;
+    welcome.backendServer = {"runner-" + std::to_string(agent), agent + 1};
+    welcome.pool = "writers";
+    welcome.availabilityZone = "a";
+    welcome.version = "1";
+    welcome.models = {"reed"};
+    return welcome;
+}
+
+// One timer per scheduler; a later wake-up replaces an earlier one only when that has run.
+struct Timer
+{
+    Instant at = instantNever;
+};
+
+using TierCounts = std::array<std::uint64_t, 3>;
+
+bool lowerTierPresent(const TierCounts &counts, TierRank tier)
+{
+    for (std::size_t n = tier + 1; n < counts.size(); ++n) {
+        if (counts[n] > 0)
+            return true;
+    }
+    return false;
+}
+
+class CornelshedSystem final : public System
+{
+public:
+    explicit CornelshedSystem(Run &run);
+
+    void submit(std::size_t index) override;
+    void tokens(std::size_t agent, RequestId request, std::uint64_t count, bool first) override;
+    void finished(std::size_t agent, RequestId request, const Usage &usage) override;
+    void failed(std::size_t agent, RequestId request, FailReason reason) override;
+    void complete(Counts &counts) override;
+
+private:
+    struct Entry
+    {
+        std::unique_ptr<EntryScheduler> scheduler;
+        Timer timer;
+        TierCounts waiting {};
+    };
+
+    struct Agent
+    {
+        std::unique_ptr<AgentScheduler> scheduler;
+        Timer timer;
+        std::map<RequestId, TierRank> reserved; // queued here
+        TierCounts waiting {};
+        std::deque<std::pair<Instant, LoadReport>> reports; // samples, oldest first
+    };
+
+    struct Shed
+    {
+        Instant at;
+        TierRank tier = 0;
+    };
+
+    Instant now() const { return m_run.events.now(); }
+    TierRank tierOf(RequestId request) const { return m_run.workload[indexOf(request)].tier; }
+
+    void connect();
+    void sampleReports();
+    void perform(std::size_t agent, const AgentActions &actions);
+    void perform(std::size_t entry, const EntryActions &actions);
+    void deliver(std::size_t agent, std::size_t entry, AgentMessage message);
+    void deliver(std::size_t entry, const BackendServerId &server, const EntryMessage &message);
+    void note(std::size_t agent, const AgentMessage &message);
+    void note(std::size_t agent, const EntryMessage &message);
+    void unreserve(Agent &agent, RequestId request);
+    void ended(std::size_t entry, const EndRequest &end);
+    void makeLate(Agent &agent, AgentMessage &message) const;
+    void armAgent(std::size_t agent);
+    void armEntry(std::size_t entry);
+
+    Run &m_run;
+    std::vector<Entry> m_entries;
+    std::vector<Agent> m_agents;
+    std::vector<Instant> m_dispatchedAt; // by request; never: not dispatched
+    std::vector<Shed> m_sheds;
+    std::uint64_t m_invertedAtOnePoint = 0;
+};
+
+CornelshedSystem::CornelshedSystem(Run &run)
+    : m_run(run), m_entries(run.scenario.entries), m_agents(run.fleet.size()),
+      m_dispatchedAt(run.workload.size(), instantNever)
+{
+    const auto view = routingView();
+    for (Entry &it : m_entries)
+        it.scheduler = std::make_unique<EntryScheduler>(run.scenario.entryLimits, view, run.random);
+    for (std::size_t n = 0; n < m_agents.size(); ++n)
+        m_agents[n].scheduler =
+                std::make_unique<AgentScheduler>(run.scenario.agentLimits, identity(n), tiers());
+    connect();
+    if (run.scenario.reportAge > Duration::zero())
+        sampleReports();
+}
+
+void CornelshedSystem::connect()
+{
+    for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            Hello hello;
+            hello.entry = "entry-" + std::to_string(entry);
+            perform(agent, m_agents[agent].scheduler->sessionOpened(entry + 1, hello, now()));
+        }
+    }
+}
+
+void CornelshedSystem::sampleReports()
+{
+    for (Agent &it : m_agents) {
+        it.reports.emplace_back(now(), it.scheduler->load());
+        while (it.reports.size() > 1 && it.reports[1].first + m_run.scenario.reportAge <= now())
+            it.reports.pop_front();
+    }
+    if (now() < Instant(m_run.scenario.workload.length))
+        m_run.events.after(reportSamplePeriod, [this] { sampleReports(); });
+}
+
+void CornelshedSystem::submit(std::size_t index)
+{
+    const SimulatedRequest &request = m_run.workload[index];
+    const std::size_t entry = m_run.random.below(m_entries.size());
+    RequestArrival arrival;
+    arrival.request = {entry + 1, index + 1};
+    arrival.organisation = request.organisation;
+    arrival.tier = request.tier;
+    arrival.route = "/v1/completions";
+    arrival.model = "reed";
+    arrival.promptTokens = request.job.promptTokens;
+    arrival.outputTokens = request.expectedOutputTokens;
+    arrival.deadline = request.arrival + request.deadline;
+    arrival.prefixHashes = request.job.prefixHashes;
+    arrival.prefixTokensPerHash = request.job.prefixTokensPerHash;
+    ++m_entries[entry].waiting[request.tier];
+    perform(entry, m_entries[entry].scheduler->submit(arrival, now()));
+}
+
+void CornelshedSystem::tokens(std::size_t agent, RequestId request, std::uint64_t count, bool first)
+{
+    if (first) {
+        deliver(agent, request.entryIncarnation - 1, Chunk {request, {}});
+        m_run.recorder.firstToken(indexOf(request), now() + m_run.scenario.messageDelay);
+    }
+    AgentScheduler &scheduler = *m_agents[agent].scheduler;
+    perform(agent,
+            first ? scheduler.firstToken(request, now()) : scheduler.tokens(request, count, now()));
+}
+
+void CornelshedSystem::finished(std::size_t agent, RequestId request, const Usage &usage)
+{
+    perform(agent, m_agents[agent].scheduler->serverFinished(request, usage, now()));
+}
+
+void CornelshedSystem::failed(std::size_t agent, RequestId request, FailReason reason)
+{
+    perform(agent, m_agents[agent].scheduler->serverFailed(request, reason, false, now()));
+}
+
+void CornelshedSystem::perform(std::size_t agent, const AgentActions &actions)
+{
+    for (const AgentAction &it : actions) {
+        if (const auto *send = std::get_if<SendToEntry>(&it)) {
+            note(agent, send->message);
+            deliver(agent, send->session - 1, send->message);
+        } else if (const auto *start = std::get_if<StartOnServer>(&it)) {
+            m_run.fleet.start(agent, start->dispatch.request);
+        } else if (const auto *cancel = std::get_if<CancelOnServer>(&it)) {
+            const RequestId request = cancel->request;
+            m_run.events.after(Duration::zero(),
+                               [this, agent, request] { m_run.fleet.cancel(agent, request); });
+        }
+    }
+    armAgent(agent);
+}
+
+void CornelshedSystem::perform(std::size_t entry, const EntryActions &actions)
+{
+    for (const EntryAction &it : actions) {
+        if (const auto *send = std::get_if<SendToAgent>(&it))
+            deliver(entry, send->backendServer, send->message);
+        else if (const auto *end = std::get_if<EndRequest>(&it))
+            ended(entry, *end);
+    }
+    armEntry(entry);
+}
+
+void CornelshedSystem::deliver(std::size_t agent, std::size_t entry, AgentMessage message)
+{
+    makeLate(m_agents[agent], message);
+    const BackendServerId id = identity(agent).backendServer;
+    m_run.events.after(m_run.scenario.messageDelay, [this, entry, id, message] {
+        EntryScheduler &scheduler = *m_entries[entry].scheduler;
+        if (const auto *welcome = std::get_if<Welcome>(&message))
+            perform(entry, scheduler.connected(*welcome, now()));
+        else
+            perform(entry, scheduler.handle(id, message, now()));
+    });
+}
+
+void CornelshedSystem::deliver(std::size_t entry, const BackendServerId &server,
+                               const EntryMessage &message)
+{
+    const std::size_t agent = server.incarnation - 1;
+    if (const auto *dispatch = std::get_if<Dispatch>(&message)) {
+        m_dispatchedAt[indexOf(dispatch->request)] = now();
+        --m_entries[entry].waiting[tierOf(dispatch->request)];
+    }
+    m_run.events.after(m_run.scenario.messageDelay, [this, entry, agent, message] {
+        note(agent, message);
+        perform(agent, m_agents[agent].scheduler->handle(entry + 1, message, now()));
+    });
+}
+
+// Follows the agent's queue from outside: what it sends ends a reservation.
+void CornelshedSystem::note(std::size_t agent, const AgentMessage &message)
+{
+    Agent &it = m_agents[agent];
+    if (const auto *grant = std::get_if<Grant>(&message))
+        unreserve(it, grant->request);
+    const auto *reject = std::get_if<Reject>(&message);
+    if (reject == nullptr)
+        return;
+    unreserve(it, reject->request);
+    if (reject->reason == RejectReason::Shed
+        && lowerTierPresent(it.waiting, tierOf(reject->request)))
+        ++m_invertedAtOnePoint;
+}
+
+void CornelshedSystem::note(std::size_t agent, const EntryMessage &message)
+{
+    Agent &it = m_agents[agent];
+    if (const auto *reserve = std::get_if<Reserve>(&message)) {
+        if (it.reserved.emplace(reserve->request, reserve->tier).second)
+            ++it.waiting[reserve->tier];
+    }
+    if (const auto *withdraw = std::get_if<Withdraw>(&message))
+        unreserve(it, withdraw->request);
+}
+
+void CornelshedSystem::unreserve(Agent &agent, RequestId request)
+{
+    const auto it = agent.reserved.find(request);
+    if (it == agent.reserved.end())
+        return;
+    --agent.waiting[it->second];
+    agent.reserved.erase(it);
+}
+
+void CornelshedSystem::ended(std::size_t entry, const EndRequest &end)
+{
+    const std::size_t index = indexOf(end.request);
+    const TierRank tier = tierOf(end.request);
+    if (m_dispatchedAt[index] == instantNever)
+        --m_entries[entry].waiting[tier];
+    if (std::holds_alternative<Answered>(end.ending))
+        m_run.recorder.ended(index, RunEnding::Answered, now());
+    else if (std::holds_alternative<Unknown>(end.ending))
+        m_run.recorder.ended(index, RunEnding::Unknown, now());
+    const auto *notRun = std::get_if<NotRun>(&end.ending);
+    if (notRun == nullptr)
+        return;
+    m_run.recorder.ended(index, RunEnding::NotRun, now());
+    if (notRun->reason != NotRunReason::WaitingLimit)
+        return;
+    m_sheds.push_back({now(), tier});
+    if (lowerTierPresent(m_entries[entry].waiting, tier))
+        ++m_invertedAtOnePoint;
+}
+
+// Replaces the load report by one that is late.
+void CornelshedSystem::makeLate(Agent &agent, AgentMessage &message) const
+{
+    if (agent.reports.empty())
+        return;
+    std::visit(
+            [&](auto &it) {
+                if constexpr (requires { it.load; })
+                    it.load = agent.reports.front().second;
+            },
+            message);
+}
+
+void CornelshedSystem::armAgent(std::size_t agent)
+{
+    Agent &it = m_agents[agent];
+    const Instant wake = it.scheduler->nextWake();
+    if (wake >= it.timer.at || wake == instantNever)
+        return;
+    const Instant at = std::max(wake, now() + timerResolution);
+    it.timer.at = at;
+    m_run.events.at(at, [this, agent, at] {
+        if (m_agents[agent].timer.at != at)
+            return;
+        m_agents[agent].timer.at = instantNever;
+        perform(agent, m_agents[agent].scheduler->tick(now()));
+    });
+}
+
+void CornelshedSystem::armEntry(std::size_t entry)
+{
+    Entry &it = m_entries[entry];
+    const Instant wake = it.scheduler->nextWake();
+    if (wake >= it.timer.at || wake == instantNever)
+        return;
+    const Instant at = std::max(wake, now() + timerResolution);
+    it.timer.at = at;
+    m_run.events.at(at, [this, entry, at] {
+        if (m_entries[entry].timer.at != at)
+            return;
+        m_entries[entry].timer.at = instantNever;
+        perform(entry, m_entries[entry].scheduler->tick(now()));
+    });
+}
+
+void CornelshedSystem::complete(Counts &counts)
+{
+    counts.sheds = m_sheds.size();
+    counts.invertedAtOnePoint = m_invertedAtOnePoint;
+    for (const Shed &shed : m_sheds) {
+        bool inverted = false;
+        for (std::size_t n = 0; n < m_run.workload.size() && !inverted; ++n) {
+            const SimulatedRequest &it = m_run.workload[n];
+            if (it.arrival > shed.at)
+                break;
+            inverted = it.tier > shed.tier && m_dispatchedAt[n] != instantNever
+                    && m_dispatchedAt[n] > shed.at;
+        }
+        counts.invertedAcross += inverted ? 1 : 0;
+    }
+}
+
+} // namespace
+
+std::unique_ptr<System> makeCornelshed(Run &run)
+{
+    return std::make_unique<CornelshedSystem>(run);
+}
+
+} // namespace cornelshed::measure
--- /dev/null
+++ b/apps/measure/experiment.cpp
@@ -0,0 +1,101 @@
+// Summaries over seeds and their printed form.
+
+#include "experiment.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <numeric>
+
+namespace cornelshed::measure {
+
+namespace {
+
+std::string number(double value)
+{
+    char buf[32];
+    std::snprintf(buf, sizeof buf, "%.6g", value);
+    return buf;
+}
+
+bool worse(Bound bound, double a, double b)
+{
+    return bound == Bound::AtLeast ? a < b : a > b;
+}
+
+double bestBaseline(const FigureSpec &spec, const Sample &sample)
+{
+    double best = sample.baselines.front();
+    for (const double it : sample.baselines) {
+        if (worse(spec.bound, best, it))
+            best = it;
+    }
+    return best;
+}
+
+double medianOf(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[(values.size() - 1) / 2];
+}
+
+std::string line(const FigureSpec &spec, const std::string &statistic, const Sample &sample,
+                 std::uint64_t seed)
+{
+    std::string text = "measure name=" + spec.name + "." + statistic;
+    text += " value=" + number(sample.value) + " unit=" + spec.unit;
+    text += " target=" + (spec.bound == Bound::Stated ? "stated" : number(spec.target));
+    text += " baseline="
+            + (sample.baselines.empty() ? std::string("none") : number(bestBaseline(spec, sample)));
+    text += " seed=" + std::to_string(seed);
+    text += std::string(" pass=") + (meetsTarget(spec, sample.value) ? "yes" : "no");
+    return text + "\n";
+}
+
+} // namespace
+
+Experiments allExperiments()
+{
+    Experiments experiments;
+    addSchedulingExperiments(experiments);
+    addFaultExperiments(experiments);
+    addDecisionCostExperiments(experiments);
+    return experiments;
+}
+
+bool meetsTarget(const FigureSpec &spec, double value)
+{
+    return spec.bound == Bound::Stated || !worse(spec.bound, value, spec.target);
+}
+
+FigureResult summarise(const FigureSpec &spec, const std::vector<Sample> &samples)
+{
+    std::vector<std::size_t> order(samples.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return worse(spec.bound, samples[a].value, samples[b].value);
+    });
+    const std::size_t worst = order.front();
+    const std::size_t median = order[order.size() / 2];
+    FigureResult result {spec, samples[worst], samples[median], worst + 1, median + 1};
+    for (std::size_t n = 0; n < result.median.baselines.size(); ++n) {
+        std::vector<double> values;
+        for (const Sample &it : samples)
+            values.push_back(it.baselines[n]);
+        result.median.baselines[n] = medianOf(std::move(values));
+    }
+    return result;
+}
+
+std::string format(const FigureResult &result)
+{
+    std::string text = line(result.spec, "worst", result.worst, result.worstSeed);
+    text += line(result.spec, "median", result.median, result.medianSeed);
+    for (std::size_t n = 0; n < result.spec.baselines.size(); ++n) {
+        text += "baseline name=" + result.spec.name + " system=" + result.spec.baselines[n];
+        text += " at_worst=" + number(result.worst.baselines[n]);
+        text += " median=" + number(result.median.baselines[n]) + "\n";
+    }
+    return text;
+}
+
+} // namespace cornelshed::measure
--- /dev/null
+++ b/apps/measure/faultexperiments.cpp
@@ -0,0 +1,4 @@
+#include "experiment.h"
+namespace cornelshed::measure {
+void addFaultExperiments(Experiments &) { }
+} // namespace cornelshed::measure
--- a/src/agentscheduler.cpp
+++ b/src/agentscheduler.cpp
@@ -335,7 +335,8 @@
             rejectEntries({late}, RejectReason::DeadlineUnreachable);
             continue;
         }
-        const Occupancy held {m_ledger.liveCount(), m_ledger.liveTokens()};
+        const HeldPlaces held {{m_ledger.liveCount(), m_ledger.liveTokens()},
+                               m_ledger.livePromptTokens()};
         if (!m_work.admits(held, entry->tokens, m_now))
             return;
         grant(m_queue.pop());
--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -19,6 +19,10 @@
 // fraction of a second, enough to smooth out single late tokens.
 constexpr std::uint64_t windowLength = 4;
 
+// Tokens at good pace that count as a success. They take longer than a cold server needs to fail
+// under load that it does not bear.
+constexpr std::uint64_t tokensPerSuccess = 128;
+
 // A server that stays slow that long and finishes its requests has become slower for good; its
 // baseline is learnt anew.
 constexpr Duration relearnAfter = std::chrono::seconds(120);
@@ -42,14 +46,15 @@
 ServerWork::ServerWork(const AgentLimits &limits)
     : m_limits(limits), m_limit(settingsOf(limits)) { }
 
-bool ServerWork::admits(const Occupancy &held, std::uint64_t requestTokens, Instant now) const
+bool ServerWork::admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const
 {
     Occupancy sum = occupancy();
-    sum.requests += held.requests;
-    sum.tokens += held.tokens;
+    sum.requests += held.occupancy.requests;
+    sum.tokens += held.occupancy.tokens;
     if (sum.requests > 0 && suspect(now))
         return false;
-    return m_limit.admits(sum, requestTokens);
+    const Duration ahead = m_rates.prefillTime(m_pendingPrompt + held.promptTokens);
+    return ahead <= m_limits.firstTokenTarget && m_limit.admits(sum, requestTokens);
 }
 
 void ServerWork::start(RequestId request, const RunningRequest &running)
@@ -119,9 +124,7 @@
         note(*running, pace, running->startedAt, now);
     } else if (pace == Pace::Good) {
         learnPrefill(*running, usage);
-        const std::uint64_t intervals = std::max<std::uint64_t>(usage.outputTokens, 2) - 1;
-        const Duration perToken = (total - usage.firstTokenTime) / intervals;
-        pace = perToken > m_limits.tokenIntervalTarget ? Pace::Loaded : running->latestPace;
+        pace = std::max(running->latestPace, presentPace());
     }
     if (m_suspect)
         pace = Pace::Slow; // its earlier tokens say nothing about the server now
@@ -231,13 +234,20 @@
     return Pace::Good;
 }
 
+// Pace of a step that processes no prompts. Prompts beside the streams slow them for a moment,
+// which a smaller batch would not change.
+Pace ServerWork::presentPace() const
+{
+    return m_rates.interval(batch()) > m_limits.tokenIntervalTarget ? Pace::Loaded : Pace::Good;
+}
+
 // allowance is the time per token that prompts processed in the same batch explain.
 Pace ServerWork::judgeInterval(Duration perToken, Duration allowance) const
 {
     const Duration baseline = m_rates.interval(batch());
     if (baseline > Duration::zero() && perToken > (baseline + allowance) * slowFactor)
         return Pace::Slow;
-    if (perToken > m_limits.tokenIntervalTarget)
+    if (perToken > m_limits.tokenIntervalTarget && allowance == Duration::zero())
         return Pace::Loaded;
     return Pace::Good;
 }
@@ -251,11 +261,25 @@
     if (pace != Pace::Slow && running.windowPromptTokens == 0)
         m_rates.intervalObserved(batch(), perToken);
     note(running, pace, running.windowStart, now);
+    countSuccess(running, pace);
     running.windowStart = now;
     running.windowTokens = 0;
     running.windowPromptTokens = m_pendingPrompt;
 }
 
+// A long answer shows many times over that the server bears its load; waiting for its end would
+// keep a server small for minutes.
+void ServerWork::countSuccess(RunningRequest &running, Pace pace)
+{
+    running.tokensSinceSuccess += running.windowTokens;
+    if (pace != Pace::Good || m_suspect)
+        running.tokensSinceSuccess = 0;
+    if (running.tokensSinceSuccess < tokensPerSuccess)
+        return;
+    running.tokensSinceSuccess = 0;
+    m_limit.succeeded(occupancy(), presentPace());
+}
+
 // Learns from prompts that waited for no other one. One step of the batch passes before the first
 // token whatever the length of the prompt.
 void ServerWork::learnPrefill(const RunningRequest &running, const Usage &usage)
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -14,6 +14,15 @@
 
 namespace cornelshed {
 
+// Places held by grants.
+struct HeldPlaces
+{
+    Occupancy occupancy;
+    std::uint64_t promptTokens = 0;
+
+    bool operator==(const HeldPlaces &) const = default;
+};
+
 struct RunningRequest
 {
     SessionId session = 0;
@@ -28,8 +37,9 @@
     std::uint32_t companions = 0;        // largest number of running requests seen, with itself
     std::optional<Instant> firstTokenAt;
     std::uint64_t producedTokens = 0;
-    bool slow = false;            // judged slow at least once
-    Pace latestPace = Pace::Good; // of the last observation
+    std::uint64_t tokensSinceSuccess = 0; // at good pace
+    bool slow = false;                    // judged slow at least once
+    Pace latestPace = Pace::Good;         // of the last observation
 
     // Window over which the time per token is measured.
     Instant windowStart;
@@ -51,7 +61,9 @@
     explicit ServerWork(const AgentLimits &limits);
 
     // True if the server bears one more request beside what runs and the places held by grants.
-    bool admits(const Occupancy &held, std::uint64_t requestTokens, Instant now) const;
+    // A prompt waits for those before it, so no further one is admitted while they take longer than
+    // the target for the first token.
+    bool admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const;
 
     void start(RequestId request, const RunningRequest &running);
     RunningRequest *find(RequestId request);
@@ -89,6 +101,8 @@
     void learnGap(Duration gap);
     Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
     Pace judgeInterval(Duration perToken, Duration allowance) const;
+    Pace presentPace() const;
+    void countSuccess(RunningRequest &running, Pace pace);
     void closeWindow(RunningRequest &running, Instant now);
     void learnPrefill(const RunningRequest &running, const Usage &usage);
     Pace observeWhole(const RunningRequest &running, Duration total);
