--- a/apps/measure/faultexperiments.cpp
+++ b/apps/measure/faultexperiments.cpp
@@ -1,4 +1,53 @@
+// Figures of correctness over many schedules of faults.
+
 #include "experiment.h"
+#include "faultsystem.h"
+
 namespace cornelshed::measure {
-void addFaultExperiments(Experiments &) { }
+
+namespace {
+
+// With 20 seeds, 10,000 schedules.
+constexpr std::uint64_t schedulesPerSeed = 500;
+
+class FaultSchedules final : public Experiment
+{
+public:
+    std::string name() const override { return "fault_schedules"; }
+
+    std::vector<FigureSpec> figures() const override
+    {
+        return {{"fault_requests_run_twice", "requests", Bound::AtMost, 0, {}},
+                {"fault_false_not_run", "requests", Bound::AtMost, 0, {}},
+                {"fault_wrong_answers", "requests", Bound::AtMost, 0, {}},
+                {"fault_requests_without_one_ending", "requests", Bound::AtMost, 0, {}},
+                {"fault_answered", "share", Bound::Stated, 0, {}},
+                {"fault_not_run", "share", Bound::Stated, 0, {}},
+                {"fault_unknown", "share", Bound::Stated, 0, {}}};
+    }
+
+    std::vector<Sample> run(std::uint64_t seed) const override
+    {
+        FaultCounts counts;
+        for (std::uint64_t n = 0; n < schedulesPerSeed; ++n)
+            counts += runFaultSchedule(seed * schedulesPerSeed + n);
+        const auto number = [](std::uint64_t n) { return static_cast<double>(n); };
+        const double requests = number(counts.requests);
+        return {{number(counts.runTwice), {}},
+                {number(counts.falseNotRun), {}},
+                {number(counts.wrongAnswers), {}},
+                {number(counts.withoutEnding + counts.severalEndings), {}},
+                {number(counts.answered) / requests, {}},
+                {number(counts.notRun) / requests, {}},
+                {number(counts.unknown) / requests, {}}};
+    }
+};
+
+} // namespace
+
+void addFaultExperiments(Experiments &experiments)
+{
+    experiments.push_back(std::make_unique<FaultSchedules>());
+}
+
 } // namespace cornelshed::measure
