--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -1,6 +1,5 @@
 # Small complete apps: the load tool, the experiment tool and the demonstration.
 file(GLOB CORNELSHED_LOAD_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/load/*.cpp)
-cornelshed_exempt_coroutines(${CORNELSHED_LOAD_FILES})
 list(FILTER CORNELSHED_LOAD_FILES EXCLUDE REGEX "load_main\\.cpp$")
 # A library, because the demonstration and the process tests send load too.
 if(CORNELSHED_LOAD_FILES)
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -9,15 +9,3 @@
 endforeach()
 add_library(cornelshed_core STATIC ${CORNELSHED_CORE_FILES})
 target_include_directories(cornelshed_core PUBLIC ${CMAKE_SOURCE_DIR}/src)
-
-# GCC 12 reports the null pointers of the code it generates for coroutines. These sources are
-# checked by clang-tidy instead (scripts/lint).
-function(cornelshed_exempt_coroutines)
-  foreach(file IN LISTS ARGN)
-    file(STRINGS ${file} coroutine_lines REGEX "co_await|co_return")
-    if(coroutine_lines)
-      set_source_files_properties(${file} PROPERTIES
-        COMPILE_OPTIONS "-Wno-zero-as-null-pointer-constant")
-    endif()
-  endforeach()
-endfunction()
--- a/cmake/standins.cmake
+++ b/cmake/standins.cmake
@@ -1,6 +1,5 @@
 # Stand-ins for outside systems. The library is never linked into a program that ships.
 file(GLOB CORNELSHED_STANDIN_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/*.cpp)
-cornelshed_exempt_coroutines(${CORNELSHED_STANDIN_FILES})
 list(FILTER CORNELSHED_STANDIN_FILES EXCLUDE REGEX "_main\\.cpp$")
 if(CORNELSHED_STANDIN_FILES)
   add_library(cornelshed_standins STATIC ${CORNELSHED_STANDIN_FILES})
