--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -12,9 +12,9 @@
 
 void readAgent(TomlSection section, AgentSettings &settings)
 {
-    settings.name = readName(section, "name");
-    settings.pool = readName(section, "pool");
-    settings.availabilityZone = readName(section, "availability_zone");
+    settings.name = readRequiredText(section, "name");
+    settings.pool = readRequiredText(section, "pool");
+    settings.availabilityZone = readRequiredText(section, "availability_zone");
     settings.listenAddress = readAddress(section, "listen_address");
     settings.entryPort = readPort(section, "entry_port", 0);
     settings.adminPort = readPort(section, "admin_port", 0);
@@ -26,7 +26,7 @@
     settings.serverKind = kind == "service" ? PoolKind::Service : PoolKind::Engine;
     settings.serverAddress = readAddress(section, "address");
     settings.serverPort = readPort(section, "port", 1);
-    settings.serverVersion = readName(section, "version");
+    settings.serverVersion = readRequiredText(section, "version");
     settings.models = section.texts("models");
     settings.checksFencing = section.boolean("checks_fencing", false);
     if (settings.serverKind == PoolKind::Service && !settings.models.empty())
@@ -56,7 +56,7 @@
         return problems;
     AgentSettings settings;
     TomlSection root = document.root();
-    settings.chartsDirectory = readName(root, "charts_directory");
+    settings.chartsDirectory = readRequiredText(root, "charts_directory");
     readAgent(root.table("agent"), settings);
     readServer(root.table("server"), settings);
     readLimits(root.table("limits"), settings);
--- a/src/entrysettings.cpp
+++ b/src/entrysettings.cpp
@@ -12,8 +12,8 @@
 
 void readEntry(TomlSection section, EntrySettings &settings)
 {
-    settings.name = readName(section, "name");
-    settings.availabilityZone = readName(section, "availability_zone");
+    settings.name = readRequiredText(section, "name");
+    settings.availabilityZone = readRequiredText(section, "availability_zone");
     settings.listenAddress = readAddress(section, "listen_address");
     settings.callerPort = readPort(section, "caller_port", 0);
     settings.adminPort = readPort(section, "admin_port", 0);
@@ -57,7 +57,7 @@
         return problems;
     EntrySettings settings;
     TomlSection root = document.root();
-    settings.chartsDirectory = readName(root, "charts_directory");
+    settings.chartsDirectory = readRequiredText(root, "charts_directory");
     readEntry(root.table("entry"), settings);
     readPlatform(root.table("platform"), settings);
     readLimits(root.table("limits"), settings);
--- a/src/settingsvalues.cpp
+++ b/src/settingsvalues.cpp
@@ -29,7 +29,7 @@
     return static_cast<std::uint32_t>(section.integer(key, least, most, byDefault));
 }
 
-std::string readName(TomlSection &section, std::string_view key)
+std::string readRequiredText(TomlSection &section, std::string_view key)
 {
     std::string name = section.text(key);
     if (section.has(key) && name.empty())
--- a/src/settingsvalues.h
+++ b/src/settingsvalues.h
@@ -21,7 +21,7 @@
                         std::int64_t most, std::int64_t byDefault);
 
 // A text that must not be empty.
-std::string readName(TomlSection &section, std::string_view key);
+std::string readRequiredText(TomlSection &section, std::string_view key);
 
 } // namespace cornelshed::detail
 
