--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr std::size_t idleConnectionLimit = 128;
+constexpr std::size_t readBytes = std::size_t {16} << 10U;
 constexpr std::uint64_t bodyLimitBytes = std::uint64_t {256} << 20U;
 constexpr Duration controlTimeLimit = std::chrono::seconds(1);
 
@@ -162,20 +163,29 @@
 
     void readSome()
     {
-        http::async_read_some(m_socket, m_buffer, m_parser,
-                              [self = shared_from_this()](auto ec, std::size_t) {
-                                  if (!self->m_ended)
-                                      self->handleRead(ec);
-                              });
+        m_socket.async_read_some(m_buffer.prepare(readBytes),
+                                 [self = shared_from_this()](auto ec, std::size_t n) {
+                                     if (self->m_ended)
+                                         return;
+                                     self->m_buffer.commit(n);
+                                     self->handleRead(ec);
+                                 });
+    }
+
+    // The parser is fed directly: Beast's own read operation goes on reading while it needs more
+    // for the next chunk's header, and would keep back the chunk that it has.
+    bool parse()
+    {
+        boost::system::error_code ec;
+        while (m_buffer.size() > 0 && !m_parser.is_done() && !ec)
+            m_buffer.consume(m_parser.put(m_buffer.data(), ec));
+        return !ec || ec == http::error::need_more;
     }
 
     void handleRead(const boost::system::error_code &ec)
     {
-        if (ec) {
-            const bool isCut = ec == http::error::end_of_stream
-                    || ec == http::error::partial_message
-                    || ec.category() != http::make_error_code(http::error::bad_value).category();
-            fail(isCut ? BackendError::Cut : BackendError::Malformed);
+        if (ec || !parse()) {
+            fail(ec ? BackendError::Cut : BackendError::Malformed);
             return;
         }
         if (!m_parser.is_header_done()) {
--- a/src/entrysettings.cpp
+++ b/src/entrysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "entrysettings.h"
 
+#include "configurationsections.h"
 #include "settingsvalues.h"
 
 namespace cornelshed {
@@ -12,8 +13,8 @@
 
 void readEntry(TomlSection section, EntrySettings &settings)
 {
-    settings.name = readRequiredText(section, "name");
-    settings.availabilityZone = readRequiredText(section, "availability_zone");
+    settings.name = readName(section, "name");
+    settings.availabilityZone = readName(section, "availability_zone");
     settings.listenAddress = readAddress(section, "listen_address");
     settings.callerPort = readPort(section, "caller_port", 0);
     settings.adminPort = readPort(section, "admin_port", 0);
@@ -57,7 +58,7 @@
         return problems;
     EntrySettings settings;
     TomlSection root = document.root();
-    settings.chartsDirectory = readRequiredText(root, "charts_directory");
+    settings.chartsDirectory = root.text("charts_directory");
     readEntry(root.table("entry"), settings);
     readPlatform(root.table("platform"), settings);
     readLimits(root.table("limits"), settings);
