--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -21,6 +21,23 @@
 
 constexpr Duration mostStageTime = std::chrono::minutes(30);
 
+// A caller that leaves in time says nothing about the server.
+bool tellsNothing(const ReportOutcome &outcome)
+{
+    return !outcome.failed && outcome.inTime && outcome.usage.totalTime == Duration::zero();
+}
+
+// An attempt that was stopped at the deadline counts as slow as can be, because the server was
+// expected to finish in time.
+std::size_t slownessOf(const ReportOutcome &outcome)
+{
+    const Usage &usage = outcome.usage;
+    if (usage.totalTime == Duration::zero())
+        return slownessClassCount - 1;
+    const std::uint64_t cached = std::min(usage.promptTokens, usage.cachedTokens);
+    return slownessClass(usage.promptTokens - cached, usage.outputTokens, usage.totalTime);
+}
+
 struct RouteState
 {
     explicit RouteState(const VerdictSettings &settings) : verdict(settings) { }
@@ -295,7 +312,7 @@
         const RolloutSettings &settings = rollout.plan.settings;
         const bool isNew = outcome.version == settings.toVersion;
         const bool covered = isNew || outcome.version == settings.fromVersion;
-        if (!covered || !d->applies(rollout, outcome.route))
+        if (!covered || !d->applies(rollout, outcome.route) || tellsNothing(outcome))
             continue;
         VersionCounts &counts = d->m_evidence[{name, d->m_daemon, outcome.route, isNew}];
         ++counts.answers;
@@ -303,10 +320,7 @@
             ++counts.failures;
             continue;
         }
-        const Usage &usage = outcome.usage;
-        const std::uint64_t prompt =
-                usage.promptTokens - std::min(usage.promptTokens, usage.cachedTokens);
-        ++counts.slowness[slownessClass(prompt, usage.outputTokens, usage.totalTime)];
+        ++counts.slowness[slownessOf(outcome)];
     }
 }
 
@@ -320,6 +334,11 @@
     return own;
 }
 
+const Evidence &RolloutController::evidence() const
+{
+    return d->m_evidence;
+}
+
 void RolloutController::mergeEvidence(const Evidence &evidence)
 {
     for (const auto &[key, counts] : evidence) {
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -114,8 +114,10 @@
     // An ended attempt at this daemon.
     void recordOutcome(const ReportOutcome &outcome);
 
-    // Own counters, to be sent to peers, and counters heard from them.
+    // Own counters, and all that are known, own included; both may be sent to peers, which merge
+    // them in any order.
     Evidence localEvidence() const;
+    const Evidence &evidence() const;
     void mergeEvidence(const Evidence &evidence);
 
     // Progress read from the table or heard from a peer.
--- /dev/null
+++ b/test/correctness/rolloutpart.cpp
@@ -0,0 +1,218 @@
+// Guards against a rollout that stops when its driver dies, a roll-back that waits for the table,
+// and operators that are told twice or never.
+
+#include "rolloutpart.h"
+#include "burnpart.h"
+#include "faketable.h"
+#include "moverecords.h"
+#include "statechartfile.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <chrono>
+
+using namespace cornelshed;
+using cornelshed::testing::FakePartHost;
+using cornelshed::testing::FakeTable;
+
+namespace {
+
+StateChart chart(const std::string &name)
+{
+    return std::get<StateChart>(readStateChart(CORNELSHED_SOURCE_DIR "/charts/" + name + ".toml"));
+}
+
+std::shared_ptr<const Configuration> configuration(std::chrono::seconds deadline)
+{
+    const auto epoch = std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    auto result = std::make_shared<Configuration>();
+    result->version = 1;
+    result->rollouts = {
+            {"r1", "writers", "v1", "v2", {"/v1/completions"}, (epoch + deadline).count(), 0.05}};
+    return result;
+}
+
+// Two entry daemons' rollout parts on one table.
+class Pair
+{
+public:
+    Pair()
+    {
+        for (std::size_t n = 0; n < 2; ++n) {
+            hosts[n].peerNames = {"entry-" + std::to_string(1 - n)};
+            hosts[n].deliver = [this, n](const std::string &, const std::string &payload) {
+                if (alive[1 - n])
+                    parts[1 - n]->messageReceived("entry", payload, hosts[1 - n].time);
+            };
+            RolloutPartSettings settings;
+            settings.entryName = "entry-" + std::to_string(n);
+            settings.entryIncarnation = n + 1;
+            parts[n] = makeRolloutPart(hosts[n], settings, chart("rollout"), chart("lease"));
+            parts[n]->configurationInstalled(configuration(std::chrono::minutes(10)),
+                                             hosts[n].time);
+        }
+    }
+
+    // Runs the parts with answers of both versions; a bad version fails each time at the first
+    // daemon, and the second one must hear of it.
+    void run(Duration time, bool bad)
+    {
+        const Instant end = hosts[0].time + time;
+        while (hosts[0].time < end) {
+            for (std::size_t n = 0; n < 2; ++n) {
+                hosts[n].time += std::chrono::milliseconds(100);
+                if (!alive[n])
+                    continue;
+                record(n, bad && n == 0);
+                parts[n]->wake(hosts[n].time);
+            }
+        }
+    }
+
+    RoutingView::VersionShare share(std::size_t n) const
+    {
+        RoutingView view;
+        parts[n]->contribute(view);
+        return view.versionShares.at(0);
+    }
+
+    FakeTable table;
+    std::array<FakePartHost, 2> hosts {FakePartHost(table, 1), FakePartHost(table, 2)};
+    std::array<std::unique_ptr<ControlPart>, 2> parts;
+    std::array<bool, 2> alive {true, true};
+
+private:
+    void record(std::size_t n, bool bad)
+    {
+        ReportOutcome outcome;
+        outcome.route = "/v1/completions";
+        outcome.usage.promptTokens = 100;
+        outcome.usage.outputTokens = 100;
+        outcome.usage.totalTime = std::chrono::seconds(2);
+        outcome.inTime = true;
+        for (const char *version : {"v1", "v2"}) {
+            outcome.version = version;
+            outcome.failed = bad && outcome.version == "v2";
+            if (outcome.version == "v1" || share(n).share > 0)
+                parts[n]->outcomeRecorded(outcome, hosts[n].time);
+        }
+    }
+};
+
+// Names in a configuration are printable ASCII; JSON carries UTF-8 only.
+std::string arbitraryName()
+{
+    return *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', 127));
+}
+
+Evidence arbitraryEvidence()
+{
+    Evidence evidence;
+    const int count = *rc::gen::inRange(0, 4);
+    for (int n = 0; n < count; ++n) {
+        VersionCounts counts;
+        counts.failures = *rc::gen::inRange<std::uint64_t>(0, 50);
+        counts.answers = counts.failures + *rc::gen::inRange<std::uint64_t>(0, 1000);
+        counts.slowness[*rc::gen::inRange<std::size_t>(0, slownessClassCount)] = 3;
+        evidence[{arbitraryName(), "entry-1", "/a", n % 2 == 0}] = counts;
+    }
+    return evidence;
+}
+
+} // namespace
+
+TEST_CASE("a good version is moved to and operators are told once")
+{
+    Pair pair;
+    pair.run(std::chrono::minutes(11), false);
+    CHECK(pair.share(0).share == 1);
+    CHECK(pair.share(1).share == 1);
+    REQUIRE(pair.table.rows.count("event/rollout/r1") == 1);
+    CHECK(pair.table.rows["event/rollout/r1"].value.find("\"done\"") != std::string::npos);
+}
+
+TEST_CASE("another entry daemon goes on when the lease holder dies")
+{
+    Pair pair;
+    pair.run(std::chrono::seconds(20), false);
+    pair.alive[0] = false;
+    pair.run(std::chrono::minutes(11), false);
+    CHECK(pair.share(1).share == 1);
+}
+
+TEST_CASE("a roll-back is in force at both daemons within 2 s while the table is down")
+{
+    Pair pair;
+    pair.run(std::chrono::seconds(20), false);
+    REQUIRE(pair.share(0).share > 0);
+    REQUIRE(pair.share(1).share > 0);
+    pair.table.down = true;
+    const auto rolledBack = [&](std::size_t n) { return pair.share(n).takenBack; };
+    for (int n = 0; n < 100 && !rolledBack(0); ++n)
+        pair.run(std::chrono::milliseconds(100), true);
+    REQUIRE(rolledBack(0));
+    pair.run(std::chrono::seconds(2), true);
+    CHECK(rolledBack(1));
+    CHECK(pair.table.rows.count("event/rollout/r1") == 0);
+    pair.table.down = false;
+    pair.run(std::chrono::seconds(10), false);
+    CHECK(pair.table.rows["rollout/r1"].value.find("rolled_back") != std::string::npos);
+    const std::uint64_t version = pair.table.rows.at("event/rollout/r1").version;
+    pair.run(std::chrono::seconds(60), false);
+    CHECK(pair.table.rows.at("event/rollout/r1").version == version);
+}
+
+TEST_CASE("a lease is renewed under one fencing number while its holder lives")
+{
+    Pair pair;
+    pair.run(std::chrono::minutes(2), false);
+    const TableRow row = pair.table.rows.at("lease/moves");
+    const auto lease = parseLeaseRow(row.value, row.version);
+    REQUIRE(lease.has_value());
+    CHECK(lease->fencing == 1);
+    CHECK(lease->renewals >= 30);
+}
+
+TEST_CASE("no step forward while the table loses its answers or is down")
+{
+    Pair pair;
+    pair.table.down = true;
+    pair.run(std::chrono::minutes(1), false);
+    CHECK(pair.share(0).share == 0);
+    pair.table.down = false;
+    pair.table.loseAnswers = true;
+    pair.run(std::chrono::minutes(1), false);
+    // Writes take effect although their answers are lost, and reading settles them.
+    CHECK(pair.share(0).share == doctest::Approx(0.05));
+}
+
+TEST_CASE("rollout messages survive formatting and malformed ones are refused")
+{
+    CHECK(rc::check([] {
+        RolloutGossip gossip;
+        gossip.progress["r1"] = {*rc::gen::inRange<std::uint32_t>(0, 5), RolloutEnd::RolledBack,
+                                 arbitraryName()};
+        gossip.evidence = arbitraryEvidence();
+        RC_ASSERT(parseGossip(formatGossip(gossip)) == gossip);
+        const std::string text = formatGossip(gossip);
+        const auto cut = text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()));
+        RC_ASSERT(!parseGossip(cut).has_value());
+    }));
+    CHECK_FALSE(parseProgress(R"({"stage":-1,"end":"open","reason":""})").has_value());
+    CHECK_FALSE(parseProgress(R"({"stage":1,"end":"ajar","reason":""})").has_value());
+}
+
+TEST_CASE("burn rows of several daemons are added up")
+{
+    BurnRow row;
+    row.key = {1, "shop"};
+    row.counts[0] = {10, 2};
+    const auto parsed = parseBurnRows(formatBurnRows({row}));
+    REQUIRE(parsed.has_value());
+    CHECK(*parsed == std::vector<BurnRow> {row});
+    CHECK(sumBurnRows({*parsed, *parsed}).at(0).counts[0] == BurnCount {20, 4});
+    CHECK_FALSE(parseBurnRows("{").has_value());
+}
--- /dev/null
+++ b/test/support/faketable.h
@@ -0,0 +1,117 @@
+// Table in memory for tests of the control parts: answers at once, or not at all while down, and
+// may lose answers after the effect.
+
+#ifndef CORNELSHED_TEST_FAKETABLE_H
+#define CORNELSHED_TEST_FAKETABLE_H
+
+#include "controlpart.h"
+
+#include <algorithm>
+
+namespace cornelshed::testing {
+
+class FakeTable final : public PlatformTable
+{
+public:
+    void read(std::vector<std::string> keys, RowsCallback callback) override
+    {
+        if (down) {
+            callback(TableError {TableErrorKind::Unavailable, "down"});
+            return;
+        }
+        TableRows found;
+        for (const std::string &it : keys) {
+            if (rows.count(it) != 0)
+                found[it] = rows[it];
+        }
+        callback(found);
+    }
+
+    void scan(std::string prefix, RowsCallback callback) override
+    {
+        std::vector<std::string> keys;
+        for (const auto &[key, row] : rows) {
+            if (key.rfind(prefix, 0) == 0)
+                keys.push_back(key);
+        }
+        read(keys, std::move(callback));
+    }
+
+    void transact(TableTransaction transaction, CommitCallback callback) override
+    {
+        if (down) {
+            callback(TableError {TableErrorKind::Unavailable, "down"});
+            return;
+        }
+        const auto holds = [&](const TableCondition &it) {
+            return (rows.count(it.key) == 0 ? 0 : rows[it.key].version) == it.version;
+        };
+        if (!std::all_of(transaction.conditions.begin(), transaction.conditions.end(), holds)) {
+            callback(TableError {TableErrorKind::Conflict, "conflict"});
+            return;
+        }
+        for (const TableWrite &it : transaction.writes) {
+            ++writes;
+            m_version += 7; // versions grow by more than one
+            if (it.value.has_value())
+                rows[it.key] = {m_version, *it.value};
+            else
+                rows.erase(it.key);
+        }
+        if (loseAnswers)
+            callback(TableError {TableErrorKind::Unknown, "lost"});
+        else
+            callback(std::nullopt);
+    }
+
+    void getObject(std::string, ObjectCallback callback) override
+    {
+        callback(TableError {TableErrorKind::Unavailable, "no objects"});
+    }
+
+    void putObject(std::string, std::string, CommitCallback callback) override
+    {
+        callback(TableError {TableErrorKind::Unavailable, "no objects"});
+    }
+
+    TableRows rows;
+    std::uint64_t writes = 0;
+    bool down = false;
+    bool loseAnswers = false;
+
+private:
+    std::uint64_t m_version = 0;
+};
+
+// Host of one control part on a table and with peers that the test provides.
+class FakePartHost final : public ControlPartHost
+{
+public:
+    FakePartHost(FakeTable &table, std::uint64_t seed) : m_table(table), m_random(seed) { }
+
+    PlatformTable &table() override { return m_table; }
+    RandomSource &random() override { return m_random; }
+    Instant now() const override { return time; }
+    const std::vector<std::string> &peers() const override { return peerNames; }
+    void sendToPeer(const std::string &peer, const std::string & /*part*/,
+                    const std::string &payload) override
+    {
+        if (deliver)
+            deliver(peer, payload);
+    }
+    void viewChanged() override { ++views; }
+    void reschedule() override { }
+
+    Instant time {std::chrono::hours(1)};
+    std::vector<std::string> peerNames;
+    std::function<void(const std::string &, const std::string &)> deliver;
+    int views = 0;
+
+private:
+    FakeTable &m_table;
+    SeededRandom m_random;
+};
+
+} // namespace cornelshed::testing
+
+#endif // CORNELSHED_TEST_FAKETABLE_H
