--- a/apps/load/loadrun.cpp
+++ b/apps/load/loadrun.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 
 namespace cornelshed::load {
 
@@ -136,14 +137,18 @@
     return call;
 }
 
-// Goes on to the next entry daemon while no connection can be made, because nothing was sent.
+// Goes on to the next entry daemon while no connection can be made: nothing was sent then.
 asio::awaitable<HttpClientReply> LoadRun::Private::attempt(HttpClientCall call,
                                                            std::size_t firstEntry,
                                                            std::chrono::milliseconds timeout)
 {
     HttpClientReply reply;
+    reply.endTime = Clock::now();
     for (std::size_t i = 0; i < m_options.entries.size(); ++i) {
-        const auto entry = m_options.entries[(firstEntry + i) % m_options.entries.size()];
+        const std::size_t number = (firstEntry + i) % m_options.entries.size();
+        const auto entry = m_options.entries[number];
+        if (m_options.entryAvailable && !m_options.entryAvailable(number))
+            continue;
         reply = co_await standins::callHttp(entry, call, timeout);
         if (reply.transport != HttpTransport::ConnectFailed)
             break;
--- a/apps/load/loadrun.h
+++ b/apps/load/loadrun.h
@@ -8,7 +8,8 @@
 #include "httpclient.h"
 #include "tally.h"
 
-#include <atomic>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
 struct LoadOptions
 {
     std::vector<standins::HttpEndpoint> entries; // chosen in turn
+    // Whether a load balancer sends to the entry with this number; absent: to all.
+    std::function<bool(std::size_t)> entryAvailable;
     std::string model = "loom";
     std::string markerPrefix = "L"; // unique among runs against the same stand-ins
     double compression = 1;         // planned offsets are divided by this
--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -21,8 +21,21 @@
     cornelshed_runtime)
 endif()
 
+# A library, because the process tests run a cluster too.
 file(GLOB CORNELSHED_DEMO_FILES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/apps/demo/*.cpp)
+list(FILTER CORNELSHED_DEMO_FILES EXCLUDE REGEX "demo_main\\.cpp$")
 if(CORNELSHED_DEMO_FILES)
-  add_executable(cornelshed-demo ${CORNELSHED_DEMO_FILES})
-  target_link_libraries(cornelshed-demo PRIVATE cornelshed_runtime)
+  add_library(cornelshed_demo STATIC ${CORNELSHED_DEMO_FILES})
+  target_include_directories(cornelshed_demo PUBLIC ${CMAKE_SOURCE_DIR}/apps/demo)
+  target_link_libraries(cornelshed_demo PUBLIC cornelshed_load Boost::headers)
+  cornelshed_program(cornelshed-demo apps/demo/demo_main.cpp cornelshed_demo)
+  if(TARGET cornelshed-demo)
+    # The programs that it starts.
+    foreach(program cornelshed cornelshed-agentd cornelshed-entryd standin-engine
+        standin-service standin-platform)
+      if(TARGET ${program})
+        add_dependencies(cornelshed_demo ${program})
+      endif()
+    endforeach()
+  endif()
 endif()
