--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -39,3 +39,5 @@
     endforeach()
   endif()
 endif()
+
+cornelshed_program(cornelshed-capacity apps/capacity/capacity_main.cpp cornelshed_runtime)
--- /dev/null
+++ b/test/fuzz/wirecodec.cpp
@@ -0,0 +1,83 @@
+// Guards against crashes, exceptions, unbounded work and reads outside the frame when a peer sends
+// arbitrary bytes: random ones, and damaged copies of real messages.
+
+#include "wirecodec.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace cornelshed;
+
+namespace {
+
+constexpr int damagedCount = 60000;
+constexpr int randomCount = 40000;
+
+std::vector<std::string> seedFrames()
+{
+    Reserve reserve;
+    reserve.request = {7, 8};
+    reserve.organisation = "reedworks";
+    reserve.route = "/v1/completions";
+    reserve.prefixHashes = {1, 2, 3, 4, 5};
+    Dispatch dispatch;
+    dispatch.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", "a-1"}};
+    dispatch.body = std::string(300, 'b');
+    Welcome welcome;
+    welcome.models = {"writer", "drafter"};
+    return {encodeFrame(EntryMessage(reserve)),
+            encodeFrame(EntryMessage(dispatch)),
+            encodeFrame(EntryMessage(Hello {"entry", 1, 2})),
+            encodeFrame(AgentMessage(welcome)),
+            encodeFrame(AgentMessage(Chunk {{1, 2}, "data: token\n\n"})),
+            encodeFrame(AgentMessage(ResponseHead {{1, 2}, 200, dispatch.headers})),
+            encodeFrame(AgentMessage(Failed {{1, 2}, true, FailReason::EngineError, {}}))};
+}
+
+// Whatever decodes must be a message that can be sent on.
+void decodeBoth(std::string_view body, const WireLimits &limits)
+{
+    const auto entry = decodeEntryMessage(body, limits);
+    if (const auto *message = std::get_if<EntryMessage>(&entry))
+        CHECK_FALSE(encodeFrame(*message).empty());
+    const auto agent = decodeAgentMessage(body, limits);
+    if (const auto *message = std::get_if<AgentMessage>(&agent))
+        CHECK_FALSE(encodeFrame(*message).empty());
+}
+
+void damage(std::string &body, SeededRandom &random)
+{
+    for (std::uint64_t n = random.below(4) + 1; n > 0; --n)
+        body[random.below(body.size())] = static_cast<char>(random.next());
+    if (random.below(4) == 0)
+        body.resize(random.below(body.size()) + 1);
+}
+
+} // namespace
+
+TEST_CASE("damaged messages give a message or an error")
+{
+    SeededRandom random(20261204);
+    const std::vector<std::string> seeds = seedFrames();
+    const WireLimits limits;
+    for (int n = 0; n < damagedCount; ++n) {
+        std::string body = seeds[random.below(seeds.size())].substr(frameHeaderBytes);
+        damage(body, random);
+        decodeBoth(body, limits);
+    }
+}
+
+TEST_CASE("random bytes give a message or an error")
+{
+    SeededRandom random(20261205);
+    const WireLimits limits;
+    for (int n = 0; n < randomCount; ++n) {
+        std::string body((random.below(32) + 1) * 8, '\0');
+        // Few distinct values, so that pointers point to near places more often.
+        for (char &it : body)
+            it = static_cast<char>(random.below(3) == 0 ? random.next() : random.below(4));
+        decodeBoth(body, limits);
+    }
+}
