--- a/apps/load/day.cpp
+++ b/apps/load/day.cpp
@@ -60,7 +60,8 @@
             time += std::exponential_distribution<double>(scale * m_highestRate)(m_random);
             if (time >= length)
                 return day;
-            const double hour = hoursPerDay * time / length;
+            const double hour =
+                    std::fmod(m_options.startHour + hoursPerDay * time / length, hoursPerDay);
             if (unit() * m_highestRate < rateAt(hour))
                 day.push_back(request(time, hour));
         }
--- a/apps/load/day.h
+++ b/apps/load/day.h
@@ -41,7 +41,8 @@
 {
     std::uint64_t seed = 1;
     std::chrono::milliseconds length {20000}; // the whole day is compressed into this time
-    double meanRequestsPerSecond = 50;
+    double startHour = 0;                     // hour of the day at which the run starts
+    double meanRequestsPerSecond = 50;        // over the whole day
     double orderShare = 0.1;
     double streamShare = 0.5;                // of the completions
     std::uint32_t shortestPromptTokens = 16; // the longest is a hundred times as long
