--- /dev/null
+++ b/test/correctness/agentdaemon.cpp
@@ -0,0 +1,269 @@
+// Guards against an agent that reports a cut answer as whole, a request that may have run as not
+// run, grants before leftover work is cancelled, or drops work when it shuts down.
+
+#include "agentrunner.h"
+#include "httpheaders.h"
+#include "loopback.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+
+namespace {
+
+const RequestId request {11, 1};
+
+// Opens a session and reserves until the request is granted; the agent rejects until its first
+// probe has reached the server.
+std::optional<Grant> reserve(SessionPeer &peer, const std::string &path, const std::string &model)
+{
+    peer.send(Hello {"e1", 11, 0});
+    if (!peer.receiveOnly<Welcome>())
+        return std::nullopt;
+    Reserve reserve;
+    reserve.request = request;
+    reserve.organisation = "o";
+    reserve.route = path;
+    reserve.model = model;
+    reserve.promptTokens = 3;
+    reserve.outputTokens = 3;
+    reserve.remaining = std::chrono::seconds(20);
+    for (int n = 0; n < 500; ++n) {
+        peer.send(reserve);
+        const std::optional<AgentMessage> answer = peer.receive();
+        if (!answer)
+            break;
+        if (const auto *grant = std::get_if<Grant>(&*answer))
+            return *grant;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return std::nullopt;
+}
+
+void dispatch(SessionPeer &peer, const Grant &grant, const std::string &path)
+{
+    const Headers headers {{"X-Request-Id", "id-1"}, {"Idempotency-Key", "key-1"}};
+    peer.send(
+            Dispatch {request, grant.grant, "POST", path, headers, "{}", std::chrono::seconds(20)});
+}
+
+bool dispatchTo(SessionPeer &peer, const std::string &path, const std::string &model)
+{
+    const auto grant = reserve(peer, path, model);
+    if (grant)
+        dispatch(peer, *grant, path);
+    return grant.has_value();
+}
+
+// All chunks up to the request's end.
+struct Outcome
+{
+    std::string data;
+    std::optional<Finished> finished;
+    std::optional<Failed> failed;
+};
+
+Outcome receiveOutcome(SessionPeer &peer)
+{
+    Outcome outcome;
+    while (const std::optional<AgentMessage> message = peer.receive()) {
+        if (const auto *chunk = std::get_if<Chunk>(&*message)) {
+            outcome.data += chunk->data;
+        } else if (const auto *finished = std::get_if<Finished>(&*message)) {
+            outcome.finished = *finished;
+            break;
+        } else if (const auto *failed = std::get_if<Failed>(&*message)) {
+            outcome.failed = *failed;
+            break;
+        }
+    }
+    return outcome;
+}
+
+Outcome runOnce(const BackendStub::Handler &handler)
+{
+    BackendStub backend(handler);
+    AgentRunner agent(agentSettings(backend.port()));
+    SessionPeer peer(agent.daemon().entryPort());
+    REQUIRE(dispatchTo(peer, "/v1/completions", "writer"));
+    return receiveOutcome(peer);
+}
+
+} // namespace
+
+TEST_CASE("a stream's events are passed on as they arrive, and its usage is read")
+{
+    std::promise<void> firstSeen;
+    BackendStub backend([&](const StubRequest &received, StubReply &reply) {
+        CHECK(*findHeader(received.headers, "X-Request-Id") == "id-1");
+        reply.beginEvents();
+        reply.event("one");
+        firstSeen.get_future().wait_for(std::chrono::seconds(10));
+        reply.event("two");
+        reply.event(R"({"usage":{"prompt_tokens":3,"completion_tokens":2,"cached_tokens":1}})");
+        reply.event("[DONE]");
+        reply.endChunks();
+    });
+    AgentRunner agent(agentSettings(backend.port()));
+    SessionPeer peer(agent.daemon().entryPort());
+    REQUIRE(dispatchTo(peer, "/v1/completions", "writer"));
+    const auto first = peer.receiveOnly<Chunk>();
+    REQUIRE(first);
+    CHECK(first->data == "data: one\n\n");
+    firstSeen.set_value();
+    const Outcome rest = receiveOutcome(peer);
+    REQUIRE(rest.finished);
+    CHECK(rest.finished->usage.outputTokens == 2);
+    CHECK(rest.finished->usage.cachedTokens == 1);
+    CHECK(rest.data.ends_with("data: [DONE]\n\n"));
+    const auto requests = backend.requests();
+    REQUIRE_FALSE(requests.empty());
+    CHECK(requests.front().target == "/control/cancel_all");
+}
+
+TEST_CASE("a stream without its end event, or without its last chunk, is cut")
+{
+    const Outcome withoutDone = runOnce([](const StubRequest &, StubReply &reply) {
+        reply.beginEvents();
+        reply.event("one");
+        reply.endChunks();
+    });
+    const Outcome withoutEnd = runOnce([](const StubRequest &, StubReply &reply) {
+        reply.beginEvents();
+        reply.event("one");
+        reply.event("[DONE]");
+        reply.close();
+    });
+    for (const Outcome &it : {withoutDone, withoutEnd}) {
+        REQUIRE(it.failed);
+        CHECK(it.failed->reason == FailReason::StreamCut);
+        CHECK_FALSE(it.failed->notRun);
+        CHECK(it.data == "data: one\n\n");
+    }
+}
+
+TEST_CASE("a whole answer shorter than its length, or of no stated length, is not finished")
+{
+    const Outcome isShort = runOnce([](const StubRequest &, StubReply &reply) {
+        reply.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{}");
+        reply.close();
+    });
+    const Outcome isOpen = runOnce([](const StubRequest &, StubReply &reply) {
+        reply.send("HTTP/1.1 200 OK\r\n\r\n{}");
+        reply.close();
+    });
+    const Outcome isError =
+            runOnce([](const StubRequest &, StubReply &reply) { reply.whole(500, "{}"); });
+    const Outcome isNotHttp = runOnce([](const StubRequest &, StubReply &reply) {
+        reply.send("nonsense\r\n\r\n");
+        reply.close();
+    });
+    for (const Outcome &it : {isShort, isOpen, isError, isNotHttp}) {
+        REQUIRE(it.failed);
+        CHECK_FALSE(it.failed->notRun);
+    }
+}
+
+TEST_CASE("a whole answer is finished with its usage")
+{
+    const std::string body = R"({"usage":{"prompt_tokens":3,"completion_tokens":7}})";
+    const Outcome outcome =
+            runOnce([&](const StubRequest &, StubReply &reply) { reply.whole(200, body); });
+    REQUIRE(outcome.finished);
+    CHECK(outcome.data == body);
+    CHECK(outcome.finished->usage.outputTokens == 7);
+}
+
+TEST_CASE("a refused connection is reported as not run")
+{
+    auto backend = std::make_unique<BackendStub>([](const StubRequest &, StubReply &) {});
+    AgentRunner agent(agentSettings(backend->port()));
+    SessionPeer peer(agent.daemon().entryPort());
+    const auto grant = reserve(peer, "/v1/completions", "writer");
+    REQUIRE(grant);
+    // The agent does not know yet that the server went away.
+    backend->stop();
+    dispatch(peer, *grant, "/v1/completions");
+    const Outcome outcome = receiveOutcome(peer);
+    REQUIRE(outcome.failed);
+    CHECK(outcome.failed->notRun);
+    CHECK(outcome.failed->reason == FailReason::EngineUnreachable);
+}
+
+TEST_CASE("a cancelled request is cancelled at the engine under its id")
+{
+    std::promise<void> release;
+    BackendStub backend([&](const StubRequest &, StubReply &reply) {
+        reply.beginEvents();
+        reply.event("one");
+        release.get_future().wait_for(std::chrono::seconds(10));
+    });
+    AgentRunner agent(agentSettings(backend.port()));
+    SessionPeer peer(agent.daemon().entryPort());
+    REQUIRE(dispatchTo(peer, "/v1/completions", "writer"));
+    REQUIRE(peer.receiveOnly<Chunk>());
+    peer.send(Cancel {request});
+    const Outcome outcome = receiveOutcome(peer);
+    release.set_value();
+    REQUIRE(outcome.failed);
+    CHECK(outcome.failed->reason == FailReason::Cancelled);
+    CHECK_FALSE(outcome.failed->notRun);
+    bool found = false;
+    for (const StubRequest &it : backend.requests())
+        found = found
+                || (it.target == "/control/cancel" && it.body.find("id-1") != std::string::npos);
+    CHECK(found);
+}
+
+TEST_CASE("a service gets the idempotency key")
+{
+    BackendStub backend([](const StubRequest &received, StubReply &reply) {
+        const std::string *key = findHeader(received.headers, "Idempotency-Key");
+        reply.whole(200, key == nullptr ? "none" : *key);
+    });
+    AgentRunner agent(agentSettings(backend.port(), PoolKind::Service));
+    SessionPeer peer(agent.daemon().entryPort());
+    REQUIRE(dispatchTo(peer, "/orders", ""));
+    CHECK(receiveOutcome(peer).data == "key-1");
+}
+
+TEST_CASE("a shutdown announces itself and finishes what runs")
+{
+    std::promise<void> release;
+    BackendStub backend([&](const StubRequest &, StubReply &reply) {
+        release.get_future().wait_for(std::chrono::seconds(10));
+        reply.whole(200, "{}");
+    });
+    AgentRunner agent(agentSettings(backend.port()));
+    SessionPeer peer(agent.daemon().entryPort());
+    REQUIRE(dispatchTo(peer, "/v1/completions", "writer"));
+    REQUIRE(backend.waitForRequest("/v1/completions"));
+    agent.daemon().requestShutdown();
+    CHECK(peer.receiveOnly<Leaving>());
+    release.set_value();
+    CHECK(receiveOutcome(peer).finished);
+    CHECK(agent.shutDown() == DaemonStatus::Success);
+}
+
+TEST_CASE("malformed frames, and messages before Hello, end the session only")
+{
+    BackendStub backend([](const StubRequest &, StubReply &) {});
+    AgentRunner agent(agentSettings(backend.port()));
+    SessionPeer malformed(agent.daemon().entryPort());
+    malformed.sendRaw(std::string("\x08\0\0\0garbage!", 12));
+    CHECK_FALSE(malformed.receive());
+    SessionPeer tooLong(agent.daemon().entryPort());
+    tooLong.sendRaw(std::string("\xff\xff\xff\xff", 4));
+    CHECK_FALSE(tooLong.receive());
+    SessionPeer impolite(agent.daemon().entryPort());
+    impolite.send(Cancel {request});
+    CHECK_FALSE(impolite.receive());
+    SessionPeer good(agent.daemon().entryPort());
+    good.send(Hello {"e1", 1, 0});
+    CHECK(good.receiveOnly<Welcome>());
+}
--- /dev/null
+++ b/test/support/loopback.cpp
@@ -0,0 +1,317 @@
+// Blocking sockets with receive time limits.
+
+#include "loopback.h"
+
+#include "wirecodec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+namespace cornelshed::testing {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::seconds timeLimit {10};
+
+void limitReceiving(Tcp::socket &socket)
+{
+    const timeval limit {timeLimit.count(), 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+}
+
+void connectLoopback(Tcp::socket &socket, std::uint16_t port)
+{
+    socket.connect({asio::ip::address_v4::loopback(), port});
+    socket.set_option(Tcp::no_delay(true));
+    limitReceiving(socket);
+}
+
+void writeIgnoringErrors(Tcp::socket &socket, std::string_view bytes)
+{
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()), ec);
+}
+
+class SocketReply final : public StubReply
+{
+public:
+    explicit SocketReply(Tcp::socket &socket) : m_socket(socket) { }
+
+    void send(std::string_view bytes) override { writeIgnoringErrors(m_socket, bytes); }
+
+    void close() override
+    {
+        boost::system::error_code ec;
+        m_socket.shutdown(Tcp::socket::shutdown_both, ec);
+    }
+
+private:
+    Tcp::socket &m_socket;
+};
+
+std::string chunkOf(const std::string &data)
+{
+    std::array<char, 16> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+} // namespace
+
+void StubReply::whole(int status, const std::string &body)
+{
+    send("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Type: application/json\r\n"
+         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void StubReply::beginEvents()
+{
+    send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void StubReply::event(const std::string &data)
+{
+    send(chunkOf("data: " + data + "\n\n"));
+}
+
+void StubReply::endChunks()
+{
+    send("0\r\n\r\n");
+}
+
+class BackendStub::Private
+{
+public:
+    explicit Private(Handler handler)
+        : m_handler(std::move(handler)),
+          m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0}),
+          m_port(m_acceptor.local_endpoint().port())
+    { }
+
+    void acceptAll()
+    {
+        while (true) {
+            auto socket = std::make_shared<Tcp::socket>(m_context);
+            boost::system::error_code ec;
+            m_acceptor.accept(*socket, ec);
+            const std::lock_guard lock(m_mutex);
+            if (ec || m_stopped)
+                return;
+            m_sockets.push_back(socket);
+            m_threads.emplace_back([this, socket] { serve(*socket); });
+        }
+    }
+
+    void serve(Tcp::socket &socket)
+    {
+        boost::beast::flat_buffer buf;
+        boost::system::error_code ec;
+        while (!ec) {
+            http::request<http::string_body> message;
+            http::read(socket, buf, message, ec);
+            if (!ec)
+                answer(message, socket);
+        }
+    }
+
+    void answer(const http::request<http::string_body> &message, Tcp::socket &socket)
+    {
+        StubRequest request {std::string(message.method_string()),
+                             std::string(message.target()),
+                             {},
+                             message.body()};
+        for (const auto &it : message)
+            request.headers.emplace_back(it.name_string(), it.value());
+        {
+            const std::lock_guard lock(m_mutex);
+            m_requests.push_back(request);
+        }
+        m_received.notify_all();
+        SocketReply reply(socket);
+        if (request.target == "/load" || request.target.starts_with("/control/"))
+            reply.whole(200, "{}");
+        else
+            m_handler(request, reply);
+    }
+
+    Handler m_handler;
+    asio::io_context m_context;
+    Tcp::acceptor m_acceptor;
+    std::uint16_t m_port;
+    mutable std::mutex m_mutex; // guards the following
+    mutable std::condition_variable m_received;
+    std::vector<StubRequest> m_requests;
+    std::vector<std::shared_ptr<Tcp::socket>> m_sockets;
+    std::vector<std::thread> m_threads;
+    bool m_stopped = false;
+    std::thread m_acceptThread;
+};
+
+BackendStub::BackendStub(Handler handler) : d(std::make_unique<Private>(std::move(handler)))
+{
+    d->m_acceptThread = std::thread([this] { d->acceptAll(); });
+}
+
+BackendStub::~BackendStub()
+{
+    stop();
+}
+
+std::uint16_t BackendStub::port() const
+{
+    return d->m_port;
+}
+
+std::vector<StubRequest> BackendStub::requests() const
+{
+    const std::lock_guard lock(d->m_mutex);
+    return d->m_requests;
+}
+
+bool BackendStub::waitForRequest(const std::string &target) const
+{
+    std::unique_lock lock(d->m_mutex);
+    return d->m_received.wait_for(lock, timeLimit, [&] {
+        return std::any_of(d->m_requests.begin(), d->m_requests.end(),
+                           [&](const StubRequest &it) { return it.target == target; });
+    });
+}
+
+void BackendStub::stop()
+{
+    {
+        const std::lock_guard lock(d->m_mutex);
+        if (d->m_stopped)
+            return;
+        d->m_stopped = true;
+    }
+    ::shutdown(d->m_acceptor.native_handle(), SHUT_RDWR);
+    d->m_acceptThread.join();
+    boost::system::error_code ec;
+    d->m_acceptor.close(ec);
+    for (const auto &it : d->m_sockets)
+        it->shutdown(Tcp::socket::shutdown_both, ec);
+    for (std::thread &it : d->m_threads)
+        it.join();
+}
+
+class SessionPeer::Private
+{
+public:
+    asio::io_context m_context;
+    Tcp::socket m_socket {m_context};
+};
+
+SessionPeer::SessionPeer(std::uint16_t port) : d(std::make_unique<Private>())
+{
+    connectLoopback(d->m_socket, port);
+}
+
+SessionPeer::~SessionPeer() = default;
+
+void SessionPeer::send(const EntryMessage &message)
+{
+    sendRaw(encodeFrame(message));
+}
+
+void SessionPeer::sendRaw(std::string_view bytes)
+{
+    writeIgnoringErrors(d->m_socket, bytes);
+}
+
+std::optional<AgentMessage> SessionPeer::receive()
+{
+    boost::system::error_code ec;
+    std::string buf(frameHeaderBytes, '\0');
+    asio::read(d->m_socket, asio::buffer(buf), ec);
+    if (ec)
+        return std::nullopt;
+    buf.resize(frameLength(buf));
+    asio::read(d->m_socket, asio::buffer(buf), ec);
+    if (ec)
+        return std::nullopt;
+    auto decoded = decodeAgentMessage(buf, {});
+    if (auto *message = std::get_if<AgentMessage>(&decoded))
+        return std::move(*message);
+    return std::nullopt;
+}
+
+std::string CallerAnswer::code() const
+{
+    boost::system::error_code ec;
+    const auto value = boost::json::parse(body, ec);
+    if (ec)
+        return {};
+    const auto *code = value.find_pointer("/error/code", ec);
+    return code == nullptr ? std::string() : std::string(code->as_string());
+}
+
+class Caller::Private
+{
+public:
+    asio::io_context m_context;
+    Tcp::socket m_socket {m_context};
+    boost::beast::flat_buffer m_buffer;
+};
+
+Caller::Caller(std::uint16_t port) : d(std::make_unique<Private>())
+{
+    connectLoopback(d->m_socket, port);
+}
+
+Caller::~Caller() = default;
+
+void Caller::send(std::string_view bytes)
+{
+    writeIgnoringErrors(d->m_socket, bytes);
+}
+
+CallerAnswer Caller::receive()
+{
+    http::response<http::string_body> message;
+    boost::system::error_code ec;
+    http::read(d->m_socket, d->m_buffer, message, ec);
+    if (ec)
+        return {};
+    return {static_cast<int>(message.result_int()), std::string(message["Cornelshed-Outcome"]),
+            message.body(), message.keep_alive()};
+}
+
+void Caller::close()
+{
+    boost::system::error_code ec;
+    d->m_socket.close(ec);
+}
+
+CallerAnswer Caller::post(const std::string &target, const std::vector<std::string> &headers,
+                          const std::string &body)
+{
+    std::string bytes = "POST " + target + " HTTP/1.1\r\nHost: entry\r\n";
+    for (const std::string &it : headers)
+        bytes += it + "\r\n";
+    bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    send(bytes);
+    return receive();
+}
+
+} // namespace cornelshed::testing
