--- a/src/entrydecisions.cpp
+++ b/src/entrydecisions.cpp
@@ -249,7 +249,7 @@
     const bool notRun = message.notRun && !request->started;
     const EntryReservation reservation = request->dispatchedTo;
     if (!notRun || message.reason == FailReason::EngineUnreachable)
-        reportOutcome(*request, isServerFault(message.reason), {}, now);
+        reportOutcome(*request, true, {}, now);
     if (notRun)
         backToWaiting(*request, now);
     else
--- a/src/prefixindex.cpp
+++ b/src/prefixindex.cpp
@@ -28,9 +28,20 @@
 } // namespace
 
 PrefixIndex::PrefixIndex(const PrefixIndexSettings &settings)
-    : m_settings(settings), m_entries(std::bit_ceil(std::max(settings.entryCount, ways)))
+    : m_settings(settings), m_sets(std::bit_ceil(std::max<std::size_t>(settings.entryCount / 8, 1)))
 { }
 
+// Tenths of a second are fine enough for beliefs that fade over minutes.
+std::uint32_t PrefixIndex::ticks(Instant at)
+{
+    return static_cast<std::uint32_t>(at.time_since_epoch() / std::chrono::milliseconds(100));
+}
+
+std::uint32_t PrefixIndex::tagOf(std::uint64_t hash)
+{
+    return static_cast<std::uint32_t>(hash ^ (hash >> 32U));
+}
+
 PrefixIndex::Server &PrefixIndex::server(ServerSlot slot)
 {
     if (slot >= m_servers.size())
@@ -46,24 +57,45 @@
 std::size_t PrefixIndex::setOf(std::uint64_t hash) const
 {
     const std::uint64_t mixed = hash * 0x9e3779b97f4a7c15ULL;
-    return (mixed >> 20U) % (m_entries.size() / ways) * ways;
+    return (mixed >> 20U) % m_sets.size();
+}
+
+bool PrefixIndex::known(std::uint64_t hash) const
+{
+    const auto &entries = m_sets[setOf(hash)].entries;
+    return std::any_of(entries.begin(), entries.end(),
+                       [&](const Entry &it) { return it.tag == tagOf(hash) && valid(it); });
+}
+
+// Number of hashes up to the longest known prefix. A server that has a prefix has all shorter ones,
+// so the search ends at the first unknown one; most prompts share a short prefix only.
+std::size_t PrefixIndex::knownDepth(const PromptPrefixes &prompt) const
+{
+    std::size_t depth = 0;
+    for (std::size_t i = 0; i < consideredHashes(prompt); ++i) {
+        if (!isKept(i))
+            continue;
+        if (!known(prompt.hashes[i]))
+            return depth;
+        depth = i + 1;
+    }
+    return depth;
 }
 
 void PrefixIndex::collect(std::uint64_t hash, std::uint64_t tokens, Instant now,
                           std::vector<CachedPrefix> &result) const
 {
-    const std::size_t set = setOf(hash);
-    for (std::size_t i = set; i < set + ways && result.size() < m_settings.largestResult; ++i) {
-        const Entry &entry = m_entries[i];
-        if (entry.hash != hash || !valid(entry))
+    for (const Entry &entry : m_sets[setOf(hash)].entries) {
+        if (result.size() >= m_settings.largestResult)
+            return;
+        if (entry.tag != tagOf(hash) || !valid(entry))
             continue;
-        const auto known = [&](const CachedPrefix &it) { return it.slot == entry.slot; };
-        if (std::any_of(result.begin(), result.end(), known))
+        const auto same = [&](const CachedPrefix &it) { return it.slot == entry.slot; };
+        if (std::any_of(result.begin(), result.end(), same))
             continue;
-        const double age = std::chrono::duration<double>(now - entry.confirmedAt).count();
+        const double age = 0.1 * (ticks(now) - std::min(entry.confirmedTicks, ticks(now)));
         const double halfLife = std::chrono::duration<double>(m_settings.halfLife).count();
-        const double belief =
-                std::exp2(-std::max(age, 0.0) / halfLife) * m_servers[entry.slot].trust;
+        const double belief = std::exp2(-age / halfLife) * m_servers[entry.slot].trust;
         result.push_back(
                 {entry.slot, static_cast<std::uint64_t>(static_cast<double>(tokens) * belief)});
     }
@@ -73,7 +105,7 @@
                          std::vector<CachedPrefix> &result) const
 {
     result.clear();
-    for (std::size_t i = consideredHashes(prompt); i > 0; --i) {
+    for (std::size_t i = knownDepth(prompt); i > 0; --i) {
         if (!isKept(i - 1))
             continue;
         const std::uint64_t tokens = std::min<std::uint64_t>(
@@ -84,20 +116,18 @@
 
 void PrefixIndex::insert(std::uint64_t hash, ServerSlot slot, Instant now)
 {
-    const std::size_t set = setOf(hash);
     Entry *place = nullptr;
-    for (std::size_t i = set; i < set + ways; ++i) {
-        Entry &entry = m_entries[i];
-        if (valid(entry) && entry.hash == hash && entry.slot == slot) {
-            entry.confirmedAt = now;
+    for (Entry &entry : m_sets[setOf(hash)].entries) {
+        if (valid(entry) && entry.tag == tagOf(hash) && entry.slot == slot) {
+            entry.confirmedTicks = ticks(now);
             return;
         }
-        const bool better = place == nullptr || (valid(*place) && !valid(entry))
-                || (valid(*place) && entry.confirmedAt < place->confirmedAt);
-        if (better)
+        const bool older = place == nullptr || (valid(*place) && !valid(entry))
+                || (valid(*place) && entry.confirmedTicks < place->confirmedTicks);
+        if (older)
             place = &entry;
     }
-    *place = {hash, now, slot, m_servers[slot].generation};
+    *place = {tagOf(hash), ticks(now), slot, m_servers[slot].generation};
 }
 
 void PrefixIndex::answered(ServerSlot slot, const PromptPrefixes &prompt,
--- a/src/prefixindex.h
+++ b/src/prefixindex.h
@@ -8,6 +8,7 @@
 #include "serverslot.h"
 #include "types.h"
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -58,30 +59,39 @@
     void forget(ServerSlot slot);
 
 private:
-    static constexpr std::size_t ways = 8; // entries that one hash competes for
-
+    // 16 bytes, so that the entries one hash competes for fill two cache lines: reading the table
+    // is the greatest part of the cost of a decision.
     struct Entry
     {
-        std::uint64_t hash = 0;
-        Instant confirmedAt {};
+        std::uint32_t tag = 0;            // of the hash
+        std::uint32_t confirmedTicks = 0; // time of the last confirmation
         ServerSlot slot = noServerSlot;
         std::uint32_t generation = 0; // of the slot; an older one is void
     };
+    struct alignas(64) EntrySet
+    {
+        std::array<Entry, 8> entries;
+    };
     struct Server
     {
         std::uint32_t generation = 0;
         double trust = 1; // share of expected tokens that were found cached, in [0, 1]
     };
 
+    static std::uint32_t ticks(Instant at);
+    static std::uint32_t tagOf(std::uint64_t hash);
+
     Server &server(ServerSlot slot);
     bool valid(const Entry &entry) const;
     std::size_t setOf(std::uint64_t hash) const;
+    bool known(std::uint64_t hash) const;
+    std::size_t knownDepth(const PromptPrefixes &prompt) const;
     void insert(std::uint64_t hash, ServerSlot slot, Instant now);
     void collect(std::uint64_t hash, std::uint64_t tokens, Instant now,
                  std::vector<CachedPrefix> &result) const;
 
     PrefixIndexSettings m_settings;
-    std::vector<Entry> m_entries;  // sets of `ways` entries
+    std::vector<EntrySet> m_sets;  // by hash
     std::vector<Server> m_servers; // by slot
 };
 
--- /dev/null
+++ b/test/correctness/entrymodules.cpp
@@ -0,0 +1,278 @@
+// Unit tests of the modules behind the entry scheduler. Each guards against the misjudgement that
+// its name states.
+
+#include "candidateselector.h"
+#include "outlierdetector.h"
+#include "placement.h"
+#include "prefixindex.h"
+#include "requestlifecycle.h"
+#include "retrybudget.h"
+#include "speedestimate.h"
+#include "statechartfile.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace cornelshed;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Instant start {};
+
+Usage usage(std::uint64_t prompt, std::uint64_t output, Duration firstToken, Duration total)
+{
+    return {prompt, output, 0, {}, firstToken, total};
+}
+
+} // namespace
+
+TEST_CASE("the built-in request chart makes the same transitions as the chart file")
+{
+    const RequestLifecycle builtIn(defaultRequestChart());
+    const auto file = readStateChart(CORNELSHED_SOURCE_DIR "/charts/request.toml");
+    const RequestLifecycle fromFile(std::get<StateChart>(file));
+    for (std::uint8_t state = 0; state < 5; ++state)
+        for (std::uint8_t event = 0; event < 7; ++event)
+            CHECK(builtIn.next(RequestState(state), RequestEvent(event))
+                  == fromFile.next(RequestState(state), RequestEvent(event)));
+    CHECK(builtIn.next(RequestState::Waiting, RequestEvent::GrantAccepted)
+          == RequestState::Dispatched);
+}
+
+TEST_CASE("retries stay within the burst and the share of first attempts")
+{
+    RetryBudget budget(0.25, 2);
+    CHECK(budget.tryRetry());
+    CHECK(budget.tryRetry());
+    CHECK_FALSE(budget.tryRetry());
+    for (int i = 0; i < 4; ++i)
+        budget.firstAttempt();
+    CHECK(budget.tryRetry());
+    CHECK_FALSE(budget.tryRetry());
+    for (int i = 0; i < 100; ++i)
+        budget.firstAttempt();
+    CHECK(budget.available() == 2);
+}
+
+TEST_CASE("service time scales with request size and falls back to the class of the server")
+{
+    SpeedEstimate speeds;
+    speeds.add(0, 0);
+    speeds.add(1, 0);
+    speeds.add(2, 1);
+    CHECK(speeds.serviceTime(0, {1000, 100}, start) == Duration::zero());
+    // 1,000 prompt tokens in 100 ms, then 100 tokens in 1 s.
+    speeds.finished(0, usage(1000, 101, milliseconds(100), milliseconds(1100)), start);
+    CHECK(speeds.serviceTime(0, {2000, 200}, start) == milliseconds(2200));
+    CHECK(speeds.serviceTime(1, {2000, 200}, start) == milliseconds(2200));
+    CHECK(speeds.serviceTime(2, {2000, 200}, start) == Duration::zero());
+    speeds.finished(2, usage(0, 0, {}, milliseconds(40)), start);
+    CHECK(speeds.serviceTime(2, {0, 0}, start) == milliseconds(40));
+}
+
+TEST_CASE("a load report loses weight with age, and work sent after it is added")
+{
+    SpeedEstimate speeds;
+    speeds.add(0, 0);
+    speeds.add(1, 0);
+    const LoadReport full {8, 8, 16000, 5000, 50, 8};
+    const LoadReport empty {0, 0, 0, 5000, 50, 8};
+    for (int i = 0; i < 50; ++i)
+        speeds.report(1, empty, start);
+    speeds.report(0, full, start);
+    const Duration fresh = speeds.queueDelay(0, start);
+    CHECK(fresh > milliseconds(1));
+    CHECK(speeds.queueDelay(0, start + seconds(4)) < fresh / 4);
+    CHECK(speeds.queueDelay(1, start) < fresh / 4);
+    const Duration idle = speeds.queueDelay(1, start);
+    for (int i = 0; i < 12; ++i)
+        speeds.sent(1, {1000, 100});
+    CHECK(speeds.queueDelay(1, start) > idle);
+    speeds.report(1, empty, start);
+    CHECK(speeds.queueDelay(1, start) <= idle);
+}
+
+TEST_CASE("prefix beliefs fade, follow what answers report, and end with the server")
+{
+    PrefixIndex index;
+    const std::vector<std::uint64_t> hashes {11, 12, 13, 14};
+    const PromptPrefixes prompt {hashes, 100, 400};
+    std::vector<CachedPrefix> found;
+    index.answered(5, prompt, 0, 0, start);
+    index.lookup(prompt, start, found);
+    CHECK(found == std::vector<CachedPrefix> {{5, 400}});
+    const std::vector<std::uint64_t> sharesTwo {11, 12, 99, 98};
+    index.lookup({sharesTwo, 100, 400}, start, found);
+    CHECK(found == std::vector<CachedPrefix> {{5, 200}});
+    index.lookup(prompt, start + minutes(5), found);
+    CHECK(found == std::vector<CachedPrefix> {{5, 200}});
+    for (int i = 0; i < 20; ++i)
+        index.answered(5, prompt, 400, 0, start);
+    index.lookup(prompt, start, found);
+    CHECK(found.at(0).tokens < 10);
+    index.forget(5);
+    index.lookup(prompt, start, found);
+    CHECK(found.empty());
+}
+
+TEST_CASE("placement prefers the fastest finish and the cached prefix, and refuses the too slow")
+{
+    SpeedEstimate speeds;
+    std::vector<ServerSlot> slots {0, 1, 2};
+    for (const ServerSlot slot : slots) {
+        speeds.add(slot, slot);
+        speeds.report(slot, {0, 0, 0, 1000, slot == 1 ? 100.0 : 25.0, 4}, start);
+    }
+    CandidateSet candidates;
+    candidates.add(slots);
+    PlacementQuery query {&candidates, {}, {}, &speeds, 1000, 100, seconds(60), 1, start};
+    SeededRandom random(1);
+    std::vector<PlacementChoice> choices;
+    ScoredPlacement policy;
+    CHECK(policy.choose(query, random, choices) == 3);
+    CHECK(choices.at(0).slot == 1);
+    query.promptTokens = 20000; // 20 s of prefill, unless cached
+    const std::vector<CachedPrefix> cached {{2, 20000}};
+    query.cached = cached;
+    policy.choose(query, random, choices);
+    CHECK(choices.at(0).slot == 2);
+    query.available = seconds(3);
+    CHECK(policy.choose(query, random, choices) == 3);
+    CHECK(choices.empty());
+    const std::vector<ServerSlot> excluded {0, 1, 2};
+    query.excluded = excluded;
+    CHECK(policy.choose(query, random, choices) == 0);
+}
+
+TEST_CASE("scored placement does not send equal daemons to the same server")
+{
+    SpeedEstimate speeds;
+    std::vector<ServerSlot> slots(100);
+    std::iota(slots.begin(), slots.end(), 0);
+    for (const ServerSlot slot : slots) {
+        speeds.add(slot, 0);
+        speeds.report(slot, {0, 0, 0, 1000, 50, 4}, start);
+    }
+    CandidateSet candidates;
+    candidates.add(slots);
+    const PlacementQuery query {&candidates, {}, {}, &speeds, 100, 100, seconds(60), 1, start};
+    std::vector<int> hits(slots.size());
+    for (std::uint64_t daemon = 0; daemon < 380; ++daemon) {
+        SeededRandom random(daemon);
+        std::vector<PlacementChoice> choices;
+        ScoredPlacement().choose(query, random, choices);
+        ++hits[choices.at(0).slot];
+    }
+    // 3.8 on average; 16 would be far outside of a random spread.
+    CHECK(*std::max_element(hits.begin(), hits.end()) < 16);
+}
+
+TEST_CASE("baseline policies choose different servers and respect exclusions")
+{
+    SpeedEstimate speeds;
+    std::vector<ServerSlot> slots {0, 1, 2, 3};
+    for (const ServerSlot slot : slots) {
+        speeds.add(slot, 0);
+        speeds.report(slot, {slot, 0, 0, 0, 0, 4}, start);
+    }
+    CandidateSet candidates;
+    candidates.add(slots);
+    const std::vector<ServerSlot> excluded {1};
+    const PlacementQuery query {&candidates, {}, excluded, &speeds, 1, 1, seconds(1), 3, start};
+    SeededRandom random(1);
+    std::vector<PlacementChoice> choices;
+    RoundRobinPlacement roundRobin;
+    RandomPlacement randomPolicy;
+    LeastOfTwoPlacement leastOfTwo;
+    for (PlacementPolicy *policy :
+         std::initializer_list<PlacementPolicy *> {&roundRobin, &randomPolicy, &leastOfTwo}) {
+        CHECK(policy->choose(query, random, choices) == 3);
+        const auto sum = [](std::uint32_t n, const PlacementChoice &it) { return n + it.slot; };
+        CHECK(std::accumulate(choices.begin(), choices.end(), 0U, sum) == 5); // 0, 2 and 3
+    }
+}
+
+TEST_CASE("a failing or slow server is ejected, probed by one request and let back")
+{
+    for (const bool slow : {false, true}) {
+        OutlierDetector detector;
+        for (ServerSlot slot = 0; slot < 4; ++slot)
+            detector.add(slot, 0);
+        const AttemptResult good {false, 100, 100, seconds(1), false};
+        // Ten times as much work may take longer without being an outlier.
+        const AttemptResult large {false, 2000, 2000, seconds(20), false};
+        const AttemptResult bad {!slow, 100, 100, seconds(10), false};
+        for (int i = 0; i < 30; ++i) {
+            for (ServerSlot slot = 0; slot < 3; ++slot)
+                detector.record(slot, slot == 0 ? large : good, start);
+            detector.record(3, bad, start);
+        }
+        CHECK(detector.state(0) == OutlierState::Admitted);
+        CHECK(detector.state(1) == OutlierState::Admitted);
+        REQUIRE(detector.state(3) == OutlierState::Ejected);
+        std::vector<ServerSlot> changed;
+        detector.expire(detector.nextExpiry(), changed);
+        CHECK(changed == std::vector<ServerSlot> {3});
+        CHECK(detector.nextExpiry() == instantNever);
+        detector.probeStarted(3);
+        CHECK(detector.state(3) == OutlierState::ProbeRunning);
+        detector.record(3, good, start); // sent before the ejection: tells nothing
+        CHECK(detector.state(3) == OutlierState::ProbeRunning);
+        detector.record(3, {false, 100, 100, seconds(1), true}, start);
+        CHECK(detector.state(3) == OutlierState::Admitted);
+    }
+}
+
+TEST_CASE("at most the set share of a group is ejected")
+{
+    OutlierDetector detector;
+    for (ServerSlot slot = 0; slot < 6; ++slot)
+        detector.add(slot, 0);
+    for (int i = 0; i < 20; ++i)
+        for (ServerSlot slot = 0; slot < 6; ++slot)
+            detector.record(slot, {true, 0, 0, {}, false}, start);
+    int ejected = 0;
+    for (ServerSlot slot = 0; slot < 6; ++slot)
+        ejected += detector.state(slot) == OutlierState::Ejected ? 1 : 0;
+    CHECK(ejected == 2);
+}
+
+TEST_CASE("a new version gets its share, falls back to the old one, and nothing once taken back")
+{
+    ServerDirectory directory;
+    for (std::uint64_t i = 0; i < 2; ++i)
+        directory.add({{"s" + std::to_string(i), 1}, "p", "z", i == 0 ? "v1" : "v2", {"m"}, 0, {}});
+    auto configuration = std::make_shared<Configuration>();
+    configuration->routes = {{"/r", {"p"}}, {"/other", {"p"}}};
+    RoutingView view {configuration, {}, {{"rollout", "p", "v1", "v2", {"/r"}, 0.05, false}}};
+    CandidateSelector selector(directory);
+    selector.setView(std::make_shared<RoutingView>(view));
+    CandidateSet candidates;
+    const auto toNew = [&](const char *route) {
+        int n = 0;
+        for (int i = 0; i < 1000; ++i) {
+            selector.collect({route, "m", i / 1000.0}, candidates);
+            for (std::size_t j = 0; j < candidates.size(); ++j)
+                n += candidates.at(j) == 1 ? 1 : 0;
+        }
+        return n;
+    };
+    CHECK(toNew("/r") == 50);
+    CHECK(toNew("/other") == 1000); // not a route of the rollout: both versions serve it
+    view.versionShares[0].takenBack = true;
+    selector.setView(std::make_shared<RoutingView>(view));
+    CHECK(toNew("/r") == 0);
+    view.versionShares[0] = {"rollout", "p", "v1", "v2", {}, 0.5, false};
+    selector.setView(std::make_shared<RoutingView>(view));
+    directory.setBlock(1, ServerBlock::Leaving, true);
+    CHECK(selector.collect({"/r", "m", 0.1}, candidates) == VersionRank::Fallback);
+    CHECK(selector.collect({"/r", "m", 0.9}, candidates) == VersionRank::Selected);
+    directory.setBlock(0, ServerBlock::Leaving, true);
+    directory.setBlock(1, ServerBlock::Leaving, false);
+    CHECK(selector.collect({"/r", "m", 0.9}, candidates) == VersionRank::Forbidden);
+}
