Ask full servers again while other reservations remain; ignore tiny rate samples

A request with one reservation left at a silent server was never offered again to servers whose queues had been full for a moment; it now is after the retry pause. Speeds learnt from prompts under 256 or answers under 8 tokens are mostly fixed cost and could have long requests refused early; they are ignored.

--- a/src/entryreservations.cpp
+++ b/src/entryreservations.cpp
@@ -154,10 +154,12 @@
     }
     const Reserved result = reserve(request, now);
     refreshLatestStart(request);
-    if (!request.reservations.empty())
-        m_requests.setTimer(request, request.latestStart);
-    else if (temporarilyAvoided(request) > 0)
+    const bool full = request.reservations.size() >= m_limits.reservationCount;
+    // Also with some reservations left: they may be at servers that never grant.
+    if (!full && temporarilyAvoided(request) > 0)
         waitForRetry(request, now);
+    else if (!request.reservations.empty())
+        m_requests.setTimer(request, request.latestStart);
     else if (!request.offeredBackBy.empty())
         refuse(request, NotRunReason::RetryBudget);
     else if (result == Reserved::Unreachable || request.tooSlowSomewhere)
--- a/src/requesttable.h
+++ b/src/requesttable.h
@@ -47,7 +47,7 @@
     std::vector<BackendServerId> offeredBackBy;
     Instant latestStart = instantNever;
     bool tooSlowSomewhere = false; // a server could not finish it in time when it had room
-    std::uint32_t rounds = 0;      // of reservations that were all rejected
+    std::uint32_t rounds = 0;      // pauses before servers with full queues are asked again
 
     // While dispatched.
     EntryReservation dispatchedTo;
--- a/src/speedestimate.cpp
+++ b/src/speedestimate.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Shorter prompts and answers say little about the rate, because their time is mostly fixed cost. A
+// rate learnt from them would make long requests look too slow and have them refused.
+constexpr std::uint64_t leastPrefillTokens = 256;
+constexpr std::uint64_t leastOutputTokens = 8;
+
 double seconds(Duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -85,11 +90,11 @@
     }
     const std::uint64_t prefilled =
             usage.promptTokens - std::min(usage.cachedTokens, usage.promptTokens);
-    if (prefilled > 0 && usage.firstTokenTime > Duration::zero())
+    if (prefilled >= leastPrefillTokens && usage.firstTokenTime > Duration::zero())
         learn(server, &Rates::prefill,
               static_cast<double>(prefilled) / seconds(usage.firstTokenTime), now);
     const Duration decodeTime = usage.totalTime - usage.firstTokenTime;
-    if (usage.outputTokens > 1 && decodeTime > Duration::zero())
+    if (usage.outputTokens >= leastOutputTokens && decodeTime > Duration::zero())
         learn(server, &Rates::decode,
               static_cast<double>(usage.outputTokens - 1) / seconds(decodeTime), now);
 }
--- a/test/correctness/entrymodules.cpp
+++ b/test/correctness/entrymodules.cpp
@@ -65,6 +65,7 @@
     speeds.add(0, 0);
     speeds.add(1, 0);
     speeds.add(2, 1);
+    speeds.finished(0, usage(10, 2, milliseconds(20), milliseconds(60)), start); // too small
     CHECK(speeds.serviceTime(0, {1000, 100}, start) == Duration::zero());
     // 1,000 prompt tokens in 100 ms, then 100 tokens in 1 s.
     speeds.finished(0, usage(1000, 101, milliseconds(100), milliseconds(1100)), start);
