Control thread of an entry daemon, with peers' RPC

Entry daemons need one thread that owns the configuration, the membership, the claims and the table client, and that spreads accepted changes to its peers by Cap'n Proto RPC.

Asio's loop is the main one and KJ's is polled every 5 ms, because neither exposes what it waits on. Replies travel in a call's results, so that a daemon that the host list does not have yet still learns the configuration from its peers while the table is down. Rollouts, leases and burn counts are to be added as a ControlPart in controlparts.cpp.

Found by the tests on the way: timers and table answers that were queued before the loop's end ran after it and crashed; both now check that their owner is alive.

--- a/cmake/runtime.cmake
+++ b/cmake/runtime.cmake
@@ -1,7 +1,8 @@
 # Runtime: the shells around the decision library, and the programs that ship.
-add_library(cornelshed_wire STATIC ${CMAKE_SOURCE_DIR}/schema/wire.capnp.c++)
+add_library(cornelshed_wire STATIC ${CMAKE_SOURCE_DIR}/schema/wire.capnp.c++
+  ${CMAKE_SOURCE_DIR}/schema/peer.capnp.c++)
 target_include_directories(cornelshed_wire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/schema)
-target_link_libraries(cornelshed_wire PUBLIC CapnProto::capnp)
+target_link_libraries(cornelshed_wire PUBLIC CapnProto::capnp CapnProto::capnp-rpc)
 target_compile_options(cornelshed_wire PRIVATE -w)
 
 # All sources of src/ that are neither in the decision library nor a program's main file.
--- /dev/null
+++ b/src/controlloop.h
@@ -0,0 +1,113 @@
+// What runs on the control thread. Internal to the runtime; includes Asio.
+//
+// One thread serves two event loops. Asio's is the main one: the table client, timers and
+// hand-overs from traffic threads use it. KJ's loop for the peers' RPC is polled every 5 ms,
+// because neither loop exposes the file descriptor it waits on. A spread takes five rounds, so
+// polling adds 25 ms on average to the 4 s within which a change has to be in force.
+
+#ifndef CORNELSHED_CONTROLLOOP_H
+#define CORNELSHED_CONTROLLOOP_H
+
+#include "claims.h"
+#include "configspread.h"
+#include "controlpart.h"
+#include "controlthread.h"
+#include "peernetwork.h"
+#include "platformclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelshed::detail {
+
+class ControlLoop final : private ControlPartHost
+{
+public:
+    // Opens the peers' port; throws PeerNetworkError if that fails. version is set to the version
+    // in force whenever it changes.
+    ControlLoop(boost::asio::io_context &context, const ControlSettings &settings,
+                ControlThread::ViewCallback viewChanged, std::atomic<std::uint64_t> &version);
+    ~ControlLoop() override; // outstanding claims become Unavailable
+
+    void claim(const ClaimKey &key, RequestId request, std::uint64_t bodyDigest,
+               ControlThread::ClaimCallback callback);
+    void finishClaim(const ClaimKey &key, RequestId request, const StoredAnswer &answer);
+    void releaseClaim(const ClaimKey &key, RequestId request);
+    void recordOutcome(const ReportOutcome &outcome);
+    void agentLeaving(const std::string &name);
+
+private:
+    PlatformTable &table() override { return m_client; }
+    RandomSource &random() override { return m_random; }
+    Instant now() const override;
+    const std::vector<std::string> &peers() const override { return m_peerNames; }
+    void sendToPeer(const std::string &peer, const std::string &part,
+                    const std::string &payload) override;
+    void viewChanged() override { publish(); }
+    void reschedule() override { scheduleParts(); }
+
+    PeerHandlers makeHandlers();
+    bool isIntact(const std::string &digest, const std::string &text);
+    std::vector<SpreadMessage> receiveSpread(const std::string &from, const SpreadMessage &message);
+
+    void carryOut(const SpreadActions &actions);
+    void perform(const PollHead &action);
+    void perform(const FetchText &action);
+    void perform(const SendToPeer &action);
+    void perform(const InstallConfiguration &action);
+
+    void carryOut(const ClaimActions &actions);
+    void perform(const CommitClaims &action);
+    void perform(const ReadClaims &action);
+    void perform(const ClaimDecided &action);
+
+    void pollPeers();
+    void pollHosts();
+    void hostsRead(const std::vector<PlatformHost> &hosts);
+    void setPeers(const std::vector<PlatformHost> &hosts);
+    void setAgents(const std::vector<PlatformHost> &hosts);
+    void publish();
+
+    void scheduleSpread();
+    void scheduleClaims();
+    void scheduleParts();
+    void schedule(boost::asio::steady_timer &timer, Instant at, std::function<void()> run);
+
+    ControlSettings m_settings;
+    ControlThread::ViewCallback m_viewChanged;
+    std::atomic<std::uint64_t> &m_version;
+    SeededRandom m_random;
+    PlatformClient m_client;
+    PeerNetwork m_peers;
+    ConfigurationSpread m_spread;
+    ClaimTracker m_claims;
+    std::unordered_map<RequestId, ControlThread::ClaimCallback> m_claimCallbacks;
+
+    Configuration m_checked; // of the last text that passed the check, to be installed next
+    std::shared_ptr<const Configuration> m_configuration; // in force; null if none
+    std::shared_ptr<const std::string> m_configurationText;
+    std::vector<std::string> m_peerNames;
+    std::vector<AgentAddress> m_agents;      // sorted by name
+    std::vector<std::string> m_hostsLeaving; // by the host list, sorted
+    std::set<std::string> m_agentsLeaving;   // by their own word; fresher than the host list
+    std::vector<std::unique_ptr<ControlPart>> m_parts;
+
+    boost::asio::steady_timer m_peersTimer;
+    boost::asio::steady_timer m_hostsTimer;
+    boost::asio::steady_timer m_spreadTimer;
+    boost::asio::steady_timer m_claimsTimer;
+    boost::asio::steady_timer m_partsTimer;
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
+};
+
+} // namespace cornelshed::detail
+
+#endif // CORNELSHED_CONTROLLOOP_H
--- /dev/null
+++ b/src/peercodec.cpp
@@ -0,0 +1,69 @@
+// Field by field copies; the size of a message is limited when it is received.
+
+#include "peercodec.h"
+
+namespace cornelshed::detail {
+
+namespace {
+
+capnp::Data::Reader dataOf(const std::string &text)
+{
+    return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
+}
+
+std::string textOf(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+SpreadUpdate readUpdate(wire::SpreadUpdate::Reader reader)
+{
+    SpreadUpdate update;
+    update.version = reader.getVersion();
+    update.digest = reader.getDigest().cStr();
+    update.baseVersion = reader.getBaseVersion();
+    update.prefixBytes = reader.getPrefixBytes();
+    update.suffixBytes = reader.getSuffixBytes();
+    update.middle = textOf(reader.getMiddle());
+    return update;
+}
+
+void writeUpdate(const SpreadUpdate &update, wire::SpreadUpdate::Builder builder)
+{
+    builder.setVersion(update.version);
+    builder.setDigest(update.digest);
+    builder.setBaseVersion(update.baseVersion);
+    builder.setPrefixBytes(update.prefixBytes);
+    builder.setSuffixBytes(update.suffixBytes);
+    builder.setMiddle(dataOf(update.middle));
+}
+
+} // namespace
+
+void writeSpreadMessage(const SpreadMessage &message, wire::SpreadMessage::Builder builder)
+{
+    if (const auto *announce = std::get_if<SpreadAnnounce>(&message)) {
+        auto inner = builder.initAnnounce();
+        inner.setVersion(announce->version);
+        inner.setReply(announce->reply);
+    } else if (const auto *request = std::get_if<SpreadRequest>(&message)) {
+        builder.setRequestBase(request->version);
+    } else {
+        writeUpdate(std::get<SpreadUpdate>(message), builder.initUpdate());
+    }
+}
+
+std::optional<SpreadMessage> readSpreadMessage(wire::SpreadMessage::Reader reader)
+{
+    switch (reader.which()) {
+    case wire::SpreadMessage::ANNOUNCE:
+        return SpreadAnnounce {reader.getAnnounce().getVersion(), reader.getAnnounce().getReply()};
+    case wire::SpreadMessage::REQUEST_BASE:
+        return SpreadRequest {reader.getRequestBase()};
+    case wire::SpreadMessage::UPDATE:
+        return readUpdate(reader.getUpdate());
+    }
+    return std::nullopt;
+}
+
+} // namespace cornelshed::detail
--- a/src/platformclient.cpp
+++ b/src/platformclient.cpp
@@ -154,7 +154,12 @@
         request.contentType = contentType;
         request.timeout = m_settings.timeout;
         request.answerLimitBytes = m_settings.answerLimitBytes;
-        detail::callHttp(m_context, std::move(request), std::move(callback));
+        detail::callHttp(m_context, std::move(request),
+                         [alive = std::weak_ptr<const bool>(m_alive),
+                          callback = std::move(callback)](HttpAnswer answer) {
+                             if (!alive.expired())
+                                 callback(std::move(answer));
+                         });
     }
 
     void post(const char *target, std::string body, std::function<void(HttpAnswer)> callback)
@@ -165,6 +170,7 @@
 private:
     boost::asio::io_context &m_context;
     PlatformSettings m_settings;
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
 };
 
 PlatformClient::PlatformClient(boost::asio::io_context &context, PlatformSettings settings)
--- a/src/platformclient.h
+++ b/src/platformclient.h
@@ -52,7 +52,7 @@
 public:
     using HostsCallback = std::function<void(Result<std::vector<PlatformHost>, TableError>)>;
 
-    // Callbacks run in context, which must outlive the client and all calls.
+    // Callbacks run in context, which must outlive the client, and not after the client's end.
     PlatformClient(boost::asio::io_context &context, PlatformSettings settings);
     ~PlatformClient() override;
     PlatformClient(const PlatformClient &) = delete;
