--- a/src/operatorcommands.cpp
+++ b/src/operatorcommands.cpp
@@ -7,20 +7,25 @@
 #include "configurationdiff.h"
 #include "configurationfile.h"
 #include "configurationhead.h"
+#include "deploymentversions.h"
 #include "platformsession.h"
 
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <ostream>
 #include <random>
 #include <sstream>
+#include <thread>
 
 namespace cornelshed {
 
 namespace {
 
+constexpr Duration callTimeout = std::chrono::seconds(1); // to an entry daemon
+
 PlatformSettings settingsOf(const PlatformEndpoint &endpoint)
 {
     PlatformSettings settings;
@@ -192,7 +197,9 @@
     if (const auto *accepted = std::get_if<Accepted>(&outcome)) {
         m_output << "accepted: version " << accepted->version << " (change " << request.changeId
                  << ")\n";
-        return ExitStatus::Success;
+        return options.waitFor.has_value()
+                ? waitInForce(session, accepted->version, *options.waitFor)
+                : ExitStatus::Success;
     }
     if (const auto *unknown = std::get_if<AcceptanceUnknown>(&outcome)) {
         m_errors << "unknown whether the change was accepted: " << unknown->reason
@@ -200,22 +207,56 @@
                  << settlingCommand(options, request, unknown->seenVersion) << "\n";
         return ExitStatus::Unknown;
     }
-    const NotAccepted &refused = std::get<NotAccepted>(outcome);
+    return reportRefusal(session, std::get<NotAccepted>(outcome), *text);
+}
+
+ExitStatus OperatorCommands::reportRefusal(PlatformSession &session, const NotAccepted &refused,
+                                           const std::string &text)
+{
     m_errors << "not accepted: " << refused.reason << "\n";
     if (!refused.winner.has_value())
         return ExitStatus::Unavailable;
     m_errors << "in the way: " << describe(refused.winner->head)
              << "; this file would change it by\n";
     const auto winning = readAcceptedText(session.table(), *refused.winner);
-    if (const auto *accepted = std::get_if<std::string>(&winning)) {
-        for (const std::string &it : configurationDifference(*accepted, *text))
-            m_errors << it << "\n";
-    } else {
-        m_errors << "(unknown: " << std::get<TableError>(winning).message << ")\n";
+    if (const auto *error = std::get_if<TableError>(&winning)) {
+        m_errors << "(unknown: " << error->message << ")\n";
+        return ExitStatus::NotAccepted;
     }
+    for (const std::string &it : configurationDifference(std::get<std::string>(winning), text))
+        m_errors << it << "\n";
     return ExitStatus::NotAccepted;
 }
 
+// A daemon that does not answer counts as not having the version: it may be slow rather than gone.
+ExitStatus OperatorCommands::waitInForce(PlatformSession &session, std::uint64_t version,
+                                         Duration most)
+{
+    const auto end = std::chrono::steady_clock::now() + most;
+    std::vector<std::string> missing;
+    do {
+        const auto hosts = session.hosts();
+        missing = {"the host list"};
+        if (const auto *list = std::get_if<std::vector<PlatformHost>>(&hosts)) {
+            missing.clear();
+            for (const EntryVersion &it : readEntryVersions(*list, callTimeout)) {
+                if (it.version.value_or(0) < version)
+                    missing.push_back(it.name);
+            }
+        }
+        if (missing.empty()) {
+            m_output << "in force: version " << version << " in every entry daemon\n";
+            return ExitStatus::Success;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    } while (std::chrono::steady_clock::now() < end);
+    m_errors << "not in force yet:";
+    for (const std::string &it : missing)
+        m_errors << " " << it;
+    m_errors << "\n";
+    return ExitStatus::NotInForce;
+}
+
 ExitStatus OperatorCommands::status(const PlatformEndpoint &platform)
 {
     PlatformSession session(settingsOf(platform));
@@ -227,16 +268,40 @@
     const SeenHead &head = std::get<SeenHead>(seen);
     m_output << "configuration: "
              << (head.rowVersion == 0 ? std::string("none accepted") : describe(head.head)) << "\n";
+    printEntryVersions(session);
     for (const char *prefix : {"event/", "lease/"}) {
-        const auto rows = session.table().scan(prefix);
-        if (const auto *error = std::get_if<TableError>(&rows)) {
-            m_errors << error->message << "\n";
+        if (!printRows(session, prefix))
             return ExitStatus::Unavailable;
-        }
-        for (const auto &[key, row] : std::get<TableRows>(rows))
-            m_output << key << ": " << row.value << "\n";
     }
     return ExitStatus::Success;
 }
 
+void OperatorCommands::printEntryVersions(PlatformSession &session)
+{
+    const auto hosts = session.hosts();
+    if (const auto *error = std::get_if<TableError>(&hosts)) {
+        m_errors << "host list: " << error->message << "\n";
+        return;
+    }
+    for (const EntryVersion &it :
+         readEntryVersions(std::get<std::vector<PlatformHost>>(hosts), callTimeout)) {
+        m_output << "entry " << it.name << ": "
+                 << (it.version.has_value() ? "version " + std::to_string(*it.version)
+                                            : std::string("no answer"))
+                 << "\n";
+    }
+}
+
+bool OperatorCommands::printRows(PlatformSession &session, const std::string &prefix)
+{
+    const auto rows = session.table().scan(prefix);
+    if (const auto *error = std::get_if<TableError>(&rows)) {
+        m_errors << error->message << "\n";
+        return false;
+    }
+    for (const auto &[key, row] : std::get<TableRows>(rows))
+        m_output << key << ": " << row.value << "\n";
+    return true;
+}
+
 } // namespace cornelshed
--- a/src/operatorcommands.h
+++ b/src/operatorcommands.h
@@ -12,6 +12,9 @@
 
 namespace cornelshed {
 
+class PlatformSession;
+struct NotAccepted;
+
 enum class ExitStatus : int {
     Success = 0,
     WrongInput = 1,  // a file is wrong or cannot be read or written; nothing was changed
@@ -64,6 +67,12 @@
     ExitStatus writeFile(const std::string &path, const std::string &text);
     std::optional<std::string> readConfiguration(const std::string &path);
 
+    ExitStatus reportRefusal(PlatformSession &session, const NotAccepted &refused,
+                             const std::string &text);
+    ExitStatus waitInForce(PlatformSession &session, std::uint64_t version, Duration most);
+    void printEntryVersions(PlatformSession &session);
+    bool printRows(PlatformSession &session, const std::string &prefix);
+
     std::ostream &m_output;
     std::ostream &m_errors;
 };
--- a/test/support/modelplatform.cpp
+++ b/test/support/modelplatform.cpp
@@ -86,6 +86,7 @@
     }
 
     std::atomic<bool> m_tableDown {false};
+    std::atomic<bool> m_loseAnswers {false};
 
 private:
     void serve()
@@ -101,6 +102,8 @@
                 continue;
             http::response<http::string_body> response {http::status::ok, 11};
             answer(request, response);
+            if (m_loseAnswers && request.target() == "/table/transact")
+                continue;
             response.keep_alive(false);
             response.prepare_payload();
             http::write(socket, response, ec);
@@ -124,11 +127,21 @@
             for (const json::value &it : body.at("keys").as_array())
                 keys.emplace_back(it.as_string());
             response.body() = json::serialize(rowsOf(m_table.read(keys)));
+        } else if (target == "/table/scan") {
+            const json::value body = json::parse(request.body());
+            response.body() = json::serialize(rowsOf(scan(body.at("prefix").as_string())));
         } else if (m_table.commit(transactionOf(json::parse(request.body())))) {
             response.result(http::status::conflict);
         }
     }
 
+    TableRows scan(std::string_view prefix) const
+    {
+        TableRows rows = m_table.rows();
+        std::erase_if(rows, [&](const auto &it) { return !it.first.starts_with(prefix); });
+        return rows;
+    }
+
     void answerObject(const std::string &target, const http::request<http::string_body> &request,
                       http::response<http::string_body> &response)
     {
@@ -171,6 +184,11 @@
     d->setHosts(hosts);
 }
 
+void ModelPlatform::setLoseAnswers(bool lose)
+{
+    d->m_loseAnswers = lose;
+}
+
 void ModelPlatform::setTableDown(bool down)
 {
     d->m_tableDown = down;
--- a/test/support/modelplatform.h
+++ b/test/support/modelplatform.h
@@ -20,6 +20,7 @@
     std::uint16_t port() const;
     PlatformSettings settings() const;
     void setHosts(const std::vector<PlatformHost> &hosts);
+    void setLoseAnswers(bool lose); // transactions take effect, and the connection is closed
     void setTableDown(bool down); // the table and the objects refuse calls; the host list is served
 
 private:
