Control thread with rollouts and burn counts; endings are recorded

Cause: the control thread landed without parts, and burn counted attempts at servers, so that a refused request did not count as bad.

--- a/src/controlthread.cpp
+++ b/src/controlthread.cpp
@@ -1,21 +1,15 @@
-// Control thread that follows the accepted configuration and the host list by polling the platform.
-// It keeps no claims: claim() reports Unavailable, so that calls which need one are refused as not
-// run.
+// Starts and stops the control thread, and hands calls over to it.
 
 #include "controlthread.h"
 
-#include "configurationfile.h"
-#include "configurationhead.h"
-#include "eventlog.h"
-#include "platformclient.h"
+#include "controlloop.h"
 
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <atomic>
-#include <chrono>
+#include <future>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -23,109 +17,61 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-constexpr std::chrono::milliseconds pollInterval {500};
-
-} // namespace
-
 class ControlThread::Private
 {
 public:
     Private(const ControlSettings &settings, ViewCallback viewChanged)
-        : m_viewChanged(std::move(viewChanged)),
-          m_platform(m_context, {settings.platformAddress, settings.platformPort}),
-          m_timer(m_context)
+        : m_settings(settings), m_viewChanged(std::move(viewChanged))
     { }
 
-    void poll()
+    ~Private()
     {
-        m_platform.read({configurationHeadKey}, [this](Result<TableRows, TableError> rows) {
-            if (const auto *found = std::get_if<TableRows>(&rows))
-                readHead(*found);
-        });
-        m_platform.hosts([this](Result<std::vector<PlatformHost>, TableError> hosts) {
-            if (const auto *found = std::get_if<std::vector<PlatformHost>>(&hosts))
-                readHosts(*found);
-        });
-        m_timer.expires_after(pollInterval);
-        m_timer.async_wait([this](auto ec) {
-            if (!ec)
-                poll();
-        });
+        m_context.stop();
+        if (m_thread.joinable())
+            m_thread.join();
     }
 
-    void readHead(const TableRows &rows)
+    // Waits until the peers' port is open, and passes on the exception if it cannot be.
+    void start()
     {
-        const auto row = rows.find(configurationHeadKey);
-        if (row == rows.end())
-            return;
-        const auto head = parseHead(row->second.value);
-        if (!head || head->version <= m_version)
-            return;
-        m_platform.getObject(configurationObjectKey(head->digest),
-                             [this, version = head->version](Result<std::string, TableError> text) {
-                                 if (const auto *found = std::get_if<std::string>(&text))
-                                     install(version, *found);
-                             });
+        const auto opened = std::make_shared<std::promise<void>>();
+        std::future<void> result = opened->get_future();
+        m_thread = std::thread([this, opened] { run(*opened); });
+        result.get();
     }
 
-    void install(std::uint64_t version, const std::string &text)
+    // Runs the function with the loop on the control thread, or with null after the thread's end.
+    template<typename Function> void post(Function function)
     {
-        auto parsed = parseConfiguration(text, "configuration");
-        auto *configuration = std::get_if<Configuration>(&parsed);
-        if (configuration == nullptr || version <= m_version)
-            return;
-        configuration->version = version;
-        m_version = version;
-        m_configuration = std::make_shared<const Configuration>(std::move(*configuration));
-        m_text = std::make_shared<const std::string>(text);
-        EventLog("configuration_installed").field("version", version);
-        publish();
+        asio::post(m_context, [this, function = std::move(function)]() mutable {
+            function(m_loop.has_value() ? &*m_loop : nullptr);
+        });
     }
 
-    void readHosts(const std::vector<PlatformHost> &hosts)
-    {
-        std::vector<AgentAddress> agents;
-        std::vector<std::string> leaving;
-        for (const PlatformHost &it : hosts) {
-            if (it.role != "agent")
-                continue;
-            agents.push_back({it.name, it.address, it.port, it.availabilityZone});
-            if (it.state == "leaving")
-                leaving.push_back(it.name);
-        }
-        std::sort(agents.begin(), agents.end());
-        if (agents == m_agents && leaving == m_leaving)
-            return;
-        m_agents = std::move(agents);
-        m_leaving = std::move(leaving);
-        publish();
-    }
+    std::uint64_t version() const { return m_version.load(); }
 
-    void publish()
+private:
+    void run(std::promise<void> &opened)
     {
-        if (!m_configuration)
+        try {
+            m_loop.emplace(m_context, m_settings, m_viewChanged, m_version);
+        } catch (...) {
+            opened.set_exception(std::current_exception());
             return;
-        auto routing = std::make_shared<RoutingView>();
-        routing->configuration = m_configuration;
-        routing->leavingHosts = m_leaving;
-        auto view = std::make_shared<ControlView>();
-        view->routing = std::move(routing);
-        view->configurationText = m_text;
-        view->agents = m_agents;
-        m_viewChanged(std::move(view));
+        }
+        opened.set_value();
+        m_context.run();
+        m_loop.reset();
+        m_context.restart();
+        m_context.poll(); // calls handed over too late are answered without the loop
     }
 
+    ControlSettings m_settings;
     ViewCallback m_viewChanged;
-    asio::io_context m_context {1};
-    PlatformClient m_platform;
-    asio::steady_timer m_timer;
-    std::shared_ptr<const Configuration> m_configuration; // null until one is known
-    std::shared_ptr<const std::string> m_text;
-    std::vector<AgentAddress> m_agents;
-    std::vector<std::string> m_leaving;
     std::atomic<std::uint64_t> m_version {0};
+    asio::io_context m_context {1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work {m_context.get_executor()};
+    std::optional<detail::ControlLoop> m_loop; // lives and dies on the control thread
     std::thread m_thread;
 };
 
@@ -133,38 +79,67 @@
     : d(std::make_unique<Private>(settings, std::move(viewChanged)))
 { }
 
-ControlThread::~ControlThread()
+ControlThread::~ControlThread() = default;
+
+void ControlThread::start()
 {
-    d->m_context.stop();
-    if (d->m_thread.joinable())
-        d->m_thread.join();
+    d->start();
 }
 
-void ControlThread::start()
+void ControlThread::claim(const ClaimKey &key, RequestId request, std::uint64_t bodyDigest,
+                          ClaimCallback callback)
 {
-    asio::post(d->m_context, [this] { d->poll(); });
-    d->m_thread = std::thread([this] { d->m_context.run(); });
+    d->post([=, callback = std::move(callback)](detail::ControlLoop *loop) mutable {
+        if (loop == nullptr)
+            callback({});
+        else
+            loop->claim(key, request, bodyDigest, std::move(callback));
+    });
 }
 
-void ControlThread::claim(const ClaimKey & /*key*/, RequestId /*request*/,
-                          std::uint64_t /*bodyDigest*/, ClaimCallback callback)
+void ControlThread::finishClaim(const ClaimKey &key, RequestId request, StoredAnswer answer)
 {
-    asio::post(d->m_context, [callback = std::move(callback)] { callback(ClaimResult {}); });
+    d->post([=, answer = std::move(answer)](detail::ControlLoop *loop) {
+        if (loop != nullptr)
+            loop->finishClaim(key, request, answer);
+    });
 }
 
-void ControlThread::finishClaim(const ClaimKey & /*key*/, RequestId /*request*/,
-                                StoredAnswer /*answer*/)
-{ }
+void ControlThread::releaseClaim(const ClaimKey &key, RequestId request)
+{
+    d->post([=](detail::ControlLoop *loop) {
+        if (loop != nullptr)
+            loop->releaseClaim(key, request);
+    });
+}
 
-void ControlThread::releaseClaim(const ClaimKey & /*key*/, RequestId /*request*/) { }
+void ControlThread::recordOutcome(const ReportOutcome &outcome)
+{
+    d->post([=](detail::ControlLoop *loop) {
+        if (loop != nullptr)
+            loop->recordOutcome(outcome);
+    });
+}
 
-void ControlThread::recordOutcome(const ReportOutcome & /*outcome*/) { }
+void ControlThread::recordEnding(const RequestEnding &ending)
+{
+    d->post([=](detail::ControlLoop *loop) {
+        if (loop != nullptr)
+            loop->recordEnding(ending);
+    });
+}
 
-void ControlThread::agentLeaving(const std::string & /*name*/) { }
+void ControlThread::agentLeaving(const std::string &name)
+{
+    d->post([=](detail::ControlLoop *loop) {
+        if (loop != nullptr)
+            loop->agentLeaving(name);
+    });
+}
 
 std::uint64_t ControlThread::configurationVersion() const
 {
-    return d->m_version;
+    return d->version();
 }
 
 } // namespace cornelshed
--- a/src/entrydaemon.cpp
+++ b/src/entrydaemon.cpp
@@ -71,6 +71,8 @@
 
     void recordOutcome(const ReportOutcome &outcome) override { m_control.recordOutcome(outcome); }
 
+    void recordEnding(const RequestEnding &ending) override { m_control.recordEnding(ending); }
+
     void agentLeaving(const std::string &name) override { m_control.agentLeaving(name); }
 
     void beginShutdown()
--- a/src/entrydispatcher.cpp
+++ b/src/entrydispatcher.cpp
@@ -244,6 +244,12 @@
     if (it == m_requests.end())
         return;
     it->second->sink->ended(action.request, action.ending);
+    const auto *notRun = std::get_if<NotRun>(&action.ending);
+    if (notRun == nullptr || notRun->reason != NotRunReason::CallerGone) {
+        const RequestArrival &arrival = it->second->arrival;
+        m_control.recordEnding({arrival.organisation, arrival.tier,
+                                std::holds_alternative<Answered>(action.ending)});
+    }
     m_requests.erase(it);
     m_requestCount = m_requests.size();
 }
