Places for small requests, learnt memory limit, truthful reported limit, cached servers first

Cause: under evening overload the lower tiers' short requests (deadline of seconds) found all places held by long ones (a minute each); an engine whose memory was full queued requests itself, unseen by the limit; a load report with waiting reservations still told a free limit, so entry daemons predicted no wait; prefixes were believed cached only at the end of an answer, and any of three reservations could win, cached or not. Change: a fifth of the places is open to small requests only; a first token that is late beside streams at good pace lowers the limit to the occupancy before it; long answers grow a cold limit only; the reported limit is the occupancy while reservations wait; prompts ahead may take a quarter of the first-token target; entry daemons learn prefixes from the first chunk and reserve at servers with the prefix alone while waiting there costs less than computing it again.

--- a/src/adaptivelimit.cpp
+++ b/src/adaptivelimit.cpp
@@ -17,6 +17,9 @@
 // Load beyond the latency targets shrinks the limit only when it lasts: one long prompt slows all
 // streams of a batch for a moment.
 constexpr std::uint32_t loadedUntilShrink = 32;
+// One place in so many is open to small requests only.
+constexpr std::uint32_t smallPlacesDivisor = 5;
+
 constexpr double shrinkFactor = 0.9;
 
 } // namespace
@@ -35,7 +38,9 @@
 {
     if (occupancy.requests == 0)
         return true;
-    return occupancy.requests < m_concurrency && occupancy.tokens + requestTokens <= m_tokens;
+    const bool isSmall = requestTokens <= smallTokens();
+    const std::uint32_t places = isSmall ? m_concurrency : placesForLarge();
+    return occupancy.requests < places && occupancy.tokens + requestTokens <= m_tokens;
 }
 
 void AdaptiveLimit::observed(Pace pace, const Occupancy &occupancy, Instant now)
@@ -61,7 +66,23 @@
     if (m_cold)
         growCold();
     else
-        growWarm();
+        growWarm(occupancy);
+}
+
+void AdaptiveLimit::steady(const Occupancy &occupancy)
+{
+    if (m_cold && full(occupancy))
+        growCold();
+}
+
+void AdaptiveLimit::overfull(const Occupancy &beside)
+{
+    m_cold = false;
+    m_successesAtLimit = 0;
+    m_tokens = std::clamp(beside.tokens, m_settings.coldTokens, m_tokens);
+    // Far below the limit on requests it was the tokens that did not fit.
+    if (beside.requests + 1 >= m_concurrency * shrinkFactor)
+        m_concurrency = std::clamp(beside.requests, m_settings.coldConcurrency, m_concurrency);
 }
 
 void AdaptiveLimit::failed(Instant now)
@@ -83,10 +104,20 @@
     m_cold = true;
 }
 
+std::uint32_t AdaptiveLimit::placesForLarge() const
+{
+    return m_concurrency - m_concurrency / smallPlacesDivisor;
+}
+
 // Half of the token limit counts as full: the next large request would not fit.
+bool AdaptiveLimit::fullByTokens(const Occupancy &occupancy) const
+{
+    return occupancy.tokens * 2 >= m_tokens;
+}
+
 bool AdaptiveLimit::full(const Occupancy &occupancy) const
 {
-    return occupancy.requests >= m_concurrency || occupancy.tokens * 2 >= m_tokens;
+    return occupancy.requests >= placesForLarge() || fullByTokens(occupancy);
 }
 
 void AdaptiveLimit::growCold()
@@ -97,14 +128,17 @@
         m_cold = false;
 }
 
-void AdaptiveLimit::growWarm()
+// Only what was full has been shown to be too small.
+void AdaptiveLimit::growWarm(const Occupancy &occupancy)
 {
     if (++m_successesAtLimit < m_concurrency)
         return;
     m_successesAtLimit = 0;
     const std::uint64_t tokensOfOne = std::max<std::uint64_t>(m_tokens / m_concurrency, 1);
-    m_concurrency = std::min(m_concurrency + 1, m_settings.maximumConcurrency);
-    m_tokens = std::min(m_tokens + tokensOfOne, m_settings.maximumTokens);
+    if (fullByTokens(occupancy))
+        m_tokens = std::min(m_tokens + tokensOfOne, m_settings.maximumTokens);
+    if (occupancy.requests >= placesForLarge())
+        m_concurrency = std::min(m_concurrency + 1, m_settings.maximumConcurrency);
 }
 
 // Shrinks relative to what runs, so that a long batch that cannot drain at once does not push the
--- a/src/adaptivelimit.h
+++ b/src/adaptivelimit.h
@@ -44,7 +44,9 @@
 
     void setMaximumConcurrency(std::uint32_t maximum);
 
-    // A request larger than the token limit is admitted to an empty server only.
+    // A request larger than the token limit is admitted to an empty server only. A part of the
+    // places is open to small requests only: a long one holds its place for a minute, in which
+    // requests with a deadline of seconds would find none.
     bool admits(const Occupancy &occupancy, std::uint64_t requestTokens) const;
 
     // A first token or a run of tokens arrived while the server had this occupancy.
@@ -53,6 +55,14 @@
     // A request finished in full; occupancy is that before the end.
     void succeeded(const Occupancy &occupancy, Pace pace);
 
+    // Running requests keep a good pace at this occupancy. Ends the cold state sooner, but does not
+    // grow a warm limit: long answers would raise it many times before they leave.
+    void steady(const Occupancy &occupancy);
+
+    // A request waited on the server itself for room, beside this occupancy: its memory or batch is
+    // full, although the pace of what runs is good.
+    void overfull(const Occupancy &beside);
+
     // The server failed a request.
     void failed(Instant now);
 
@@ -62,15 +72,20 @@
     // Starts the present cold state's clock anew.
     void restartCold(Instant now) { m_coldSince = now; }
 
+    // Largest request that counts as small, in tokens: half of the average place.
+    std::uint64_t smallTokens() const { return m_tokens / m_concurrency / 2; }
+
     bool cold() const { return m_cold; }
     Instant coldSince() const { return m_coldSince; }
     std::uint32_t concurrency() const { return m_concurrency; }
     std::uint64_t tokens() const { return m_tokens; }
 
 private:
+    std::uint32_t placesForLarge() const;
+    bool fullByTokens(const Occupancy &occupancy) const;
     bool full(const Occupancy &occupancy) const;
     void growCold();
-    void growWarm();
+    void growWarm(const Occupancy &occupancy);
     void shrink(const Occupancy &occupancy);
 
     AdaptiveLimitSettings m_settings;
--- a/src/agentscheduler.cpp
+++ b/src/agentscheduler.cpp
@@ -88,6 +88,8 @@
     void reject(SessionId session, RequestId request, RejectReason reason);
     void rejectEntries(const std::vector<QueueEntry> &entries, RejectReason reason);
     void refund(const HeldPlace &place) { m_queue.refund(place.entry); }
+    bool tooLate(const QueueEntry &entry) const;
+    bool admits(const QueueEntry &entry) const;
     void grant(const QueueEntry &entry);
     void start(SessionId session, const Dispatch &dispatch, const HeldPlace &place);
     ServiceEstimate estimate(const Reservation &reservation) const;
@@ -325,24 +327,36 @@
 
 void AgentScheduler::Private::grantWhilePossible()
 {
-    if (!takesNewWork())
-        return;
-    while (const QueueEntry *entry = m_queue.next()) {
-        const Reservation reservation = m_reservations.at(entry->request);
-        if (m_now + estimate(reservation).total > entry->deadline) {
+    while (takesNewWork() && m_queue.size() > 0) {
+        const QueueEntry *entry = m_queue.next();
+        if (!tooLate(*entry) && !admits(*entry))
+            entry = m_queue.smallEntry(m_work.limit().smallTokens());
+        if (entry == nullptr)
+            return;
+        if (tooLate(*entry)) {
             const QueueEntry late = *entry;
             m_queue.remove(late.request);
             rejectEntries({late}, RejectReason::DeadlineUnreachable);
             continue;
         }
-        const HeldPlaces held {{m_ledger.liveCount(), m_ledger.liveTokens()},
-                               m_ledger.livePromptTokens()};
-        if (!m_work.admits(held, entry->tokens, m_now))
+        if (!admits(*entry))
             return;
-        grant(m_queue.pop());
+        grant(m_queue.take(entry->request));
     }
 }
 
+bool AgentScheduler::Private::tooLate(const QueueEntry &entry) const
+{
+    return m_now + estimate(m_reservations.at(entry.request)).total > entry.deadline;
+}
+
+bool AgentScheduler::Private::admits(const QueueEntry &entry) const
+{
+    const HeldPlaces held {{m_ledger.liveCount(), m_ledger.liveTokens()},
+                           m_ledger.livePromptTokens()};
+    return m_work.admits(held, entry.tokens, m_now);
+}
+
 void AgentScheduler::Private::grant(const QueueEntry &entry)
 {
     const auto it = m_reservations.find(entry.request);
@@ -431,6 +445,11 @@
 {
     LoadReport report = m_work.load();
     report.waiting = static_cast<std::uint32_t>(m_queue.size());
+    // Tokens, prompts ahead or a gap in the progress may bound the server before the number of
+    // requests does; entry daemons predict waits from the bound that holds.
+    const std::uint32_t occupied = report.running + m_ledger.liveCount();
+    if (report.waiting > 0)
+        report.concurrencyLimit = std::min(report.concurrencyLimit, std::max(occupied, 1U));
     return report;
 }
 
--- a/src/entrydecisions.cpp
+++ b/src/entrydecisions.cpp
@@ -221,11 +221,19 @@
         request->started = true;
 }
 
-void EntryDecisions::on(ServerSlot from, const Chunk &message, Instant /*now*/)
+void EntryDecisions::on(ServerSlot from, const Chunk &message, Instant now)
 {
     EntryRequest *request = m_requests.find(message.request);
-    if (request != nullptr && request->dispatchedTo.slot == from)
-        request->started = true;
+    if (request == nullptr || request->dispatchedTo.slot != from)
+        return;
+    request->started = true;
+    if (std::exchange(request->firstChunkSeen, true) || request->arrival.prefixHashes.empty())
+        return;
+    // The prompt is processed; the end of a long answer, which tells more, is a minute away.
+    const RequestArrival &arrival = request->arrival;
+    m_prefixes.answered(from,
+                        {arrival.prefixHashes, arrival.prefixTokensPerHash, arrival.promptTokens},
+                        0, 0, now);
 }
 
 void EntryDecisions::on(ServerSlot from, const Finished &message, Instant now)
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -28,6 +28,9 @@
     return !contains(query.excluded, slot) && !chosen(choices, slot);
 }
 
+// Streams that a prompt delays, about those of a full server.
+constexpr int streamsPerBatch = 32;
+
 // Takes the first acceptable candidates from the position on.
 std::size_t takeFrom(const PlacementQuery &query, std::size_t position,
                      std::vector<PlacementChoice> &choices)
@@ -111,16 +114,38 @@
     m_scored.clear();
     for (const CachedPrefix &it : query.cached)
         consider(query, it.slot, it.tokens, random);
+    if (cachedSuffice(query)) {
+        takeBest(query.count, choices);
+        return m_seen.size();
+    }
     sample(query, m_settings.sampleSize, random);
     if (m_scored.size() < query.count)
         sample(query, m_settings.secondSampleSize, random);
-    const std::size_t n = std::min(query.count, m_scored.size());
+    takeBest(query.count, choices);
+    return m_seen.size();
+}
+
+// Servers with the prefix are enough if waiting there costs less than computing it again elsewhere:
+// processing a prompt delays all streams of a batch.
+bool ScoredPlacement::cachedSuffice(const PlacementQuery &query) const
+{
+    const WorkSize whole {query.promptTokens, query.outputTokens};
+    return std::any_of(m_scored.begin(), m_scored.end(), [&](const Scored &it) {
+        const PlacementChoice &choice = it.choice;
+        const Duration uncached = query.speeds->serviceTime(choice.slot, whole, query.now);
+        const Duration saved = (uncached - choice.service) * streamsPerBatch;
+        return choice.finish <= query.available && choice.finish - choice.service <= saved;
+    });
+}
+
+void ScoredPlacement::takeBest(std::size_t count, std::vector<PlacementChoice> &choices)
+{
+    const std::size_t n = std::min(count, m_scored.size());
     const auto middle = m_scored.begin() + static_cast<std::ptrdiff_t>(n);
     std::partial_sort(m_scored.begin(), middle, m_scored.end(),
                       [](const Scored &a, const Scored &b) { return a.score < b.score; });
     for (auto it = m_scored.begin(); it != middle; ++it)
         choices.push_back(it->choice);
-    return m_seen.size();
 }
 
 std::size_t RoundRobinPlacement::choose(const PlacementQuery &query, RandomSource & /*random*/,
--- a/src/placement.h
+++ b/src/placement.h
@@ -96,6 +96,8 @@
     void consider(const PlacementQuery &query, ServerSlot slot, std::uint64_t cachedTokens,
                   RandomSource &random);
     void sample(const PlacementQuery &query, std::size_t count, RandomSource &random);
+    bool cachedSuffice(const PlacementQuery &query) const;
+    void takeBest(std::size_t count, std::vector<PlacementChoice> &choices);
 
     ScoredPlacementSettings m_settings;
     std::vector<ServerSlot> m_seen; // scratch, kept for its memory
--- a/src/requesttable.h
+++ b/src/requesttable.h
@@ -53,7 +53,8 @@
     EntryReservation dispatchedTo;
     GrantId grant;
     Instant dispatchedAt;
-    bool started = false; // a part of the answer arrived
+    bool started = false;        // a part of the answer arrived
+    bool firstChunkSeen = false; // a part of its body arrived
 
     Instant timer = instantNever;
 };
--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -15,6 +15,10 @@
 // Timer and network jitter that is no sign of a slow server.
 constexpr Duration jitter = std::chrono::milliseconds(20);
 
+// Prompts ahead of a request may take this part of the target for its first token; its own prompt,
+// the wait for a grant and the messages need the rest.
+constexpr int promptShareOfTarget = 4;
+
 // Tokens over which the time per token is averaged: few enough to see a cold server within a
 // fraction of a second, enough to smooth out single late tokens.
 constexpr std::uint64_t windowLength = 4;
@@ -54,7 +58,8 @@
     if (sum.requests > 0 && suspect(now))
         return false;
     const Duration ahead = m_rates.prefillTime(m_pendingPrompt + held.promptTokens);
-    return ahead <= m_limits.firstTokenTarget && m_limit.admits(sum, requestTokens);
+    return ahead <= m_limits.firstTokenTarget / promptShareOfTarget
+            && m_limit.admits(sum, requestTokens);
 }
 
 void ServerWork::start(RequestId request, const RunningRequest &running)
@@ -64,6 +69,7 @@
     for (auto &[id, it] : m_running)
         it.windowPromptTokens += running.promptTokens;
     RunningRequest added = running;
+    added.beside = occupancy();
     m_pendingPrompt += added.promptTokens;
     ++m_prefilling;
     m_heldTokens += added.promptTokens + added.outputTokens;
@@ -90,7 +96,7 @@
     m_pendingPrompt -= running->promptTokens;
     --m_prefilling;
     running->windowPromptTokens = m_pendingPrompt;
-    note(*running, judgeFirstToken(*running, now - running->startedAt), running->startedAt, now);
+    judgeStart(*running, now);
 }
 
 void ServerWork::tokens(RequestId request, std::uint64_t count, Instant now)
@@ -220,6 +226,19 @@
     return report;
 }
 
+// A first token that is late although the streams beside it keep their pace had to wait for room.
+void ServerWork::judgeStart(RunningRequest &running, Instant now)
+{
+    const Pace pace = judgeFirstToken(running, now - running.startedAt);
+    const bool streamsBeside = batch() > m_prefilling + 1;
+    if (pace == Pace::Good || !streamsBeside || m_suspect) {
+        note(running, pace, running.startedAt, now);
+        return;
+    }
+    running.latestPace = Pace::Loaded;
+    m_limit.overfull(running.beside);
+}
+
 // The time of a first token is compared with that of all prompt tokens ahead, its own included.
 Pace ServerWork::judgeFirstToken(const RunningRequest &running, Duration time) const
 {
@@ -277,7 +296,8 @@
     if (running.tokensSinceSuccess < tokensPerSuccess)
         return;
     running.tokensSinceSuccess = 0;
-    m_limit.succeeded(occupancy(), presentPace());
+    if (presentPace() == Pace::Good)
+        m_limit.steady(occupancy());
 }
 
 // Learns from prompts that waited for no other one. One step of the batch passes before the first
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -34,6 +34,7 @@
 
     // Progress.
     std::uint64_t promptTokensAhead = 0; // not yet processed at the start, with its own
+    Occupancy beside;                    // at the start, without itself
     std::uint32_t companions = 0;        // largest number of running requests seen, with itself
     std::optional<Instant> firstTokenAt;
     std::uint64_t producedTokens = 0;
@@ -61,8 +62,8 @@
     explicit ServerWork(const AgentLimits &limits);
 
     // True if the server bears one more request beside what runs and the places held by grants.
-    // A prompt waits for those before it, so no further one is admitted while they take longer than
-    // the target for the first token.
+    // A prompt waits for those before it, so no further one is admitted while they take more than
+    // a quarter of the target for the first token.
     bool admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const;
 
     void start(RequestId request, const RunningRequest &running);
@@ -99,6 +100,7 @@
     bool stalled(Instant now) const;
     void progressed(Instant now);
     void learnGap(Duration gap);
+    void judgeStart(RunningRequest &running, Instant now);
     Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
     Pace judgeInterval(Duration perToken, Duration allowance) const;
     Pace presentPace() const;
--- a/src/tierqueue.cpp
+++ b/src/tierqueue.cpp
@@ -13,6 +13,9 @@
 // that organisations with short requests alternate one by one.
 constexpr std::int64_t quantumTokens = 256;
 
+// Entries that smallEntry() looks at: bounds its cost under a long queue.
+constexpr std::size_t smallEntryScan = 32;
+
 // Requests of plain services have no tokens and count like a short request.
 std::int64_t costOf(const QueueEntry &entry)
 {
@@ -63,7 +66,7 @@
                         < b.second.tokens * std::max(a.second.weight, 1U);
             });
     QueueEntry shed = m_entries.at(largest->second.order.rbegin()->second);
-    take(shed);
+    drop(shed);
     return shed;
 }
 
@@ -73,7 +76,7 @@
     if (it == m_entries.end())
         return false;
     const QueueEntry entry = it->second;
-    take(entry);
+    drop(entry);
     return true;
 }
 
@@ -85,13 +88,32 @@
 
 QueueEntry TierQueue::pop()
 {
-    QueueEntry entry = *next();
+    return take(next()->request);
+}
+
+QueueEntry TierQueue::take(RequestId request)
+{
+    QueueEntry entry = m_entries.at(request);
     chargeTiers(entry.tier, 1);
     m_tiers[entry.tier].organisations[entry.organisation].deficit -= costOf(entry);
-    take(entry);
+    drop(entry);
     return entry;
 }
 
+const QueueEntry *TierQueue::smallEntry(std::uint64_t mostTokens) const
+{
+    const QueueEntry *best = nullptr;
+    std::size_t looked = 0;
+    for (const auto &[deadline, request] : m_byDeadline) {
+        if (++looked > smallEntryScan)
+            break;
+        const QueueEntry &entry = m_entries.at(request);
+        if (entry.tokens <= mostTokens && (best == nullptr || entry.tier < best->tier))
+            best = &entry;
+    }
+    return best;
+}
+
 void TierQueue::refund(const QueueEntry &entry)
 {
     chargeTiers(entry.tier, -1);
@@ -106,7 +128,7 @@
     std::vector<QueueEntry> expired;
     while (!m_byDeadline.empty() && m_byDeadline.begin()->first <= now) {
         expired.push_back(m_entries.at(m_byDeadline.begin()->second));
-        take(expired.back());
+        drop(expired.back());
     }
     return expired;
 }
@@ -126,7 +148,7 @@
         }
     }
     for (const QueueEntry &it : entries)
-        take(it);
+        drop(it);
     return entries;
 }
 
@@ -188,7 +210,7 @@
     }
 }
 
-void TierQueue::take(const QueueEntry &entry)
+void TierQueue::drop(const QueueEntry &entry)
 {
     Tier &tier = m_tiers[entry.tier];
     const auto it = tier.organisations.find(entry.organisation);
--- a/src/tierqueue.h
+++ b/src/tierqueue.h
@@ -51,6 +51,13 @@
     // Takes the entry that next() returns and charges its tier and organisation for it.
     QueueEntry pop();
 
+    // The entry of the highest tier with at most so many tokens among the earliest deadlines,
+    // nullptr if there is none. For places that are not open to larger requests.
+    const QueueEntry *smallEntry(std::uint64_t mostTokens) const;
+
+    // Takes this entry out of turn, charged as by pop().
+    QueueEntry take(RequestId request);
+
     // Undoes the charge of a popped entry that was not served after all.
     void refund(const QueueEntry &entry);
 
@@ -86,7 +93,7 @@
     const QueueEntry &nextOf(Tier &tier);
     void addTurns(Tier &tier);
     void chargeTiers(TierRank served, double grants);
-    void take(const QueueEntry &entry);
+    void drop(const QueueEntry &entry);
 
     std::size_t m_limit;
     std::map<TierRank, Tier> m_tiers;
