--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -72,6 +72,7 @@
     added.beside = occupancy();
     m_pendingPrompt += added.promptTokens;
     ++m_prefilling;
+    m_gapHasPrompts = true;
     m_heldTokens += added.promptTokens + added.outputTokens;
     added.promptTokensAhead = m_pendingPrompt;
     m_running.emplace(request, added);
@@ -127,11 +128,13 @@
     Pace pace = running->slow ? Pace::Slow : Pace::Good;
     if (!running->firstTokenAt) {
         pace = observeWhole(*running, total);
-        note(*running, pace, running->startedAt, now);
+        note(*running, pace, now);
     } else if (pace == Pace::Good) {
         learnPrefill(*running, usage);
         pace = std::max(running->latestPace, presentPace());
     }
+    if (!running->slow)
+        clearSuspicion(running->startedAt);
     if (m_suspect)
         pace = Pace::Slow; // its earlier tokens say nothing about the server now
     m_limit.succeeded(occupancy(), pace);
@@ -180,7 +183,8 @@
     const Duration gap = now - m_lastProgress;
     if (m_prefilling == batch()) // no stream is past its first token
         return gap > (perToken + m_rates.prefillTime(m_pendingPrompt)) * slowFactor + jitter;
-    return gap > std::max(perToken * slowFactor, m_usualGap * 2) + jitter;
+    const Duration explained = m_gapHasPrompts ? m_usualGap * 2 : Duration::zero();
+    return gap > std::max(perToken * slowFactor, explained) + jitter;
 }
 
 // A gap in the progress shows a cold server one token after it turned, where the averaged time per
@@ -192,10 +196,11 @@
         m_suspect = true;
         m_suspectGap = gap;
         m_suspectSince = now;
-    } else if (!m_suspect && m_prefilling < batch()) {
+    } else if (!m_suspect && m_prefilling < batch() && m_gapHasPrompts) {
         learnGap(gap);
     }
     m_lastProgress = now;
+    m_gapHasPrompts = m_prefilling > 0;
 }
 
 // A decaying maximum: prompts processed beside the streams make gaps that the time per token of a
@@ -232,7 +237,7 @@
     const Pace pace = judgeFirstToken(running, now - running.startedAt);
     const bool streamsBeside = batch() > m_prefilling + 1;
     if (pace == Pace::Good || !streamsBeside || m_suspect) {
-        note(running, pace, running.startedAt, now);
+        note(running, pace, now);
         return;
     }
     running.latestPace = Pace::Loaded;
@@ -279,7 +284,9 @@
     const Pace pace = judgeInterval(perToken, allowance);
     if (pace != Pace::Slow && running.windowPromptTokens == 0)
         m_rates.intervalObserved(batch(), perToken);
-    note(running, pace, running.windowStart, now);
+    note(running, pace, now);
+    if (pace != Pace::Slow && running.windowPromptTokens == 0)
+        clearSuspicion(running.windowStart);
     countSuccess(running, pace);
     running.windowStart = now;
     running.windowTokens = 0;
@@ -328,18 +335,24 @@
     return pace;
 }
 
-void ServerWork::note(RunningRequest &running, Pace pace, Instant since, Instant now)
+void ServerWork::note(RunningRequest &running, Pace pace, Instant now)
 {
     running.latestPace = pace;
     if (pace == Pace::Slow)
         running.slow = true;
-    else if (m_suspect && since >= m_suspectSince) {
-        m_suspect = false;
-        learnGap(m_suspectGap); // the pace is as usual, so the gap had another cause
-    }
     m_limit.observed(pace, occupancy(), now);
 }
 
+// The server kept its usual pace since the given time. Only windows without prompts and whole
+// answers show that: a long prompt explains any pace.
+void ServerWork::clearSuspicion(Instant since)
+{
+    if (!m_suspect || since < m_suspectSince)
+        return;
+    m_suspect = false;
+    learnGap(m_suspectGap); // the gap had another cause
+}
+
 void ServerWork::relearnIfStuck(Instant now)
 {
     const bool stuck = m_limit.cold() && m_limit.concurrency() == m_limits.coldConcurrency;
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -108,8 +108,8 @@
     void closeWindow(RunningRequest &running, Instant now);
     void learnPrefill(const RunningRequest &running, const Usage &usage);
     Pace observeWhole(const RunningRequest &running, Duration total);
-    // since: start of the time that the pace was measured over.
-    void note(RunningRequest &running, Pace pace, Instant since, Instant now);
+    void note(RunningRequest &running, Pace pace, Instant now);
+    void clearSuspicion(Instant since);
     void relearnIfStuck(Instant now);
     void remove(RequestId request, Instant now);
 
@@ -121,7 +121,8 @@
     std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
     Instant m_lastProgress;            // last token or end, or start on an empty server
     std::uint32_t m_prefilling = 0;    // requests without a first token
-    Duration m_usualGap {};            // largest gap in the progress of late, at usual pace
+    bool m_gapHasPrompts = false;      // prompts were processed since the last progress
+    Duration m_usualGap {};            // largest gap of late at usual pace beside prompts
     bool m_suspect = false;            // set by a gap in the progress
     Duration m_suspectGap {};
     Instant m_suspectSince;
