--- a/apps/demo/childprocess.cpp
+++ b/apps/demo/childprocess.cpp
@@ -28,7 +28,7 @@
 };
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                           std::string logFile)
+                           const std::string &logFile)
     : d(std::make_unique<Private>())
 {
     std::FILE *log = std::fopen(logFile.c_str(), "ae");
--- a/apps/demo/childprocess.h
+++ b/apps/demo/childprocess.h
@@ -16,7 +16,7 @@
 public:
     // Standard output and error are appended to the log file. Throws std::runtime_error.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                 std::string logFile);
+                 const std::string &logFile);
     ~ChildProcess();
     ChildProcess(ChildProcess &&) noexcept;
     ChildProcess &operator=(ChildProcess &&) noexcept;
