--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -304,15 +304,41 @@
     d->m_socket.close(ec);
 }
 
+bool Caller::pollStream()
+{
+    constexpr std::chrono::milliseconds interval {5};
+    constexpr std::size_t tailBytes = 64;
+    std::string tail;
+    std::array<char, 65536> buf {};
+    boost::system::error_code ec;
+    for (auto waited = interval; waited < timeLimit; waited += interval) {
+        std::this_thread::sleep_for(interval);
+        while (d->m_socket.available(ec) > 0) {
+            const std::size_t n = d->m_socket.read_some(asio::buffer(buf), ec);
+            tail.append(buf.data(), n);
+            tail.erase(0, tail.size() - std::min(tail.size(), tailBytes));
+        }
+        if (tail.find("Cornelshed-Outcome") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 CallerAnswer Caller::post(const std::string &target, const std::vector<std::string> &headers,
                           const std::string &body)
+{
+    sendPost(target, headers, body);
+    return receive();
+}
+
+void Caller::sendPost(const std::string &target, const std::vector<std::string> &headers,
+                      const std::string &body)
 {
     std::string bytes = "POST " + target + " HTTP/1.1\r\nHost: entry\r\n";
     for (const std::string &it : headers)
         bytes += it + "\r\n";
     bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     send(bytes);
-    return receive();
 }
 
 } // namespace cornelshed::testing
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -120,6 +120,12 @@
     // POST with the headers given as lines "Name: value".
     CallerAnswer post(const std::string &target, const std::vector<std::string> &headers,
                       const std::string &body);
+    void sendPost(const std::string &target, const std::vector<std::string> &headers,
+                  const std::string &body);
+
+    // Reads a stream every few milliseconds up to its trailer, and so does not have the daemon's
+    // thread wake this one for each part. False if it did not end within the time limit.
+    bool pollStream();
 
 private:
     class Private;
--- /dev/null
+++ b/test/support/proxypath.h
@@ -0,0 +1,81 @@
+// An entry daemon, an agent and a scripted backend server in the test's process, and the processor
+// time that the two daemons use. Other processes on the machine can only raise what is measured, so
+// benchmarks measure up to proxyPathAttempts times and take the lowest figure.
+
+#ifndef CORNELSHED_TEST_PROXYPATH_H
+#define CORNELSHED_TEST_PROXYPATH_H
+
+#include "agentrunner.h"
+#include "entryrunner.h"
+#include "loopback.h"
+
+#include <pthread.h>
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace cornelshed::testing {
+
+inline constexpr int proxyPathAttempts = 3;
+inline constexpr const char *daemonThreadName = "daemons";
+
+// Threads inherit their creator's name, which tells the daemons' threads from the test's own.
+template<typename Create> auto createNamed(Create create)
+{
+    pthread_setname_np(pthread_self(), daemonThreadName);
+    auto created = create();
+    pthread_setname_np(pthread_self(), "bench");
+    return created;
+}
+
+// Processor time of the daemons' threads so far.
+inline double daemonMicros()
+{
+    double nanoseconds = 0;
+    for (const auto &it : std::filesystem::directory_iterator("/proc/self/task")) {
+        std::string name;
+        std::ifstream(it.path() / "comm") >> name;
+        double used = 0;
+        std::ifstream(it.path() / "schedstat") >> used;
+        if (name == daemonThreadName)
+            nanoseconds += used;
+    }
+    return nanoseconds / 1000;
+}
+
+class ProxyPath
+{
+public:
+    ProxyPath(PoolKind kind, BackendStub::Handler handler)
+        : m_backend(std::move(handler)), m_agent(createNamed([&] {
+              return std::make_unique<AgentRunner>(agentSettings(m_backend.port(), kind));
+          })),
+          m_entry(createNamed([] { return std::make_unique<EntryRunner>(settings()); }))
+    {
+        m_entry->configure(smallDeployment(),
+                           {{"a1", "127.0.0.1", m_agent->daemon().entryPort(), "z1"}});
+        m_entry->waitForAgents(1);
+    }
+
+    static EntrySettings settings()
+    {
+        EntrySettings settings = entrySettings();
+        settings.trafficThreads = 2;
+        return settings;
+    }
+
+    std::uint16_t directPort() const { return m_backend.port(); }
+    std::uint16_t port() const { return m_entry->port(); }
+
+private:
+    BackendStub m_backend;
+    std::unique_ptr<AgentRunner> m_agent;
+    std::unique_ptr<EntryRunner> m_entry;
+};
+
+} // namespace cornelshed::testing
+
+#endif // CORNELSHED_TEST_PROXYPATH_H
