--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -34,6 +34,7 @@
 
     // Progress.
     std::uint64_t promptTokensAhead = 0; // not yet processed at the start, with its own
+    Occupancy beside;                    // at the start, without itself
     std::uint32_t companions = 0;        // largest number of running requests seen, with itself
     std::optional<Instant> firstTokenAt;
     std::uint64_t producedTokens = 0;
@@ -61,8 +62,8 @@
     explicit ServerWork(const AgentLimits &limits);
 
     // True if the server bears one more request beside what runs and the places held by grants.
-    // A prompt waits for those before it, so no further one is admitted while they take longer than
-    // the target for the first token.
+    // A prompt waits for those before it, so no further one is admitted while they take more than
+    // a quarter of the target for the first token.
     bool admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const;
 
     void start(RequestId request, const RunningRequest &running);
@@ -99,6 +100,7 @@
     bool stalled(Instant now) const;
     void progressed(Instant now);
     void learnGap(Duration gap);
+    void judgeStart(RunningRequest &running, Instant now);
     Pace judgeFirstToken(const RunningRequest &running, Duration time) const;
     Pace judgeInterval(Duration perToken, Duration allowance) const;
     Pace presentPace() const;
@@ -106,8 +108,8 @@
     void closeWindow(RunningRequest &running, Instant now);
     void learnPrefill(const RunningRequest &running, const Usage &usage);
     Pace observeWhole(const RunningRequest &running, Duration total);
-    // since: start of the time that the pace was measured over.
-    void note(RunningRequest &running, Pace pace, Instant since, Instant now);
+    void note(RunningRequest &running, Pace pace, Instant now);
+    void clearSuspicion(Instant since);
     void relearnIfStuck(Instant now);
     void remove(RequestId request, Instant now);
 
@@ -119,7 +121,8 @@
     std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
     Instant m_lastProgress;            // last token or end, or start on an empty server
     std::uint32_t m_prefilling = 0;    // requests without a first token
-    Duration m_usualGap {};            // largest gap in the progress of late, at usual pace
+    bool m_gapHasPrompts = false;      // prompts were processed since the last progress
+    Duration m_usualGap {};            // largest gap of late at usual pace beside prompts
     bool m_suspect = false;            // set by a gap in the progress
     Duration m_suspectGap {};
     Instant m_suspectSince;
