Version shares by a low-discrepancy sequence for each route

Cause: a random draw exceeds a small share by chance; the model showed up to 7.6% for a share of 5%. Change: VersionDraws (reversed radical inverse, a sequence for each route) replaces the random draw in the entry scheduler and the credit in the rollout model, which now runs the product's code. Ruled out: a credit counter, which serves one share only and not two rollouts on one route. Conclusion: the share of an unproven version is a bound, not an average.

--- a/apps/measure/rolloutmodel.cpp
+++ b/apps/measure/rolloutmodel.cpp
@@ -4,6 +4,7 @@
 #include "rolloutmodel.h"
 
 #include "rollout.h"
+#include "versiondraw.h"
 
 #include <algorithm>
 #include <array>
@@ -40,20 +41,9 @@
 {
     std::unique_ptr<RolloutController> controller;
     Instant hearsRollBack = instantNever;
-    std::array<double, routes.size()> credit {};
+    VersionDraws draws;
 };
 
-// Sends a request to the new version whenever the share of the requests so far allows a whole one,
-// so that the share is never exceeded, as entry daemons do.
-bool takeCredit(double &credit, double share)
-{
-    credit += share;
-    if (credit < 1)
-        return false;
-    credit -= 1;
-    return true;
-}
-
 class Model
 {
 public:
@@ -146,9 +136,8 @@
 
     void serveOne(std::size_t n, double currentShare)
     {
-        const std::size_t index = m_random.below(routes.size());
-        const std::string route = routes[index];
-        const bool isNew = takeCredit(m_daemons[n].credit[index], currentShare);
+        const std::string route = routes[m_random.below(routes.size())];
+        const bool isNew = m_daemons[n].draws.next(route) < currentShare;
         const bool bad = isNew && isBad(route, currentShare);
         const bool slow = m_settings.behaviour == VersionBehaviour::SlowAtOnce
                 || m_settings.behaviour == VersionBehaviour::TurnsCold;
--- a/src/entrydecisions.cpp
+++ b/src/entrydecisions.cpp
@@ -298,7 +298,7 @@
         return;
     }
     EntryRequest &request = m_requests.insert(arrival);
-    request.versionDraw = m_random.unit();
+    request.versionDraw = m_versionDraws.next(arrival.route);
     reserveOrRefuse(request, now);
     shedOverLimit();
 }
--- a/src/entrydecisions.h
+++ b/src/entrydecisions.h
@@ -14,6 +14,7 @@
 #include "retrybudget.h"
 #include "serverdirectory.h"
 #include "speedestimate.h"
+#include "versiondraw.h"
 
 #include <memory>
 #include <vector>
@@ -104,6 +105,7 @@
     SpeedEstimate m_speeds;
     PrefixIndex m_prefixes;
     OutlierDetector m_outliers;
+    VersionDraws m_versionDraws;
     RetryBudget m_retries;
     RequestTable m_requests;
     std::vector<ServerSlot> m_probing; // servers in state ProbeReady
--- /dev/null
+++ b/src/versiondraw.cpp
@@ -0,0 +1,30 @@
+// Radical inverse by reversal of bits (J. G. van der Corput, 1935).
+
+#include "versiondraw.h"
+
+namespace cornelshed {
+
+namespace {
+
+std::uint32_t reversedBits(std::uint32_t n)
+{
+    std::uint32_t result = 0;
+    for (int bit = 0; bit < 32; ++bit) {
+        result = (result << 1U) | (n & 1U);
+        n >>= 1U;
+    }
+    return result;
+}
+
+} // namespace
+
+double VersionDraws::next(std::string_view route)
+{
+    auto it = m_counts.find(route);
+    if (it == m_counts.end())
+        it = m_counts.emplace(route, 0).first;
+    const std::uint32_t n = ++it->second;
+    return 1.0 - static_cast<double>(reversedBits(n)) * 0x1.0p-32;
+}
+
+} // namespace cornelshed
