Measurements of rollouts, availability zones and the spread of configurations

Cause: the table of targets had rows without an experiment. Change: move experiments (six kinds of bad versions, good versions, a zone that leaves and returns, the spread to 2, 50 and 380 daemons); the spread model moves from a test to the experiment tool, and both use it; the rollout chart is read from charts/.

--- a/apps/measure/cornelshedsystem.cpp
+++ b/apps/measure/cornelshedsystem.cpp
@@ -22,12 +22,27 @@
     return {{"gold", 0, 0}, {"silver", 1, 0.05}, {"bronze", 2, 0.02}};
 }
 
-std::shared_ptr<const RoutingView> routingView()
+// Within this time a change of the configuration reaches every process.
+constexpr Duration spreadTime = std::chrono::seconds(2);
+
+// No new work starts in a withdrawn zone after this time.
+constexpr Duration withdrawalTime = std::chrono::seconds(3);
+
+std::string zoneName(std::size_t zone)
+{
+    return "zone-" + std::to_string(zone);
+}
+
+std::shared_ptr<const RoutingView> routingView(const std::vector<bool> &withdrawn)
 {
     auto configuration = std::make_shared<Configuration>();
     configuration->version = 1;
     configuration->tiers = tiers();
-    configuration->availabilityZones = {{"a", "region", AvailabilityZoneState::Serving}};
+    for (std::size_t zone = 0; zone < withdrawn.size(); ++zone) {
+        const auto state =
+                withdrawn[zone] ? AvailabilityZoneState::Withdrawn : AvailabilityZoneState::Serving;
+        configuration->availabilityZones.push_back({zoneName(zone), "region", state});
+    }
     PoolSettings pool;
     pool.name = "writers";
     pool.models = {"reed"};
@@ -41,12 +56,12 @@
     return view;
 }
 
-Welcome identity(std::size_t agent)
+Welcome identity(std::size_t agent, std::size_t zoneCount)
 {
     Welcome welcome;
     welcome.backendServer = {"runner-" + std::to_string(agent), agent + 1};
     welcome.pool = "writers";
-    welcome.availabilityZone = "a";
+    welcome.availabilityZone = zoneName(agent % zoneCount);
     welcome.version = "1";
     welcome.models = {"reed"};
     return welcome;
@@ -107,6 +122,9 @@
     TierRank tierOf(RequestId request) const { return m_run.workload[indexOf(request)].tier; }
 
     void connect();
+    void moveZone(const ZoneMove &move);
+    void returnEngine(std::size_t agent);
+    bool startsTooLate(std::size_t agent) const;
     void sampleReports();
     void perform(std::size_t agent, const AgentActions &actions);
     void perform(std::size_t entry, const EntryActions &actions);
@@ -126,21 +144,62 @@
     std::vector<Instant> m_dispatchedAt; // by request; never: not dispatched
     std::vector<Shed> m_sheds;
     std::uint64_t m_invertedAtOnePoint = 0;
+    std::vector<bool> m_withdrawn;         // by zone
+    std::vector<Instant> m_withdrawnSince; // by zone; meaningful while withdrawn
+    std::uint64_t m_withdrawnStarts = 0;
 };
 
 CornelshedSystem::CornelshedSystem(Run &run)
     : m_run(run), m_entries(run.scenario.entries), m_agents(run.fleet.size()),
-      m_dispatchedAt(run.workload.size(), instantNever)
+      m_dispatchedAt(run.workload.size(), instantNever), m_withdrawn(run.scenario.zoneCount),
+      m_withdrawnSince(run.scenario.zoneCount)
 {
-    const auto view = routingView();
+    const auto view = routingView(m_withdrawn);
     for (Entry &it : m_entries)
         it.scheduler = std::make_unique<EntryScheduler>(run.scenario.entryLimits, view, run.random);
     for (std::size_t n = 0; n < m_agents.size(); ++n)
-        m_agents[n].scheduler =
-                std::make_unique<AgentScheduler>(run.scenario.agentLimits, identity(n), tiers());
+        m_agents[n].scheduler = std::make_unique<AgentScheduler>(
+                run.scenario.agentLimits, identity(n, run.scenario.zoneCount), tiers());
     connect();
     if (run.scenario.reportAge > Duration::zero())
         sampleReports();
+    for (const ZoneMove &it : run.scenario.zoneMoves)
+        run.events.at(Instant(it.at), [this, it] { moveZone(it); });
+}
+
+// Each process hears of the change at a time of its own.
+void CornelshedSystem::moveZone(const ZoneMove &move)
+{
+    m_withdrawn[move.zone] = move.withdrawn;
+    m_withdrawnSince[move.zone] = now();
+    const auto view = routingView(m_withdrawn);
+    const auto randomDelay = [this] { return Duration(m_run.random.below(spreadTime.count())); };
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        m_run.events.after(randomDelay(), [this, entry, view] {
+            perform(entry, m_entries[entry].scheduler->setView(view, now()));
+        });
+    }
+    for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+        m_run.events.after(randomDelay(), [this, agent, view] {
+            perform(agent,
+                    m_agents[agent].scheduler->setConfiguration(*view->configuration, now()));
+        });
+        if (!move.withdrawn && agent % m_withdrawn.size() == move.zone)
+            returnEngine(agent);
+    }
+}
+
+void CornelshedSystem::returnEngine(std::size_t agent)
+{
+    m_run.fleet.turnCold(agent);
+    perform(agent, m_agents[agent].scheduler->serverReachable(false, now()));
+    perform(agent, m_agents[agent].scheduler->serverReachable(true, now()));
+}
+
+bool CornelshedSystem::startsTooLate(std::size_t agent) const
+{
+    const std::size_t zone = agent % m_withdrawn.size();
+    return m_withdrawn[zone] && now() >= m_withdrawnSince[zone] + withdrawalTime;
 }
 
 void CornelshedSystem::connect()
@@ -212,6 +271,7 @@
             note(agent, send->message);
             deliver(agent, send->session - 1, send->message);
         } else if (const auto *start = std::get_if<StartOnServer>(&it)) {
+            m_withdrawnStarts += startsTooLate(agent) ? 1 : 0;
             m_run.fleet.start(agent, start->dispatch.request);
         } else if (const auto *cancel = std::get_if<CancelOnServer>(&it)) {
             const RequestId request = cancel->request;
@@ -236,7 +296,7 @@
 void CornelshedSystem::deliver(std::size_t agent, std::size_t entry, AgentMessage message)
 {
     makeLate(m_agents[agent], message);
-    const BackendServerId id = identity(agent).backendServer;
+    const BackendServerId id = identity(agent, m_withdrawn.size()).backendServer;
     m_run.events.after(m_run.scenario.messageDelay, [this, entry, id, message] {
         EntryScheduler &scheduler = *m_entries[entry].scheduler;
         if (const auto *welcome = std::get_if<Welcome>(&message))
@@ -364,6 +424,7 @@
 void CornelshedSystem::complete(Counts &counts)
 {
     counts.sheds = m_sheds.size();
+    counts.withdrawnStarts = m_withdrawnStarts;
     counts.invertedAtOnePoint = m_invertedAtOnePoint;
     for (const Shed &shed : m_sheds) {
         bool inverted = false;
--- a/apps/measure/experiment.cpp
+++ b/apps/measure/experiment.cpp
@@ -53,11 +53,12 @@
 
 } // namespace
 
-Experiments allExperiments()
+Experiments allExperiments(const StateChart &rolloutChart)
 {
     Experiments experiments;
     addSchedulingExperiments(experiments);
     addFaultExperiments(experiments);
+    addMoveExperiments(experiments, rolloutChart);
     addDecisionCostExperiments(experiments);
     return experiments;
 }
--- a/apps/measure/experiment.h
+++ b/apps/measure/experiment.h
@@ -4,6 +4,8 @@
 #ifndef CORNELSHED_EXPERIMENT_H
 #define CORNELSHED_EXPERIMENT_H
 
+#include "statechart.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -56,12 +58,13 @@
 
 using Experiments = std::vector<std::unique_ptr<Experiment>>;
 
-// All experiments, in the order of the table of targets.
-Experiments allExperiments();
+// All experiments, in the order of the table of targets. rolloutChart is the state chart "rollout".
+Experiments allExperiments(const StateChart &rolloutChart);
 
 // Each file of experiments adds its own.
 void addSchedulingExperiments(Experiments &experiments);
 void addFaultExperiments(Experiments &experiments);
+void addMoveExperiments(Experiments &experiments, const StateChart &rolloutChart);
 void addDecisionCostExperiments(Experiments &experiments);
 
 struct FigureResult
--- a/apps/measure/measure_main.cpp
+++ b/apps/measure/measure_main.cpp
@@ -1,6 +1,7 @@
 // cornelshed-measure: runs the experiments over many seeds and prints one line for each figure.
 
 #include "experiment.h"
+#include "statechartfile.h"
 
 #include <docopt/docopt.h>
 
@@ -15,14 +16,15 @@
 const char usage[] = R"(Virtual-time experiments over the decision library.
 
 Usage:
-  cornelshed-measure [--threads N] [--seeds N] [--only TEXT]
-  cornelshed-measure --list
+  cornelshed-measure [--threads N] [--seeds N] [--only TEXT] [--charts DIR]
+  cornelshed-measure --list [--charts DIR]
   cornelshed-measure (--help | --version)
 
 Options:
   --threads N  Threads that run seeds in parallel [default: 8].
   --seeds N    Seeds of each experiment; 0 means each experiment's own number [default: 0].
   --only TEXT  Run only the experiments whose name contains this text [default: ].
+  --charts DIR  Folder of the state charts [default: charts].
   --list       Print the names of the experiments.
   --help       Print this text.
   --version    Print the version.
@@ -69,7 +71,13 @@
     const auto threads = static_cast<unsigned>(options.at("--threads").asLong());
     const auto seeds = static_cast<std::uint64_t>(options.at("--seeds").asLong());
     const std::string only = options.at("--only").asString();
-    for (const auto &it : allExperiments()) {
+    const auto chart =
+            cornelshed::readStateChart(options.at("--charts").asString() + "/rollout.toml");
+    if (const auto *error = std::get_if<cornelshed::StateChartError>(&chart)) {
+        std::cerr << error->problems.front() << '\n';
+        return 1;
+    }
+    for (const auto &it : allExperiments(std::get<cornelshed::StateChart>(chart))) {
         if (it->name().find(only) == std::string::npos)
             continue;
         if (options.at("--list").asBool())
--- a/apps/measure/recorder.h
+++ b/apps/measure/recorder.h
@@ -37,6 +37,7 @@
     std::uint64_t invertedAtOnePoint = 0; // higher tier shed while a lower one waited there
     std::uint64_t invertedAcross = 0;     // while a lower one, dispatched later, waited anywhere
     std::uint64_t coldOverload = 0;       // starts beyond what a cold engine bears
+    std::uint64_t withdrawnStarts = 0;    // in a zone that was withdrawn 3 s before or longer
 
     double goodput() const; // share of all requests
     double goodput(TierRank tier) const;
--- a/apps/measure/rolloutmodel.cpp
+++ b/apps/measure/rolloutmodel.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr Duration step = std::chrono::milliseconds(100);
+constexpr Duration tickInterval = std::chrono::milliseconds(200);
 constexpr Duration peerInterval = std::chrono::seconds(1);
 constexpr Duration announceDelay = std::chrono::milliseconds(300);
 constexpr Duration badnessDelay = std::chrono::minutes(4);
@@ -177,7 +178,8 @@
     {
         if ((m_now - m_start) % peerInterval == Duration {})
             exchangeEvidence();
-        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        const bool ticks = (m_now - m_start) % tickInterval == Duration {};
+        for (std::size_t n = 0; n < m_daemons.size() && ticks; ++n) {
             const bool leaseHeld = n == 0 && tableUp();
             for (const RolloutAction &it : m_daemons[n].controller->tick(m_now, leaseHeld, 1))
                 carryOut(it);
--- /dev/null
+++ b/apps/measure/spreadmodel.cpp
@@ -0,0 +1,263 @@
+// Daemons and their messages in one event queue.
+
+#include "spreadmodel.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace cornelshed {
+
+namespace {
+
+std::string textOf(std::uint64_t version)
+{
+    // Large enough that updates are differences.
+    return std::string(20000, 'a') + "version " + std::to_string(version) + std::string(9000, 'z');
+}
+
+} // namespace
+
+class SpreadModel::Private
+{
+public:
+    Private(std::size_t count, const SpreadFaults &faults, std::uint64_t seed)
+        : m_faults(faults), m_random(seed), m_daemons(count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            restart(n);
+        if (faults.crashPeriod.count() > 0)
+            scheduleCrash();
+    }
+
+    void accept() { m_acceptedAt.push_back(m_now); }
+
+    void runFor(Duration duration)
+    {
+        const Instant end = m_now + duration;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.run();
+        }
+        m_now = end;
+    }
+
+    std::uint64_t reads() const { return m_reads; }
+    std::uint64_t bytesSent() const { return m_bytes; }
+    bool decreased() const { return m_decreased; }
+
+    // Daemons that ran for the whole time since the version was accepted and do not have it.
+    std::size_t countWithout(std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(m_daemons.begin(), m_daemons.end(), [&](const Daemon &it) {
+                    return it.startedAt <= m_acceptedAt[version - 1] && it.installed < version;
+                }));
+    }
+
+    void inject(std::size_t n, const SpreadMessage &message) { deliver(n, "0", message); }
+    std::uint64_t installed(std::size_t n) const { return m_daemons[n].installed; }
+
+private:
+    struct Event
+    {
+        Instant at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order); // earliest on top
+        }
+    };
+
+    struct Daemon
+    {
+        std::optional<ConfigurationSpread> spread;
+        std::uint64_t incarnation = 0;
+        std::uint64_t installed = 0;
+        Instant startedAt {};
+        Instant wakeAt = instantNever;
+    };
+
+    void after(Duration delay, std::function<void()> run)
+    {
+        m_events.push({m_now + delay, ++m_order, std::move(run)});
+    }
+
+    Duration randomDelay() { return Duration(m_random.below(m_faults.delayMost.count() + 1)); }
+    bool happens(std::uint64_t percent) { return m_random.below(100) < percent; }
+
+    void restart(std::size_t n)
+    {
+        Daemon &daemon = m_daemons[n];
+        const std::uint64_t incarnation = daemon.incarnation + 1;
+        daemon = Daemon {std::nullopt, incarnation, 0, m_now, instantNever};
+        daemon.spread.emplace(
+                SpreadLimits {}, m_random,
+                [](const std::string &digest, const std::string &text) {
+                    return text == textOf(std::stoull(digest));
+                },
+                m_now);
+        std::vector<std::string> peers;
+        for (std::size_t peer = 0; peer < m_daemons.size(); ++peer) {
+            if (peer != n)
+                peers.push_back(std::to_string(peer));
+        }
+        daemon.spread->setPeers(std::move(peers));
+        scheduleWake(n);
+    }
+
+    void scheduleCrash()
+    {
+        after(Duration(m_random.below(2 * m_faults.crashPeriod.count())), [this] {
+            restart(m_random.below(m_daemons.size()));
+            scheduleCrash();
+        });
+    }
+
+    void scheduleWake(std::size_t n)
+    {
+        const Instant at = m_daemons[n].spread->nextWake();
+        if (at >= m_daemons[n].wakeAt)
+            return;
+        m_daemons[n].wakeAt = at;
+        afterIn(n, at - m_now, [this, n] {
+            m_daemons[n].wakeAt = instantNever;
+            carryOut(n, m_daemons[n].spread->tick(m_now));
+        });
+    }
+
+    // Runs in the daemon unless it has crashed by then.
+    void afterIn(std::size_t n, Duration delay, std::function<void()> run)
+    {
+        after(std::max(delay, Duration(0)),
+              [this, n, incarnation = m_daemons[n].incarnation, run = std::move(run)] {
+                  if (m_daemons[n].incarnation == incarnation)
+                      run();
+              });
+    }
+
+    void carryOut(std::size_t n, const SpreadActions &actions)
+    {
+        for (const SpreadAction &it : actions)
+            std::visit([&](const auto &action) { perform(n, action); }, it);
+        scheduleWake(n);
+    }
+
+    void perform(std::size_t n, const PollHead &)
+    {
+        ++m_reads;
+        if (happens(m_faults.failedReadPercent))
+            return;
+        afterIn(n, randomDelay(), [this, n, version = m_acceptedAt.size()] {
+            carryOut(n, m_daemons[n].spread->headRead(version, std::to_string(version), m_now));
+        });
+    }
+
+    void perform(std::size_t n, const FetchText &action)
+    {
+        if (happens(m_faults.failedReadPercent))
+            return;
+        afterIn(n, randomDelay(), [this, n, action] {
+            carryOut(n,
+                     m_daemons[n].spread->textFetched(action.version, action.digest,
+                                                      textOf(action.version), m_now));
+        });
+    }
+
+    void perform(std::size_t n, const SendToPeer &action)
+    {
+        const auto *update = std::get_if<SpreadUpdate>(&action.message);
+        m_bytes += 16 + (update == nullptr ? 0 : update->middle.size());
+        const int copies = happens(m_faults.lostPercent) ? 0
+                : happens(m_faults.duplicatedPercent)    ? 2
+                                                         : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            // A duplicate may arrive seconds late, and by then for another incarnation.
+            const Duration late = copy == 0 ? Duration(0) : Duration(m_random.below(5000000));
+            after(randomDelay() + late,
+                  [this, to = std::stoul(action.peer), from = std::to_string(n),
+                   message = action.message] { deliver(to, from, message); });
+        }
+    }
+
+    void deliver(std::size_t to, const std::string &from, const SpreadMessage &message)
+    {
+        carryOut(to, m_daemons[to].spread->handle(from, message, m_now));
+    }
+
+    void perform(std::size_t n, const InstallConfiguration &action)
+    {
+        Daemon &daemon = m_daemons[n];
+        m_decreased = m_decreased || action.version <= daemon.installed;
+        daemon.installed = action.version;
+    }
+
+    SpreadFaults m_faults;
+    SeededRandom m_random;
+    std::vector<Daemon> m_daemons;
+    std::vector<Instant> m_acceptedAt; // of version n at n - 1
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_order = 0;
+    Instant m_now {};
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_bytes = 0;
+    bool m_decreased = false;
+};
+
+SpreadModel::SpreadModel(std::size_t count, const SpreadFaults &faults, std::uint64_t seed)
+    : d(std::make_unique<Private>(count, faults, seed))
+{ }
+
+SpreadModel::~SpreadModel() = default;
+SpreadModel::SpreadModel(SpreadModel &&) noexcept = default;
+SpreadModel &SpreadModel::operator=(SpreadModel &&) noexcept = default;
+
+void SpreadModel::accept()
+{
+    d->accept();
+}
+
+void SpreadModel::runFor(Duration duration)
+{
+    d->runFor(duration);
+}
+
+std::uint64_t SpreadModel::reads() const
+{
+    return d->reads();
+}
+
+std::uint64_t SpreadModel::bytesSent() const
+{
+    return d->bytesSent();
+}
+
+bool SpreadModel::decreased() const
+{
+    return d->decreased();
+}
+
+std::size_t SpreadModel::countWithout(std::uint64_t version) const
+{
+    return d->countWithout(version);
+}
+
+void SpreadModel::inject(std::size_t n, const SpreadMessage &message)
+{
+    d->inject(n, message);
+}
+
+std::uint64_t SpreadModel::installed(std::size_t n) const
+{
+    return d->installed(n);
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/apps/measure/spreadmodel.h
@@ -0,0 +1,56 @@
+// Model of many entry daemons that spread the accepted configuration, in virtual time: messages are
+// lost, duplicated and late, calls to the platform fail, daemons crash. It drives the real
+// ConfigurationSpread.
+
+#ifndef CORNELSHED_SPREADMODEL_H
+#define CORNELSHED_SPREADMODEL_H
+
+#include "configspread.h"
+#include "types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace cornelshed {
+
+struct SpreadFaults
+{
+    std::uint64_t lostPercent = 0;       // of peer messages
+    std::uint64_t duplicatedPercent = 0; // of peer messages
+    std::uint64_t failedReadPercent = 0; // of calls to the platform
+    Duration crashPeriod {};             // mean time between crashes of some daemon; 0: none
+    Duration delayMost = std::chrono::milliseconds(150); // one way, between distant regions
+};
+
+class SpreadModel
+{
+public:
+    SpreadModel(std::size_t count, const SpreadFaults &faults, std::uint64_t seed);
+    ~SpreadModel();
+    SpreadModel(SpreadModel &&) noexcept;
+    SpreadModel &operator=(SpreadModel &&) noexcept;
+
+    // An operator accepts the next version; the first one is 1.
+    void accept();
+    void runFor(Duration duration);
+
+    std::uint64_t reads() const;     // of the head row
+    std::uint64_t bytesSent() const; // between daemons, without transport headers
+    bool decreased() const;          // a daemon installed a version that was not newer
+
+    // Daemons that ran for the whole time since the version was accepted and do not have it.
+    std::size_t countWithout(std::uint64_t version) const;
+
+    // Delivers a message to daemon n as if daemon 0 had sent it.
+    void inject(std::size_t n, const SpreadMessage &message);
+    std::uint64_t installed(std::size_t n) const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_SPREADMODEL_H
--- a/apps/measure/system.h
+++ b/apps/measure/system.h
@@ -24,6 +24,15 @@
 
 const char *nameOf(SystemKind kind);
 
+// An availability zone is taken out or returned. Its hosts are new ones after the return, so that
+// their engines are cold.
+struct ZoneMove
+{
+    Duration at {}; // from the start
+    std::size_t zone = 0;
+    bool withdrawn = false;
+};
+
 struct Scenario
 {
     std::vector<EngineSettings> engines;
@@ -38,6 +47,10 @@
     // A random engine turns cold without notice in each of these intervals; zero: never.
     Duration silentColdEvery {};
     bool enginesStartCold = false;
+
+    // Engine n is in zone n modulo zoneCount. Moves have an effect on cornelshed only.
+    std::size_t zoneCount = 1;
+    std::vector<ZoneMove> zoneMoves;
 };
 
 // Everything that one run consists of.
