--- a/src/operator_main.cpp
+++ b/src/operator_main.cpp
@@ -22,6 +22,7 @@
   cornelshed accept --configuration FILE --platform HOST:PORT --operator NAME
              [--seen VERSION] [--change ID] [--wait] [--wait-timeout-ms MS]
   cornelshed status --platform HOST:PORT
+  cornelshed burn --platform HOST:PORT [--objective SHARE] [--html FILE]
   cornelshed --help
   cornelshed --version
 
@@ -32,6 +33,7 @@
   diff           Shows what accepting the configuration would change.
   accept         Makes the configuration the accepted one.
   status         Shows the accepted configuration, its spread, events and leases.
+  burn           Shows how fast each tier and organisation spends its error budget.
 
 Options:
   --answers FILE        Answers file (TOML).
@@ -43,6 +45,8 @@
   --change ID           Settles an earlier accept whose outcome is unknown (with --seen).
   --wait                Wait until the change is in force in every entry daemon.
   --wait-timeout-ms MS  How long to wait [default: 10000].
+  --objective SHARE     Share of requests that have to be good [default: 0.995].
+  --html FILE           Also writes the report as one HTML file with plots.
   --help                Shows this text.
   --version             Shows the version.
 
@@ -92,6 +96,17 @@
     return value;
 }
 
+double objective(const Arguments &arguments)
+{
+    const std::string digits = text(arguments, "--objective");
+    double value = 0;
+    const char *end = digits.data() + digits.size();
+    const auto result = std::from_chars(digits.data(), end, value);
+    if (result.ec != std::errc() || result.ptr != end || !(value >= 0 && value < 1))
+        throw UsageError {"--objective: expected a number from 0 to less than 1"};
+    return value;
+}
+
 AcceptOptions acceptOptions(const Arguments &arguments)
 {
     AcceptOptions options;
@@ -125,6 +140,8 @@
         return commands.diff(text(arguments, "--configuration"), platform(arguments));
     if (chosen("accept"))
         return commands.accept(acceptOptions(arguments));
+    if (chosen("burn"))
+        return commands.burn(platform(arguments), objective(arguments), text(arguments, "--html"));
     return commands.status(platform(arguments));
 }
 
--- a/src/operatorcommands.cpp
+++ b/src/operatorcommands.cpp
@@ -4,6 +4,7 @@
 
 #include "acceptance.h"
 #include "answers.h"
+#include "burnreport.h"
 #include "configurationdiff.h"
 #include "configurationfile.h"
 #include "configurationhead.h"
@@ -304,4 +305,26 @@
     return true;
 }
 
+ExitStatus OperatorCommands::burn(const PlatformEndpoint &platform, double objective,
+                                  const std::string &htmlPath)
+{
+    PlatformSession session(settingsOf(platform));
+    const auto rows = session.table().scan("burn/");
+    if (const auto *error = std::get_if<TableError>(&rows)) {
+        m_errors << error->message << "\n";
+        return ExitStatus::Unavailable;
+    }
+    std::vector<BurnLine> lines;
+    for (const auto &[key, row] : std::get<TableRows>(rows)) {
+        const auto parsed = parseBurnRow(row.value);
+        if (parsed.has_value())
+            lines.insert(lines.end(), parsed->begin(), parsed->end());
+        else
+            m_errors << key << ": malformed row, left out\n";
+    }
+    lines = sumBurn(lines);
+    m_output << burnTable(lines, objective);
+    return htmlPath.empty() ? ExitStatus::Success : writeFile(htmlPath, burnHtml(lines, objective));
+}
+
 } // namespace cornelshed
--- a/src/operatorcommands.h
+++ b/src/operatorcommands.h
@@ -61,6 +61,10 @@
     ExitStatus accept(const AcceptOptions &options);
     ExitStatus status(const PlatformEndpoint &platform);
 
+    // htmlPath: empty for none. objective: share of requests that have to be good, in [0, 1).
+    ExitStatus burn(const PlatformEndpoint &platform, double objective,
+                    const std::string &htmlPath);
+
 private:
     // Nothing if the file cannot be read; the reason is printed.
     std::optional<std::string> readFile(const std::string &path);
--- a/src/peernetwork.cpp
+++ b/src/peernetwork.cpp
@@ -156,8 +156,7 @@
         addCall(peer, request.send().ignoreResult());
     }
 
-    void queryVersion(const std::string &peer,
-                      const std::function<void(std::optional<std::uint64_t>)> &callback)
+    void queryVersion(const std::string &peer, const VersionCallback &callback)
     {
         Link *link = linkTo(peer);
         if (link == nullptr) {
@@ -276,7 +275,8 @@
     wire::Peer::Client connected(const std::shared_ptr<Link> &link,
                                  kj::Own<kj::AsyncIoStream> stream)
     {
-        KJ_REQUIRE(link != nullptr, "the link was closed");
+        if (link == nullptr)
+            kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the link was closed"));
         link->connection = std::make_unique<Connection>(
                 kj::mv(stream), capnp::rpc::twoparty::Side::CLIENT, readerOptions());
         Connection &connection = *link->connection;
@@ -356,8 +356,7 @@
     d->sendPart(peer, part, payload);
 }
 
-void PeerNetwork::queryVersion(const std::string &peer,
-                               std::function<void(std::optional<std::uint64_t>)> callback)
+void PeerNetwork::queryVersion(const std::string &peer, const VersionCallback &callback)
 {
     d->queryVersion(peer, callback);
 }
--- a/src/peernetwork.h
+++ b/src/peernetwork.h
@@ -64,6 +64,8 @@
 class PeerNetwork
 {
 public:
+    using VersionCallback = std::function<void(std::optional<std::uint64_t>)>;
+
     PeerNetwork(PeerNetworkSettings settings, PeerHandlers handlers);
     ~PeerNetwork();
     PeerNetwork(const PeerNetwork &) = delete;
@@ -77,8 +79,7 @@
     void sendPart(const std::string &peer, const std::string &part, const std::string &payload);
 
     // The callback runs exactly once, from poll; nothing: no answer.
-    void queryVersion(const std::string &peer,
-                      std::function<void(std::optional<std::uint64_t>)> callback);
+    void queryVersion(const std::string &peer, const VersionCallback &callback);
 
     // Runs what is due without waiting.
     void poll();
