--- a/src/acceptance.cpp
+++ b/src/acceptance.cpp
@@ -1,5 +1,5 @@
-// The transaction is conditional on the head's row version and on the absence of the change's own
-// row. Sending it again therefore cannot accept twice, and a conflict is settled by that row.
+// The transaction is conditional on the head's row version, so that sending it again cannot accept
+// twice. It also writes a row of the change's own, by which a conflict is settled.
 
 #include "acceptance.h"
 
@@ -49,7 +49,7 @@
         const ConfigurationHead next {m_seen->head.version + 1, m_digest, m_request.changeId,
                                       m_request.operatorName};
         const std::string changeKey = configurationChangeKey(m_request.changeId);
-        return {{{configurationHeadKey, m_seen->rowVersion}, {changeKey, 0}},
+        return {{{configurationHeadKey, m_seen->rowVersion}},
                 {{configurationHeadKey, formatHead(next)}, {changeKey, formatHead(next)}}};
     }
 
--- a/src/configspread.h
+++ b/src/configspread.h
@@ -27,9 +27,9 @@
     Duration pollMostAlone = std::chrono::seconds(2); // while no peer is heard
     Duration exchangePeriod = std::chrono::seconds(1);
     Duration requestRetry = std::chrono::milliseconds(500);
-    std::uint32_t pushCount = 4;             // peers told of a new version
+    std::uint32_t pushCount = 4;        // peers told of a new version
     std::size_t pushLimitBytes = 16384; // larger changes are announced, and sent on request
-    std::size_t keptTexts = 4;               // earlier versions that differences are made against
+    std::size_t keptTexts = 4;          // earlier versions that differences are made against
 
     bool operator==(const SpreadLimits &) const = default;
 };
