--- a/src/adaptivelimit.cpp
+++ b/src/adaptivelimit.cpp
@@ -17,8 +17,8 @@
 // Load beyond the latency targets shrinks the limit only when it lasts: one long prompt slows all
 // streams of a batch for a moment.
 constexpr std::uint32_t loadedUntilShrink = 32;
-// One place in so many is open to small requests only.
-constexpr std::uint32_t smallPlacesDivisor = 5;
+// One place in so many is open to brief requests only.
+constexpr std::uint32_t briefPlacesDivisor = 5;
 
 constexpr double shrinkFactor = 0.9;
 
@@ -34,12 +34,12 @@
     m_concurrency = std::min(m_concurrency, m_settings.maximumConcurrency);
 }
 
-bool AdaptiveLimit::admits(const Occupancy &occupancy, std::uint64_t requestTokens) const
+bool AdaptiveLimit::admits(const Occupancy &occupancy, std::uint64_t requestTokens,
+                           bool brief) const
 {
     if (occupancy.requests == 0)
         return true;
-    const bool isSmall = requestTokens <= smallTokens();
-    const std::uint32_t places = isSmall ? m_concurrency : placesForLarge();
+    const std::uint32_t places = brief ? m_concurrency : placesForLong();
     return occupancy.requests < places && occupancy.tokens + requestTokens <= m_tokens;
 }
 
@@ -104,9 +104,9 @@
     m_cold = true;
 }
 
-std::uint32_t AdaptiveLimit::placesForLarge() const
+std::uint32_t AdaptiveLimit::placesForLong() const
 {
-    return m_concurrency - m_concurrency / smallPlacesDivisor;
+    return m_concurrency - m_concurrency / briefPlacesDivisor;
 }
 
 // Half of the token limit counts as full: the next large request would not fit.
@@ -117,7 +117,7 @@
 
 bool AdaptiveLimit::full(const Occupancy &occupancy) const
 {
-    return occupancy.requests >= placesForLarge() || fullByTokens(occupancy);
+    return occupancy.requests >= placesForLong() || fullByTokens(occupancy);
 }
 
 void AdaptiveLimit::growCold()
@@ -137,7 +137,7 @@
     const std::uint64_t tokensOfOne = std::max<std::uint64_t>(m_tokens / m_concurrency, 1);
     if (fullByTokens(occupancy))
         m_tokens = std::min(m_tokens + tokensOfOne, m_settings.maximumTokens);
-    if (occupancy.requests >= placesForLarge())
+    if (occupancy.requests >= placesForLong())
         m_concurrency = std::min(m_concurrency + 1, m_settings.maximumConcurrency);
 }
 
--- a/src/adaptivelimit.h
+++ b/src/adaptivelimit.h
@@ -45,9 +45,9 @@
     void setMaximumConcurrency(std::uint32_t maximum);
 
     // A request larger than the token limit is admitted to an empty server only. A part of the
-    // places is open to small requests only: a long one holds its place for a minute, in which
+    // places is open to brief requests only: a long one holds its place for a minute, in which
     // requests with a deadline of seconds would find none.
-    bool admits(const Occupancy &occupancy, std::uint64_t requestTokens) const;
+    bool admits(const Occupancy &occupancy, std::uint64_t requestTokens, bool brief) const;
 
     // A first token or a run of tokens arrived while the server had this occupancy.
     void observed(Pace pace, const Occupancy &occupancy, Instant now);
@@ -72,16 +72,13 @@
     // Starts the present cold state's clock anew.
     void restartCold(Instant now) { m_coldSince = now; }
 
-    // Largest request that counts as small, in tokens: half of the average place.
-    std::uint64_t smallTokens() const { return m_tokens / m_concurrency / 2; }
-
     bool cold() const { return m_cold; }
     Instant coldSince() const { return m_coldSince; }
     std::uint32_t concurrency() const { return m_concurrency; }
     std::uint64_t tokens() const { return m_tokens; }
 
 private:
-    std::uint32_t placesForLarge() const;
+    std::uint32_t placesForLong() const;
     bool fullByTokens(const Occupancy &occupancy) const;
     bool full(const Occupancy &occupancy) const;
     void growCold();
--- a/src/agentscheduler.cpp
+++ b/src/agentscheduler.cpp
@@ -90,6 +90,8 @@
     void refund(const HeldPlace &place) { m_queue.refund(place.entry); }
     bool tooLate(const QueueEntry &entry) const;
     bool admits(const QueueEntry &entry) const;
+    bool brief(const QueueEntry &entry) const { return m_work.brief(sizeOf(entry)); }
+    RequestSize sizeOf(const QueueEntry &entry) const;
     void grant(const QueueEntry &entry);
     void start(SessionId session, const Dispatch &dispatch, const HeldPlace &place);
     ServiceEstimate estimate(const Reservation &reservation) const;
@@ -330,7 +332,7 @@
     while (takesNewWork() && m_queue.size() > 0) {
         const QueueEntry *entry = m_queue.next();
         if (!tooLate(*entry) && !admits(*entry))
-            entry = m_queue.smallEntry(m_work.limit().smallTokens());
+            entry = m_queue.nextAccepted([this](const QueueEntry &it) { return brief(it); });
         if (entry == nullptr)
             return;
         if (tooLate(*entry)) {
@@ -354,7 +356,13 @@
 {
     const HeldPlaces held {{m_ledger.liveCount(), m_ledger.liveTokens()},
                            m_ledger.livePromptTokens()};
-    return m_work.admits(held, entry.tokens, m_now);
+    return m_work.admits(held, sizeOf(entry), m_now);
+}
+
+RequestSize AgentScheduler::Private::sizeOf(const QueueEntry &entry) const
+{
+    const Reservation &reservation = m_reservations.at(entry.request);
+    return {reservation.promptTokens, reservation.outputTokens};
 }
 
 void AgentScheduler::Private::grant(const QueueEntry &entry)
--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -19,6 +19,10 @@
 // the wait for a grant and the messages need the rest.
 constexpr int promptShareOfTarget = 4;
 
+// Requests that hold a place for at most this time are brief. Callers of short questions wait a few
+// seconds.
+constexpr Duration briefTime = std::chrono::seconds(3);
+
 // Tokens over which the time per token is averaged: few enough to see a cold server within a
 // fraction of a second, enough to smooth out single late tokens.
 constexpr std::uint64_t windowLength = 4;
@@ -50,7 +54,7 @@
 ServerWork::ServerWork(const AgentLimits &limits)
     : m_limits(limits), m_limit(settingsOf(limits)) { }
 
-bool ServerWork::admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const
+bool ServerWork::admits(const HeldPlaces &held, const RequestSize &size, Instant now) const
 {
     Occupancy sum = occupancy();
     sum.requests += held.occupancy.requests;
@@ -59,7 +63,14 @@
         return false;
     const Duration ahead = m_rates.prefillTime(m_pendingPrompt + held.promptTokens);
     return ahead <= m_limits.firstTokenTarget / promptShareOfTarget
-            && m_limit.admits(sum, requestTokens);
+            && m_limit.admits(sum, size.promptTokens + size.outputTokens, brief(size));
+}
+
+// Judged without the prompts that wait now, so that the verdict does not change with every grant.
+bool ServerWork::brief(const RequestSize &size) const
+{
+    const Duration decode = m_rates.interval(batch()) * size.outputTokens;
+    return m_rates.prefillTime(size.promptTokens) + decode <= briefTime;
 }
 
 void ServerWork::start(RequestId request, const RunningRequest &running)
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -14,6 +14,14 @@
 
 namespace cornelshed {
 
+struct RequestSize
+{
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0; // expected
+
+    bool operator==(const RequestSize &) const = default;
+};
+
 // Places held by grants.
 struct HeldPlaces
 {
@@ -64,7 +72,10 @@
     // True if the server bears one more request beside what runs and the places held by grants.
     // A prompt waits for those before it, so no further one is admitted while they take more than
     // a quarter of the target for the first token.
-    bool admits(const HeldPlaces &held, std::uint64_t requestTokens, Instant now) const;
+    bool admits(const HeldPlaces &held, const RequestSize &size, Instant now) const;
+
+    // True if the request holds its place for a few seconds only.
+    bool brief(const RequestSize &size) const;
 
     void start(RequestId request, const RunningRequest &running);
     RunningRequest *find(RequestId request);
--- a/src/tierqueue.cpp
+++ b/src/tierqueue.cpp
@@ -13,8 +13,8 @@
 // that organisations with short requests alternate one by one.
 constexpr std::int64_t quantumTokens = 256;
 
-// Entries that smallEntry() looks at: bounds its cost under a long queue.
-constexpr std::size_t smallEntryScan = 32;
+// Entries that nextAccepted() looks at: bounds its cost under a long queue.
+constexpr std::size_t acceptedScan = 32;
 
 // Requests of plain services have no tokens and count like a short request.
 std::int64_t costOf(const QueueEntry &entry)
@@ -100,15 +100,16 @@
     return entry;
 }
 
-const QueueEntry *TierQueue::smallEntry(std::uint64_t mostTokens) const
+const QueueEntry *
+TierQueue::nextAccepted(const std::function<bool(const QueueEntry &)> &accepted) const
 {
     const QueueEntry *best = nullptr;
     std::size_t looked = 0;
     for (const auto &[deadline, request] : m_byDeadline) {
-        if (++looked > smallEntryScan)
+        if (++looked > acceptedScan)
             break;
         const QueueEntry &entry = m_entries.at(request);
-        if (entry.tokens <= mostTokens && (best == nullptr || entry.tier < best->tier))
+        if ((best == nullptr || entry.tier < best->tier) && accepted(entry))
             best = &entry;
     }
     return best;
--- a/src/tierqueue.h
+++ b/src/tierqueue.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,9 +52,9 @@
     // Takes the entry that next() returns and charges its tier and organisation for it.
     QueueEntry pop();
 
-    // The entry of the highest tier with at most so many tokens among the earliest deadlines,
-    // nullptr if there is none. For places that are not open to larger requests.
-    const QueueEntry *smallEntry(std::uint64_t mostTokens) const;
+    // The entry of the highest tier that is accepted among the earliest deadlines, nullptr if there
+    // is none. For places that are not open to every request.
+    const QueueEntry *nextAccepted(const std::function<bool(const QueueEntry &)> &accepted) const;
 
     // Takes this entry out of turn, charged as by pop().
     QueueEntry take(RequestId request);
