--- /dev/null
+++ b/test/correctness/adaptivelimit.cpp
@@ -0,0 +1,100 @@
+// Guards the limit on what a server gets: cold start, growth, what shrinks it, and the places that
+// long requests may not take.
+
+#include "adaptivelimit.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cornelshed;
+
+namespace {
+
+constexpr AdaptiveLimitSettings settings {1, 64, 8000, 400000};
+
+Occupancy fullOf(const AdaptiveLimit &limit)
+{
+    return {limit.concurrency(), limit.tokens()};
+}
+
+AdaptiveLimit warmLimit()
+{
+    AdaptiveLimit limit(settings);
+    while (limit.cold())
+        limit.succeeded(fullOf(limit), Pace::Good);
+    return limit;
+}
+
+} // namespace
+
+TEST_CASE("a cold limit doubles on success at a full window only")
+{
+    AdaptiveLimit limit(settings);
+    CHECK(limit.concurrency() == 1);
+    limit.succeeded(fullOf(limit), Pace::Good);
+    CHECK(limit.concurrency() == 2);
+    limit.succeeded({1, 100}, Pace::Good);
+    CHECK(limit.concurrency() == 2);
+    limit.succeeded(fullOf(limit), Pace::Slow);
+    CHECK(limit.concurrency() == 2);
+}
+
+TEST_CASE("three slow observations in a row or two failures turn a warm limit cold")
+{
+    AdaptiveLimit slow = warmLimit();
+    for (int n = 0; n < 3; ++n) {
+        CHECK_FALSE(slow.cold());
+        slow.observed(Pace::Slow, fullOf(slow), Instant());
+    }
+    CHECK(slow.concurrency() == 1);
+    AdaptiveLimit failing = warmLimit();
+    failing.failed(Instant());
+    CHECK_FALSE(failing.cold());
+    failing.failed(Instant());
+    CHECK(failing.concurrency() == 1);
+}
+
+TEST_CASE("a request that waited on the server lowers the limit to the occupancy before it")
+{
+    AdaptiveLimit limit = warmLimit();
+    limit.overfull({12, 150000});
+    CHECK(limit.tokens() == 150000);
+    CHECK(limit.concurrency() == 64); // it was the tokens that did not fit
+    limit.overfull({60, 100000});
+    CHECK(limit.concurrency() == 60);
+}
+
+TEST_CASE("long requests leave a fifth of the places to brief ones")
+{
+    const AdaptiveLimit limit = warmLimit();
+    CHECK(limit.admits({51, 1000}, 100, false));
+    CHECK_FALSE(limit.admits({52, 1000}, 100, false));
+    CHECK(limit.admits({52, 1000}, 100, true));
+    CHECK_FALSE(limit.admits({64, 1000}, 100, true));
+}
+
+TEST_CASE("the limit stays within its bounds and is never exceeded, whatever is observed")
+{
+    CHECK(rc::check([] {
+        AdaptiveLimit limit(settings);
+        const int steps = *rc::gen::inRange(1, 300);
+        for (int n = 0; n < steps; ++n) {
+            const Occupancy occupancy {*rc::gen::inRange<std::uint32_t>(0, 80),
+                                       *rc::gen::inRange<std::uint64_t>(0, 500000)};
+            const Pace pace = *rc::gen::element(Pace::Good, Pace::Good, Pace::Loaded, Pace::Slow);
+            const int event = *rc::gen::inRange(0, 6);
+            if (event == 0)
+                limit.failed(Instant());
+            else if (event == 1)
+                limit.overfull(occupancy);
+            else if (event == 2)
+                limit.observed(pace, occupancy, Instant());
+            else
+                limit.succeeded(event == 3 ? occupancy : fullOf(limit), pace);
+            RC_ASSERT(limit.concurrency() >= 1U && limit.concurrency() <= 64U);
+            RC_ASSERT(limit.tokens() >= 8000U && limit.tokens() <= 400000U);
+            if (occupancy.requests > 0 && occupancy.requests >= limit.concurrency())
+                RC_ASSERT(!limit.admits(occupancy, 1, true));
+        }
+    }));
+}
--- a/test/correctness/tierqueue.cpp
+++ b/test/correctness/tierqueue.cpp
@@ -135,3 +135,19 @@
     queue.refund(first);
     CHECK(queue.pop().organisation == first.organisation);
 }
+
+TEST_CASE("out of turn, the highest tier among the accepted entries is found and charged")
+{
+    TierQueue queue(100, tiersWithFloor(0, 0));
+    queue.push(entryOf(1, 0, "a", 9000, 900));
+    queue.push(entryOf(2, 2, "a", 100, 100));
+    queue.push(entryOf(3, 1, "a", 100, 500));
+    const auto isSmall = [](const QueueEntry &it) { return it.tokens < 1000; };
+    const QueueEntry *found = queue.nextAccepted(isSmall);
+    REQUIRE(found != nullptr);
+    CHECK(found->request == RequestId {1, 3});
+    queue.take(found->request);
+    queue.take({1, 2});
+    CHECK(queue.nextAccepted(isSmall) == nullptr);
+    CHECK(queue.next()->request == RequestId {1, 1});
+}
