--- a/apps/measure/experiment.cpp
+++ b/apps/measure/experiment.cpp
@@ -79,6 +79,7 @@
     FigureResult result {spec, samples[worst], samples[median], worst + 1, median + 1};
     for (std::size_t n = 0; n < result.median.baselines.size(); ++n) {
         std::vector<double> values;
+        values.reserve(samples.size());
         for (const Sample &it : samples)
             values.push_back(it.baselines[n]);
         result.median.baselines[n] = medianOf(std::move(values));
--- a/apps/measure/schedulingexperiments.cpp
+++ b/apps/measure/schedulingexperiments.cpp
@@ -18,6 +18,7 @@
 std::vector<std::string> pushedNames()
 {
     std::vector<std::string> names;
+    names.reserve(pushed.size() + 1);
     for (const SystemKind it : pushed)
         names.emplace_back(nameOf(it));
     return names;
@@ -44,6 +45,7 @@
 std::vector<Counts> runPushed(const Scenario &scenario, std::uint64_t seed)
 {
     std::vector<Counts> counts;
+    counts.reserve(pushed.size() + 1);
     for (const SystemKind it : pushed)
         counts.push_back(simulate(it, scenario, seed));
     return counts;
