--- a/apps/load/tally.cpp
+++ b/apps/load/tally.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <iomanip>
 #include <sstream>
 #include <utility>
@@ -49,6 +50,45 @@
     return values[n];
 }
 
+constexpr int tierWidth = 12;
+constexpr int columnWidth = 14;
+
+struct Column
+{
+    const char *name;
+    std::function<std::uint64_t(const TierTally &)> value;
+    bool always; // shown even if it is 0 for all tiers
+};
+
+std::vector<Column> allColumns()
+{
+    std::vector<Column> columns {{"sent", &TierTally::sent, true}};
+    for (const auto &[outcome, name] : outcomeNames) {
+        const bool always = outcome == Outcome::InTime || outcome == Outcome::Late
+                || outcome == Outcome::NotRun || outcome == Outcome::Unknown;
+        const Outcome counted = outcome;
+        columns.push_back(
+                {name, [counted](const TierTally &it) { return it.count(counted); }, always});
+    }
+    columns.push_back({"duplicates", &TierTally::duplicates, true});
+    columns.push_back({"false_not_run", &TierTally::falseNotRun, true});
+    columns.push_back({"unrecorded", &TierTally::unrecorded, false});
+    return columns;
+}
+
+// Leaves out columns of rare outcomes that did not occur.
+std::vector<Column> shownColumns(const Tally &tally)
+{
+    std::vector<Column> columns = allColumns();
+    const auto isEmpty = [&](const Column &column) {
+        return !column.always
+                && std::all_of(tally.tiers.begin(), tally.tiers.end(),
+                               [&](const auto &it) { return column.value(it.second) == 0; });
+    };
+    columns.erase(std::remove_if(columns.begin(), columns.end(), isEmpty), columns.end());
+    return columns;
+}
+
 json::object tierObject(const TierTally &tier)
 {
     json::object object {{"sent", tier.sent}};
@@ -87,17 +127,16 @@
 std::string Tally::toTable() const
 {
     std::ostringstream out;
-    out << std::left << std::setw(12) << "tier" << std::right << std::setw(8) << "sent";
-    for (const auto &[outcome, name] : outcomeNames)
-        out << std::setw(13) << name;
-    out << std::setw(12) << "duplicates" << std::setw(15) << "false_not_run" << std::setw(12)
-        << "unrecorded" << '\n';
+    const std::vector<Column> columns = shownColumns(*this);
+    out << std::left << std::setw(tierWidth) << "tier" << std::right;
+    for (const Column &it : columns)
+        out << std::setw(columnWidth) << it.name;
+    out << '\n';
     for (const auto &[name, tier] : tiers) {
-        out << std::left << std::setw(12) << name << std::right << std::setw(8) << tier.sent;
-        for (const auto &[outcome, column] : outcomeNames)
-            out << std::setw(13) << tier.count(outcome);
-        out << std::setw(12) << tier.duplicates << std::setw(15) << tier.falseNotRun
-            << std::setw(12) << tier.unrecorded << '\n';
+        out << std::left << std::setw(tierWidth) << name << std::right;
+        for (const Column &it : columns)
+            out << std::setw(columnWidth) << it.value(tier);
+        out << '\n';
     }
     for (const auto &[code, n] : codes)
         out << "refusals code=" << code << " count=" << n << '\n';
--- a/test/error/killedprocess.cpp
+++ b/test/error/killedprocess.cpp
@@ -46,6 +46,7 @@
     options.source = CORNELSHED_SOURCE_DIR;
     options.zoneCount = 3;
     options.enginesPerZone = 1;
+    options.serviceDelayMs = 100; // some orders run whenever a process dies
     // Longer than all moments together take; the rest is not sent.
     auto day = clusterDay(seed, 60.0 + 4.0 * static_cast<double>(momentCount), 60);
     day.orderShare = 0.3;
