--- a/src/burnpart.cpp
+++ b/src/burnpart.cpp
@@ -25,10 +25,11 @@
                                 Instant /*now*/) override
     { }
 
-    void outcomeRecorded(const ReportOutcome &outcome, Instant now) override
+    void outcomeRecorded(const ReportOutcome & /*outcome*/, Instant /*now*/) override { }
+
+    void endingRecorded(const RequestEnding &ending, Instant now) override
     {
-        m_counter.record(outcome.tier, outcome.organisation, !outcome.failed && outcome.inTime,
-                         now);
+        m_counter.record(ending.tier, ending.organisation, ending.good, now);
         m_changed = true;
     }
 
--- a/src/controllink.h
+++ b/src/controllink.h
@@ -21,6 +21,7 @@
     virtual void finishClaim(const ClaimKey &key, RequestId request, StoredAnswer answer) = 0;
     virtual void releaseClaim(const ClaimKey &key, RequestId request) = 0;
     virtual void recordOutcome(const ReportOutcome &outcome) = 0;
+    virtual void recordEnding(const RequestEnding &ending) = 0;
     virtual void agentLeaving(const std::string &name) = 0;
 };
 
--- a/src/controlpart.h
+++ b/src/controlpart.h
@@ -4,12 +4,14 @@
 #ifndef CORNELSHED_CONTROLPART_H
 #define CORNELSHED_CONTROLPART_H
 
+#include "controlthread.h"
 #include "entryscheduler.h"
 #include "table.h"
 #include "types.h"
 
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -50,6 +52,7 @@
     virtual void configurationInstalled(const std::shared_ptr<const Configuration> &configuration,
                                         Instant now) = 0;
     virtual void outcomeRecorded(const ReportOutcome &outcome, Instant now) = 0;
+    virtual void endingRecorded(const RequestEnding &ending, Instant now) = 0;
     virtual void messageReceived(const std::string &peer, const std::string &payload,
                                  Instant now) = 0;
 
@@ -60,10 +63,17 @@
     virtual Instant nextWake() const = 0; // instantNever: no timer is needed
 };
 
-// The parts that an entry daemon runs. host outlives them.
+// A state chart that a part needs is missing or wrong.
+class ControlPartError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+// The parts that an entry daemon runs. host outlives them. Throws ControlPartError; daemons check
+// their charts before, so that only a file that changed since then can cause it.
 std::vector<std::unique_ptr<ControlPart>> makeControlParts(ControlPartHost &host,
-                                                           const std::string &entryName,
-                                                           std::uint64_t entryIncarnation);
+                                                           const ControlSettings &settings);
 
 } // namespace cornelshed
 
--- a/src/controlthread.h
+++ b/src/controlthread.h
@@ -51,6 +51,16 @@
     std::vector<AgentAddress> agents;                     // sorted by name
 };
 
+// The end of a valid request as its caller sees it.
+struct RequestEnding
+{
+    std::string organisation;
+    TierRank tier = 0;
+    bool good = false; // answered whole before the deadline
+
+    bool operator==(const RequestEnding &) const = default;
+};
+
 class ControlThread
 {
 public:
@@ -74,9 +84,12 @@
     void finishClaim(const ClaimKey &key, RequestId request, StoredAnswer answer);
     void releaseClaim(const ClaimKey &key, RequestId request);
 
-    // Evidence for rollouts and for the service-level burn report.
+    // Evidence for rollouts.
     void recordOutcome(const ReportOutcome &outcome);
 
+    // How a request ended for its caller, for the service-level burn report.
+    void recordEnding(const RequestEnding &ending);
+
     // An agent said that it leaves, or told a newer configuration version than is in force here.
     void agentLeaving(const std::string &name);
 
--- a/src/rolloutpart.cpp
+++ b/src/rolloutpart.cpp
@@ -83,6 +83,8 @@
             m_controller.recordOutcome(outcome);
     }
 
+    void endingRecorded(const RequestEnding & /*ending*/, Instant /*now*/) override { }
+
     void messageReceived(const std::string &peer, const std::string &payload, Instant now) override
     {
         const auto gossip = parseGossip(payload);
--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -15,6 +15,10 @@
 // Timer and network jitter that is no sign of a slow server.
 constexpr Duration jitter = std::chrono::milliseconds(20);
 
+// Prompts ahead of a request may take this part of the target for its first token; its own prompt,
+// the wait for a grant and the messages need the rest.
+constexpr int promptShareOfTarget = 4;
+
 // Tokens over which the time per token is averaged: few enough to see a cold server within a
 // fraction of a second, enough to smooth out single late tokens.
 constexpr std::uint64_t windowLength = 4;
@@ -54,7 +58,8 @@
     if (sum.requests > 0 && suspect(now))
         return false;
     const Duration ahead = m_rates.prefillTime(m_pendingPrompt + held.promptTokens);
-    return ahead <= m_limits.firstTokenTarget && m_limit.admits(sum, requestTokens);
+    return ahead <= m_limits.firstTokenTarget / promptShareOfTarget
+            && m_limit.admits(sum, requestTokens);
 }
 
 void ServerWork::start(RequestId request, const RunningRequest &running)
@@ -64,8 +69,10 @@
     for (auto &[id, it] : m_running)
         it.windowPromptTokens += running.promptTokens;
     RunningRequest added = running;
+    added.beside = occupancy();
     m_pendingPrompt += added.promptTokens;
     ++m_prefilling;
+    m_gapHasPrompts = true;
     m_heldTokens += added.promptTokens + added.outputTokens;
     added.promptTokensAhead = m_pendingPrompt;
     m_running.emplace(request, added);
@@ -90,7 +97,7 @@
     m_pendingPrompt -= running->promptTokens;
     --m_prefilling;
     running->windowPromptTokens = m_pendingPrompt;
-    note(*running, judgeFirstToken(*running, now - running->startedAt), running->startedAt, now);
+    judgeStart(*running, now);
 }
 
 void ServerWork::tokens(RequestId request, std::uint64_t count, Instant now)
@@ -121,11 +128,13 @@
     Pace pace = running->slow ? Pace::Slow : Pace::Good;
     if (!running->firstTokenAt) {
         pace = observeWhole(*running, total);
-        note(*running, pace, running->startedAt, now);
+        note(*running, pace, now);
     } else if (pace == Pace::Good) {
         learnPrefill(*running, usage);
         pace = std::max(running->latestPace, presentPace());
     }
+    if (!running->slow)
+        clearSuspicion(running->startedAt);
     if (m_suspect)
         pace = Pace::Slow; // its earlier tokens say nothing about the server now
     m_limit.succeeded(occupancy(), pace);
@@ -174,7 +183,8 @@
     const Duration gap = now - m_lastProgress;
     if (m_prefilling == batch()) // no stream is past its first token
         return gap > (perToken + m_rates.prefillTime(m_pendingPrompt)) * slowFactor + jitter;
-    return gap > std::max(perToken * slowFactor, m_usualGap * 2) + jitter;
+    const Duration explained = m_gapHasPrompts ? m_usualGap * 2 : Duration::zero();
+    return gap > std::max(perToken * slowFactor, explained) + jitter;
 }
 
 // A gap in the progress shows a cold server one token after it turned, where the averaged time per
@@ -186,10 +196,11 @@
         m_suspect = true;
         m_suspectGap = gap;
         m_suspectSince = now;
-    } else if (!m_suspect && m_prefilling < batch()) {
+    } else if (!m_suspect && m_prefilling < batch() && m_gapHasPrompts) {
         learnGap(gap);
     }
     m_lastProgress = now;
+    m_gapHasPrompts = m_prefilling > 0;
 }
 
 // A decaying maximum: prompts processed beside the streams make gaps that the time per token of a
@@ -220,6 +231,19 @@
     return report;
 }
 
+// A first token that is late although the streams beside it keep their pace had to wait for room.
+void ServerWork::judgeStart(RunningRequest &running, Instant now)
+{
+    const Pace pace = judgeFirstToken(running, now - running.startedAt);
+    const bool streamsBeside = batch() > m_prefilling + 1;
+    if (pace == Pace::Good || !streamsBeside || m_suspect) {
+        note(running, pace, now);
+        return;
+    }
+    running.latestPace = Pace::Loaded;
+    m_limit.overfull(running.beside);
+}
+
 // The time of a first token is compared with that of all prompt tokens ahead, its own included.
 Pace ServerWork::judgeFirstToken(const RunningRequest &running, Duration time) const
 {
@@ -260,7 +284,9 @@
     const Pace pace = judgeInterval(perToken, allowance);
     if (pace != Pace::Slow && running.windowPromptTokens == 0)
         m_rates.intervalObserved(batch(), perToken);
-    note(running, pace, running.windowStart, now);
+    note(running, pace, now);
+    if (pace != Pace::Slow && running.windowPromptTokens == 0)
+        clearSuspicion(running.windowStart);
     countSuccess(running, pace);
     running.windowStart = now;
     running.windowTokens = 0;
@@ -277,7 +303,8 @@
     if (running.tokensSinceSuccess < tokensPerSuccess)
         return;
     running.tokensSinceSuccess = 0;
-    m_limit.succeeded(occupancy(), presentPace());
+    if (presentPace() == Pace::Good)
+        m_limit.steady(occupancy());
 }
 
 // Learns from prompts that waited for no other one. One step of the batch passes before the first
@@ -308,18 +335,24 @@
     return pace;
 }
 
-void ServerWork::note(RunningRequest &running, Pace pace, Instant since, Instant now)
+void ServerWork::note(RunningRequest &running, Pace pace, Instant now)
 {
     running.latestPace = pace;
     if (pace == Pace::Slow)
         running.slow = true;
-    else if (m_suspect && since >= m_suspectSince) {
-        m_suspect = false;
-        learnGap(m_suspectGap); // the pace is as usual, so the gap had another cause
-    }
     m_limit.observed(pace, occupancy(), now);
 }
 
+// The server kept its usual pace since the given time. Only windows without prompts and whole
+// answers show that: a long prompt explains any pace.
+void ServerWork::clearSuspicion(Instant since)
+{
+    if (!m_suspect || since < m_suspectSince)
+        return;
+    m_suspect = false;
+    learnGap(m_suspectGap); // the gap had another cause
+}
+
 void ServerWork::relearnIfStuck(Instant now)
 {
     const bool stuck = m_limit.cold() && m_limit.concurrency() == m_limits.coldConcurrency;
