An agent restarted under its name is used again

Cause: the dispatcher reported Leaving to the control thread, which blocks the agent's name until the host list drops it; an agent restarted before that got no work. Change: Leaving goes to the scheduler only, which keeps it by incarnation. Connections share their context, because they live until the io_contexts are destroyed.

--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -73,18 +73,19 @@
                                  "Request received to ending known."))
 { }
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerContext &context)
-    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_context(context),
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
+                                   std::shared_ptr<CallerContext> context)
+    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_context(std::move(context)),
       m_writer(m_socket, *this)
 {
     boost::system::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    ++m_context.connectionCount;
+    ++m_context->connectionCount;
 }
 
 CallerConnection::~CallerConnection()
 {
-    --m_context.connectionCount;
+    --m_context->connectionCount;
 }
 
 template<typename Function> void CallerConnection::post(Function function)
@@ -113,7 +114,7 @@
 void CallerConnection::refuse()
 {
     post([](CallerConnection &self) {
-        ++self.m_context.activeCount;
+        ++self.m_context->activeCount;
         self.answerError(notRunAnswer(429, "connection_limit", "too many connections", 1000));
     });
 }
@@ -138,8 +139,8 @@
     m_body.clear();
     m_streamEnd.clear();
     m_parser.emplace();
-    m_parser->header_limit(m_context.settings.headerLimitBytes);
-    m_parser->body_limit(m_context.settings.bodyLimitBytes);
+    m_parser->header_limit(m_context->settings.headerLimitBytes);
+    m_parser->body_limit(m_context->settings.bodyLimitBytes);
     if (m_buffer.size() > 0) {
         readHeader();
         return;
@@ -185,8 +186,8 @@
 void CallerConnection::readHeader()
 {
     m_phase = Phase::Receiving;
-    ++m_context.activeCount;
-    armTimer(std::chrono::milliseconds(m_context.settings.headerTimeoutMs));
+    ++m_context->activeCount;
+    armTimer(std::chrono::milliseconds(m_context->settings.headerTimeoutMs));
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             [self = shared_from_this()](auto ec, std::size_t) {
                                 if (self->m_phase != Phase::Receiving)
@@ -221,7 +222,7 @@
     const bool isHttpError =
             ec.category() == http::make_error_code(http::error::bad_version).category();
     if (!isHttpError || ec == http::error::end_of_stream || ec == http::error::partial_message) {
-        --m_context.activeCount;
+        --m_context->activeCount;
         close();
     } else if (ec == http::error::header_limit) {
         answerError(errorAnswer(InputError {431, "header_too_large", "the header is too large"}));
@@ -237,7 +238,7 @@
 void CallerConnection::handleRequest()
 {
     m_timer.cancel();
-    m_keepAlive = m_parser->keep_alive() && !m_context.shuttingDown;
+    m_keepAlive = m_parser->keep_alive() && !m_context->shuttingDown;
     m_request = makeRequest();
     if (!m_request)
         return;
@@ -248,13 +249,13 @@
         return;
     }
     m_submitted = true;
-    m_context.dispatcher.submit(m_request);
+    m_context->dispatcher.submit(m_request);
 }
 
 // Returns null after a request that cannot run was answered.
 std::shared_ptr<CallerRequest> CallerConnection::makeRequest()
 {
-    const auto configuration = m_context.configuration();
+    const auto configuration = m_context->configuration();
     if (!configuration) {
         answerError(notRunAnswer(503, "no_configuration", "no configuration is known yet", 1000));
         return nullptr;
@@ -264,14 +265,14 @@
     const RawRequest raw {message.method_string(), message.target(), &headers, message.body()};
     Result<ValidRequest, InputError> checked = validateRequest(*configuration, raw, m_received);
     if (const auto *error = std::get_if<InputError>(&checked)) {
-        m_context.metrics.invalid.add();
+        m_context->metrics.invalid.add();
         answerError(errorAnswer(*error));
         return nullptr;
     }
     auto &valid = std::get<ValidRequest>(checked);
     auto request = std::make_shared<CallerRequest>();
     request->arrival = std::move(valid.arrival);
-    request->arrival.request = m_context.nextRequestId();
+    request->arrival.request = m_context->nextRequestId();
     request->method = raw.method;
     request->path = raw.target;
     request->headers = std::move(valid.headers);
@@ -289,41 +290,41 @@
 void CallerConnection::claim()
 {
     const RequestId request = m_request->arrival.request;
-    m_context.control.claim(*m_request->claim, request, m_request->bodyDigest,
-                            [self = shared_from_this()](const ClaimResult &result) {
-                                self->post([result](CallerConnection &connection) {
-                                    connection.handleClaim(result);
-                                });
-                            });
+    m_context->control.claim(*m_request->claim, request, m_request->bodyDigest,
+                             [self = shared_from_this()](const ClaimResult &result) {
+                                 self->post([result](CallerConnection &connection) {
+                                     connection.handleClaim(result);
+                                 });
+                             });
 }
 
 void CallerConnection::handleClaim(const ClaimResult &result)
 {
     if (result.verdict == ClaimVerdict::Claimed && !m_gone) {
         m_submitted = true;
-        m_context.dispatcher.submit(m_request);
+        m_context->dispatcher.submit(m_request);
         return;
     }
     if (result.verdict == ClaimVerdict::Claimed)
-        m_context.control.releaseClaim(*m_request->claim, m_request->arrival.request);
+        m_context->control.releaseClaim(*m_request->claim, m_request->arrival.request);
     switch (result.verdict) {
     case ClaimVerdict::Claimed:
     case ClaimVerdict::Unavailable:
-        m_context.metrics.notRun.add();
+        m_context->metrics.notRun.add();
         answerError(notRunAnswer(503, "claim_unavailable",
                                  "the call cannot be protected against running twice now", 1000));
         break;
     case ClaimVerdict::Finished:
-        m_context.metrics.answered.add();
+        m_context->metrics.answered.add();
         answerWhole(result.answer.status, {{"Content-Type", result.answer.contentType}},
                     result.answer.body);
         break;
     case ClaimVerdict::Open:
-        m_context.metrics.unknown.add();
+        m_context->metrics.unknown.add();
         answerError(openClaimAnswer());
         break;
     case ClaimVerdict::BodyMismatch:
-        m_context.metrics.invalid.add();
+        m_context->metrics.invalid.add();
         answerError(errorAnswer(InputError {422, "idempotency_key_reused",
                                             "the key was used with another request"}));
         break;
@@ -335,7 +336,7 @@
     if (std::exchange(m_gone, true))
         return;
     if (m_submitted)
-        m_context.dispatcher.callerGone(m_request->arrival.request);
+        m_context->dispatcher.callerGone(m_request->arrival.request);
     boost::system::error_code ec;
     m_socket.close(ec);
 }
@@ -401,7 +402,7 @@
         m_streamEnd = std::move(data);
         return;
     }
-    m_context.metrics.chunks.add();
+    m_context->metrics.chunks.add();
     m_writer.chunk(data);
     if (m_writer.queuedBytes() > streamBacklogLimitBytes)
         callerGone(); // it does not read fast enough
@@ -409,7 +410,7 @@
 
 void CallerConnection::handleEnding(const Ending &ending)
 {
-    m_context.metrics.answerTime.record(monotonicNow() - m_received);
+    m_context->metrics.answerTime.record(monotonicNow() - m_received);
     // An answer whose end event or head is missing is not whole, whatever the agent says.
     const bool isWhole = m_isStream ? !m_streamEnd.empty() : m_hasHead && !m_isTooLarge;
     const bool isAnswered = std::holds_alternative<Answered>(ending) && isWhole;
@@ -417,9 +418,9 @@
             ? ending
             : Ending(Unknown {UnknownReason::StreamCut});
     if (std::holds_alternative<NotRun>(actual))
-        m_context.metrics.notRun.add();
+        m_context->metrics.notRun.add();
     else
-        (isAnswered ? m_context.metrics.answered : m_context.metrics.unknown).add();
+        (isAnswered ? m_context->metrics.answered : m_context->metrics.unknown).add();
     settleClaim(actual);
     if (m_isStream)
         finishStream(actual);
@@ -436,11 +437,11 @@
         return;
     const RequestId request = m_request->arrival.request;
     if (std::holds_alternative<NotRun>(ending)) {
-        m_context.control.releaseClaim(*m_request->claim, request);
+        m_context->control.releaseClaim(*m_request->claim, request);
     } else if (std::holds_alternative<Answered>(ending)) {
         const std::string *type = findHeader(m_headers, "Content-Type");
-        m_context.control.finishClaim(*m_request->claim, request,
-                                      {m_status, type == nullptr ? "" : *type, m_body});
+        m_context->control.finishClaim(*m_request->claim, request,
+                                       {m_status, type == nullptr ? "" : *type, m_body});
     }
 }
 
@@ -486,8 +487,8 @@
 
 void CallerConnection::answerSent()
 {
-    --m_context.activeCount;
-    if (m_keepAlive && !m_context.shuttingDown)
+    --m_context->activeCount;
+    if (m_keepAlive && !m_context->shuttingDown)
         readNext();
     else
         linger();
@@ -500,7 +501,7 @@
         return;
     }
     if (m_phase == Phase::Answering)
-        --m_context.activeCount;
+        --m_context->activeCount;
     close();
 }
 
@@ -558,7 +559,7 @@
                 InputError {408, "request_timeout", "the request was not received in time"}));
         break;
     case Phase::Answering:
-        --m_context.activeCount;
+        --m_context->activeCount;
         close();
         break;
     case Phase::Idle:
--- a/src/callerconnection.h
+++ b/src/callerconnection.h
@@ -29,7 +29,7 @@
 {
 public:
     // The socket's executor must run one handler at a time.
-    CallerConnection(boost::asio::ip::tcp::socket socket, CallerContext &context);
+    CallerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<CallerContext> context);
     ~CallerConnection() override;
 
     void start();
@@ -87,7 +87,8 @@
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    CallerContext &m_context;
+    // Shared, because connections live until the io_contexts are destroyed.
+    std::shared_ptr<CallerContext> m_context;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     AnswerWriter m_writer;
--- a/src/controllink.h
+++ b/src/controllink.h
@@ -7,11 +7,11 @@
 #include "controlthread.h"
 #include "types.h"
 
-#include <string>
-
 namespace cornelshed {
 
-// The members mean the same as those of ControlThread and are safe from any thread.
+// The members mean the same as those of ControlThread and are safe from any thread. Agents that
+// leave are not reported: the scheduler learns it from them by incarnation, while the control
+// thread would block the name, and with it an agent that is restarted under it.
 class ControlLink
 {
 public:
@@ -22,7 +22,6 @@
     virtual void releaseClaim(const ClaimKey &key, RequestId request) = 0;
     virtual void recordOutcome(const ReportOutcome &outcome) = 0;
     virtual void recordEnding(const RequestEnding &ending) = 0;
-    virtual void agentLeaving(const std::string &name) = 0;
 };
 
 } // namespace cornelshed
--- a/src/entrydaemon.cpp
+++ b/src/entrydaemon.cpp
@@ -73,8 +73,6 @@
 
     void recordEnding(const RequestEnding &ending) override { m_control.recordEnding(ending); }
 
-    void agentLeaving(const std::string &name) override { m_control.agentLeaving(name); }
-
     void beginShutdown()
     {
         EventLog("shutdown_started").field("active", m_service.activeCount());
--- a/src/entrydispatcher.cpp
+++ b/src/entrydispatcher.cpp
@@ -87,8 +87,6 @@
     void sessionMessage(const BackendServerId &from, AgentMessage message) override
     {
         onStrand([from, message = std::move(message)](Private &self) {
-            if (std::holds_alternative<Leaving>(message))
-                self.m_control.agentLeaving(from.name);
             self.decide([&](Instant now) { return self.m_scheduler.handle(from, message, now); });
         });
     }
--- a/src/entryservice.cpp
+++ b/src/entryservice.cpp
@@ -45,7 +45,8 @@
     Private(const EntrySettings &settings, std::uint64_t entryIncarnation, ControlLink &control)
         : m_settings(settings), m_contexts(makeContexts(settings.trafficThreads)),
           m_dispatcher(pointers(), m_settings, entryIncarnation, control, m_metrics),
-          m_callers(m_settings, entryIncarnation, m_dispatcher, control, m_metrics),
+          m_callers(std::make_shared<CallerContext>(m_settings, entryIncarnation, m_dispatcher,
+                                                    control, m_metrics)),
           m_listener(std::make_shared<detail::Listener>(pointers())),
           m_admin(*m_contexts.front(),
                   {[this] { return m_metrics.text(); }, [this] { return isReady(); }})
@@ -61,19 +62,19 @@
         return all;
     }
 
-    bool isReady() const { return m_ready && m_callers.configuration() != nullptr; }
+    bool isReady() const { return m_ready && m_callers->configuration() != nullptr; }
 
     void addMetrics()
     {
         m_metrics.gauge("cornelshed_entry_connections", "Connections of callers.",
-                        [this] { return static_cast<double>(m_callers.connectionCount.load()); });
+                        [this] { return static_cast<double>(m_callers->connectionCount.load()); });
         m_metrics.gauge("cornelshed_entry_active_requests", "Requests not answered yet.",
-                        [this] { return static_cast<double>(m_callers.activeCount.load()); });
+                        [this] { return static_cast<double>(m_callers->activeCount.load()); });
         m_metrics.gauge("cornelshed_entry_agent_sessions", "Sessions to agents.",
                         [this] { return static_cast<double>(m_dispatcher.connectedCount()); });
         m_metrics.gauge("cornelshed_entry_configuration_version", "Configuration in force.",
                         [this] {
-                            const auto configuration = m_callers.configuration();
+                            const auto configuration = m_callers->configuration();
                             return configuration ? static_cast<double>(configuration->version) : 0;
                         });
     }
@@ -81,7 +82,7 @@
     void accept(asio::ip::tcp::socket socket)
     {
         auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callers);
-        if (m_callers.connectionCount > m_settings.connectionLimitCount) {
+        if (m_callers->connectionCount > m_settings.connectionLimitCount) {
             connection->refuse();
             return;
         }
@@ -115,7 +116,7 @@
     Metrics m_metrics;
     Contexts m_contexts;
     EntryDispatcher m_dispatcher;
-    CallerContext m_callers;
+    std::shared_ptr<CallerContext> m_callers;
     std::shared_ptr<detail::Listener> m_listener;
     AdminServer m_admin;
     std::mutex m_mutex; // guards the two below
@@ -162,7 +163,7 @@
 {
     const auto &configuration = view->routing->configuration;
     if (configuration->version > 0)
-        d->m_callers.setConfiguration(configuration);
+        d->m_callers->setConfiguration(configuration);
     d->m_dispatcher.setView(std::move(view));
 }
 
@@ -173,7 +174,7 @@
 
 void EntryService::stopAccepting()
 {
-    d->m_callers.shuttingDown = true;
+    d->m_callers->shuttingDown = true;
     d->m_listener->stop();
     d->m_dispatcher.beginShutdown();
     d->closeIdle();
@@ -181,7 +182,7 @@
 
 std::size_t EntryService::activeCount() const
 {
-    return d->m_callers.activeCount + d->m_dispatcher.requestCount();
+    return d->m_callers->activeCount + d->m_dispatcher.requestCount();
 }
 
 void EntryService::closeSessions()
--- a/test/error/callerinterface.cpp
+++ b/test/error/callerinterface.cpp
@@ -92,6 +92,19 @@
     };
 }
 
+// The agent rejects until its probe has reached the server.
+bool waitReady(std::uint16_t adminPort)
+{
+    for (int n = 0; n < 1000; ++n) {
+        Caller admin(adminPort);
+        admin.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        if (admin.receive().status == 200)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+}
+
 // Agent and scripted service or engine behind an entry daemon.
 class Deployment
 {
@@ -101,20 +114,7 @@
     {
         fixture.entry.configure(smallDeployment(),
                                 {{"a1", "127.0.0.1", agent.daemon().entryPort(), "z1"}});
-        connected = fixture.entry.waitForAgents(1) && backendReady();
-    }
-
-    // The agent rejects until its probe has reached the server.
-    bool backendReady()
-    {
-        for (int n = 0; n < 1000; ++n) {
-            Caller admin(agent.daemon().adminPort());
-            admin.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
-            if (admin.receive().status == 200)
-                return true;
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        }
-        return false;
+        connected = fixture.entry.waitForAgents(1) && waitReady(agent.daemon().adminPort());
     }
 
     Fixture fixture;
@@ -294,3 +294,21 @@
     CHECK(deployment.backend.waitForRequest("/control/cancel"));
     release.set_value();
 }
+
+TEST_CASE("an agent that left and came back under its name and address is used again")
+{
+    BackendStub backend([](const StubRequest &, StubReply &reply) { reply.whole(200, "{}"); });
+    AgentSettings settings = agentSettings(backend.port());
+    Fixture fixture;
+    for (int n = 0; n < 2; ++n) {
+        AgentRunner agent(settings);
+        settings.entryPort = agent.daemon().entryPort();
+        fixture.entry.configure(smallDeployment(), {{"a1", "127.0.0.1", settings.entryPort, "z1"}});
+        REQUIRE(fixture.entry.waitForAgents(1));
+        REQUIRE(waitReady(agent.daemon().adminPort()));
+        CHECK(fixture.post("/v1/completions", {organisation}, goodBody).status == 200);
+        CHECK(agent.shutDown() == DaemonStatus::Success);
+        while (fixture.entry.service().connectedAgentCount() > 0)
+            std::this_thread::yield();
+    }
+}
--- a/test/support/entryrunner.h
+++ b/test/support/entryrunner.h
@@ -40,7 +40,6 @@
 
     void recordOutcome(const ReportOutcome & /*outcome*/) override { }
     void recordEnding(const RequestEnding & /*ending*/) override { }
-    void agentLeaving(const std::string & /*name*/) override { }
 
     void setAvailable(bool available)
     {
