--- a/src/completionbody.cpp
+++ b/src/completionbody.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-InputError invalid(std::string field, const std::string &allowed)
+InputError invalid(const std::string &field, const std::string &allowed)
 {
     return {400, "invalid_field", field + ": " + allowed};
 }
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -63,8 +63,9 @@
     for (std::size_t n = 0; n < quantiles.size(); ++n) {
         std::string label = std::to_string(quantiles[n]);
         label.erase(label.find_last_not_of('0') + 1);
-        printLine(out, name + "{quantile=\"" + label + "\"}",
-                  std::to_string(estimates[static_cast<std::ptrdiff_t>(n)]));
+        label.insert(0, name + "{quantile=\"");
+        label += "\"}";
+        printLine(out, label, std::to_string(estimates[static_cast<std::ptrdiff_t>(n)]));
     }
     printLine(out, name + "_sum", std::to_string(acc::sum(d->m_accumulator)));
     printLine(out, name + "_count", std::to_string(acc::count(d->m_accumulator)));
--- a/test/error/callerinterface.cpp
+++ b/test/error/callerinterface.cpp
@@ -22,7 +22,7 @@
 class Fixture
 {
 public:
-    explicit Fixture(EntrySettings settings = entrySettings()) : entry(settings)
+    explicit Fixture(const EntrySettings &settings = entrySettings()) : entry(settings)
     {
         entry.configure(smallDeployment(), {});
     }
@@ -152,9 +152,10 @@
             {"\x01\x02 nonsense\r\n\r\n", {400, "malformed_request"}},
             {"POST /v1/completions HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
              {400, "malformed_request"}}};
-    for (const auto &[bytes, expected] : inputs) {
+    for (const auto &it : inputs) {
+        const auto &expected = it.second;
         Caller caller(fixture.entry.port());
-        caller.send(bytes);
+        caller.send(it.first);
         const CallerAnswer answer = caller.receive();
         CAPTURE(expected.second);
         CHECK(answer.status == expected.first);
--- a/test/performance/chunkcost.cpp
+++ b/test/performance/chunkcost.cpp
@@ -51,6 +51,7 @@
     });
     const Clock::time_point end = Clock::now() + std::chrono::seconds(6);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int n = 0; n < callers; ++n)
         threads.emplace_back([&path, &complete, end] {
             Caller caller(path.port());
--- a/test/performance/requestlatency.cpp
+++ b/test/performance/requestlatency.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr double addedLatencyTargetMicros = 3000;
+// A p99 over three seconds is disturbed by other processes more easily than a sum of processor
+// time.
+constexpr int attempts = 6;
 
 struct Latencies
 {
@@ -40,6 +43,7 @@
     constexpr auto interval = std::chrono::milliseconds(10); // 20 callers: 2,000 requests/s
     std::vector<Latencies> results(callers);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     const Clock::time_point start = Clock::now() + std::chrono::milliseconds(50);
     for (int n = 0; n < callers; ++n)
         threads.emplace_back([&, n, port, start] {
@@ -73,12 +77,13 @@
     measureLatency(path.port()); // the agent's limit grows from its cold start
     double lowest = 1e9;
     int failed = 0;
-    for (int n = 0; n < proxyPathAttempts && lowest > addedLatencyTargetMicros; ++n) {
+    for (int n = 0; n < attempts && lowest > addedLatencyTargetMicros; ++n) {
         Latencies direct = measureLatency(path.directPort());
         const double before = daemonMicros();
         Latencies proxied = measureLatency(path.port());
         const double used = daemonMicros() - before;
-        const double added = proxied.quantile(0.99) - direct.quantile(0.99);
+        // Against the direct path's median: a disturbed direct run must not hide a slow path.
+        const double added = proxied.quantile(0.99) - direct.quantile(0.5);
         std::printf("direct_p50_us=%.0f direct_p99_us=%.0f proxied_p50_us=%.0f proxied_p99_us=%.0f "
                     "added_p99_us=%.0f failed=%d cpu_us_per_request=%.0f\n",
                     direct.quantile(0.5), direct.quantile(0.99), proxied.quantile(0.5),
