--- a/test/support/eventqueue.h
+++ b/test/support/eventqueue.h
@@ -5,6 +5,7 @@
 
 #include "types.h"
 
+#include <algorithm>
 #include <functional>
 #include <queue>
 #include <tuple>
