At most three starts until the server makes progress

Change: beside running work, at most three requests are started or granted until the server makes progress.

--- a/src/serverwork.cpp
+++ b/src/serverwork.cpp
@@ -23,6 +23,10 @@
 // seconds.
 constexpr Duration briefTime = std::chrono::seconds(3);
 
+// Requests started or granted until the server makes progress. A burst would otherwise be started
+// on a server that turned cold before its first late token can show it.
+constexpr std::uint32_t startsWithoutProgress = 3;
+
 // Tokens over which the time per token is averaged: few enough to see a cold server within a
 // fraction of a second, enough to smooth out single late tokens.
 constexpr std::uint64_t windowLength = 4;
@@ -61,6 +65,9 @@
     sum.tokens += held.occupancy.tokens;
     if (sum.requests > 0 && suspect(now))
         return false;
+    if (sum.requests > 0
+        && m_startsSinceProgress + held.occupancy.requests >= startsWithoutProgress)
+        return false;
     const Duration ahead = m_rates.prefillTime(m_pendingPrompt + held.promptTokens);
     return ahead <= m_limits.firstTokenTarget / promptShareOfTarget
             && m_limit.admits(sum, size.promptTokens + size.outputTokens, brief(size));
@@ -84,6 +91,7 @@
     m_pendingPrompt += added.promptTokens;
     ++m_prefilling;
     m_gapHasPrompts = true;
+    ++m_startsSinceProgress;
     m_heldTokens += added.promptTokens + added.outputTokens;
     added.promptTokensAhead = m_pendingPrompt;
     m_running.emplace(request, added);
@@ -212,6 +220,7 @@
     }
     m_lastProgress = now;
     m_gapHasPrompts = m_prefilling > 0;
+    m_startsSinceProgress = 0;
 }
 
 // A decaying maximum: prompts processed beside the streams make gaps that the time per token of a
@@ -383,6 +392,7 @@
     m_heldTokens -= it->second.promptTokens + it->second.outputTokens;
     m_running.erase(it);
     m_lastProgress = now;
+    m_startsSinceProgress = 0;
 }
 
 } // namespace cornelshed
--- a/src/serverwork.h
+++ b/src/serverwork.h
@@ -132,9 +132,10 @@
     std::uint64_t m_pendingPrompt = 0; // prompt tokens of requests without a first token
     Instant m_lastProgress;            // last token or end, or start on an empty server
     std::uint32_t m_prefilling = 0;    // requests without a first token
-    bool m_gapHasPrompts = false;      // prompts were processed since the last progress
-    Duration m_usualGap {};            // largest gap of late at usual pace beside prompts
-    bool m_suspect = false;            // set by a gap in the progress
+    std::uint32_t m_startsSinceProgress = 0;
+    bool m_gapHasPrompts = false; // prompts were processed since the last progress
+    Duration m_usualGap {};       // largest gap of late at usual pace beside prompts
+    bool m_suspect = false;       // set by a gap in the progress
     Duration m_suspectGap {};
     Instant m_suspectSince;
 };
