Base no estimate on the guessed home of a prefix

The home now only gets the first offer, and no offer is held back while its last report shows a queue.

--- a/src/entrydecisions.cpp
+++ b/src/entrydecisions.cpp
@@ -326,8 +326,6 @@
          Dispatch {arrival.request, grant.grant, {}, {}, {}, {}, arrival.deadline - now});
     withdrawAll(request);
     m_speeds.sent(reservation.slot, workSize(request, reservation.cachedTokens));
-    m_prefixes.sent(reservation.slot,
-                    {arrival.prefixHashes, arrival.prefixTokensPerHash, arrival.promptTokens}, now);
     if (request.offeredBackBy.empty())
         m_retries.firstAttempt();
     m_requests.setTimer(request, arrival.deadline);
--- a/src/entrydecisions.h
+++ b/src/entrydecisions.h
@@ -65,7 +65,7 @@
     Reserved reserve(EntryRequest &request, Instant now);
     void collectExcluded(const EntryRequest &request);
     void collectCached(const EntryRequest &request, Instant now);
-    void addHome(const EntryRequest &request);
+    CachedPrefix homeOf(const EntryRequest &request) const;
     PlacementQuery query(const EntryRequest &request, Instant now) const;
     bool reserveWhereCached(EntryRequest &request, Instant now);
     void reserveChoices(EntryRequest &request, Instant now);
@@ -117,7 +117,6 @@
     // Scratch memory of one decision, kept between calls.
     CandidateSet m_candidates;
     CandidateSet m_noCandidates; // always empty
-    bool m_cacheGuessed = false; // m_cached holds the prefix's home, not beliefs
     std::vector<CachedPrefix> m_cached;
     std::vector<ServerSlot> m_excluded;
     std::vector<PlacementChoice> m_choices;
--- a/src/entryreservations.cpp
+++ b/src/entryreservations.cpp
@@ -82,18 +82,15 @@
 
 // A prefix that no server is known to have is sent to a server that all entry daemons choose alike
 // from its hash, so that it is computed once and not once for each daemon.
-void EntryDecisions::addHome(const EntryRequest &request)
+CachedPrefix EntryDecisions::homeOf(const EntryRequest &request) const
 {
     const RequestArrival &arrival = request.arrival;
-    m_cacheGuessed = m_cached.empty();
-    if (!m_cacheGuessed || arrival.prefixHashes.empty())
-        return;
+    if (arrival.prefixHashes.empty())
+        return {};
     const std::uint64_t prefixTokens = std::min<std::uint64_t>(
             std::uint64_t(arrival.prefixTokensPerHash) * arrival.prefixHashes.size(),
             arrival.promptTokens);
-    const ServerSlot home = m_directory.home(m_candidates, arrival.prefixHashes.front());
-    if (home != noServerSlot)
-        m_cached.push_back({home, prefixTokens / 2});
+    return {m_directory.home(m_candidates, arrival.prefixHashes.front()), prefixTokens / 2};
 }
 
 PlacementQuery EntryDecisions::query(const EntryRequest &request, Instant now) const
@@ -112,10 +109,8 @@
 
 void EntryDecisions::reserveChoices(EntryRequest &request, Instant now)
 {
-    for (const PlacementChoice &it : m_choices) {
-        const std::uint64_t cached = m_cacheGuessed ? 0 : it.cachedTokens;
-        addReservation(request, {it.slot, it.service, cached, false}, now);
-    }
+    for (const PlacementChoice &it : m_choices)
+        addReservation(request, {it.slot, it.service, it.cachedTokens, false}, now);
 }
 
 // Offers the request for a short time only to the server with its prefix. Otherwise another server
@@ -123,25 +118,32 @@
 // the request is offered everywhere at once.
 bool EntryDecisions::reserveWhereCached(EntryRequest &request, Instant now)
 {
-    if (m_limits.reservationCount < 2 || m_cached.empty()
-        || m_cached.front().tokens < leastCachedTokens)
-        return false;
+    const bool guessed = m_cached.empty();
+    const CachedPrefix home = homeOf(request);
     PlacementQuery cachedOnly = query(request, now);
+    if (guessed)
+        cachedOnly.cached = {&home, 1};
+    if (m_limits.reservationCount < 2 || cachedOnly.cached.front().slot == noServerSlot
+        || cachedOnly.cached.front().tokens < leastCachedTokens)
+        return false;
     cachedOnly.candidates = &m_noCandidates;
     cachedOnly.count = 1;
     m_placement->choose(cachedOnly, m_random, m_choices);
     if (m_choices.empty())
         return false;
-    const PlacementChoice &best = m_choices.front();
+    PlacementChoice &best = m_choices.front();
     const RequestArrival &arrival = request.arrival;
-    const Duration saved =
-            m_speeds.serviceTime(best.slot, {arrival.promptTokens, arrival.outputTokens}, now)
-            - best.service;
-    if (best.finish > best.service + saved / longestWaitShare)
+    const Duration uncached =
+            m_speeds.serviceTime(best.slot, {arrival.promptTokens, arrival.outputTokens}, now);
+    const Duration saved = uncached - best.service;
+    if (m_speeds.lastReportedWaiting(best.slot) > 0
+        || best.finish > best.service + saved / longestWaitShare)
         return false;
     request.fillUpAt = now
-            + (m_cacheGuessed ? homePatience
-                              : std::clamp(saved / 2, homePatience, longestCachePatience));
+            + (guessed ? homePatience : std::clamp(saved / 2, homePatience, longestCachePatience));
+    // The latest start must not rest on a guess.
+    if (guessed)
+        best = {best.slot, uncached, best.finish + saved, 0};
     reserveChoices(request, now);
     return true;
 }
@@ -155,7 +157,6 @@
         return Reserved::NoServer;
     collectExcluded(request);
     collectCached(request, now);
-    addHome(request);
     if (!std::exchange(request.cacheTried, true) && reserveWhereCached(request, now))
         return Reserved::Some;
     const std::size_t looked = m_placement->choose(query(request, now), m_random, m_choices);
--- a/src/prefixindex.cpp
+++ b/src/prefixindex.cpp
@@ -142,12 +142,6 @@
     } else if (cachedTokens > 0) {
         answering.trust += m_settings.smoothing * (1 - answering.trust);
     }
-    sent(slot, prompt, now);
-}
-
-void PrefixIndex::sent(ServerSlot slot, const PromptPrefixes &prompt, Instant now)
-{
-    server(slot);
     for (std::size_t i = 0; i < consideredHashes(prompt); ++i)
         if (isKept(i))
             insert(prompt.hashes[i], slot, now);
--- a/src/prefixindex.h
+++ b/src/prefixindex.h
@@ -50,9 +50,6 @@
     // Servers expected to have a prefix of the prompt, longest prefix first; result is cleared.
     void lookup(const PromptPrefixes &prompt, Instant now, std::vector<CachedPrefix> &result) const;
 
-    // The request was handed to the server, which computes its prefixes next.
-    void sent(ServerSlot slot, const PromptPrefixes &prompt, Instant now);
-
     // The server has processed the prompt, so it has the prefixes now. expectedTokens is what
     // lookup() told when the request was sent, cachedTokens what the answer reported.
     void answered(ServerSlot slot, const PromptPrefixes &prompt, std::uint64_t expectedTokens,
--- a/src/speedestimate.h
+++ b/src/speedestimate.h
@@ -56,6 +56,12 @@
     // Expected wait until the server has room, by the aged report and the work sent since.
     Duration queueDelay(ServerSlot slot, Instant now) const;
 
+    // Reservations queued at the server's agent by the last report alone.
+    std::uint32_t lastReportedWaiting(ServerSlot slot) const
+    {
+        return m_servers[slot].load.waiting;
+    }
+
     // Requests on or queued at the server by the last report alone, whatever its age (for the
     // baseline policy).
     std::uint64_t lastReportedRequests(ServerSlot slot) const;
