Decision cost: time second offers too

A request that is first offered to one server gets its other reservations at a tick, which was not timed.

--- a/test/performance/entrydecision.cpp
+++ b/test/performance/entrydecision.cpp
@@ -131,7 +131,7 @@
                 {3000, 200, 1024, {}, std::chrono::milliseconds(200), std::chrono::seconds(5)},
                 {4, 0, 8000, 9000, 40, 16}};
         timed(answers, [&] { return m_scheduler.handle(winner.backendServer, finished, m_now); });
-        m_scheduler.tick(m_now);
+        timed(submits, [&] { return m_scheduler.tick(m_now); }); // second offers of one request
     }
 
     // Microseconds of each decision since the last round.
