--- a/test/performance/entrydecision.cpp
+++ b/test/performance/entrydecision.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void *operator new(std::size_t size)
+[[gnu::noinline]] void *operator new(std::size_t size)
 {
     void *memory = std::malloc(size); // NOLINT: replacement of the global operator
     if (memory == nullptr)
@@ -29,10 +29,10 @@
     return memory;
 }
 
-void operator delete(void *memory) noexcept
+[[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     liveBytes -= malloc_usable_size(memory);
-    std::free(memory); // NOLINT: replacement of the global operator
+    std::free(memory); // NOLINT
 }
 
 void operator delete(void *memory, std::size_t /*size*/) noexcept
@@ -131,7 +131,7 @@
                 {3000, 200, 1024, {}, std::chrono::milliseconds(200), std::chrono::seconds(5)},
                 {4, 0, 8000, 9000, 40, 16}};
         timed(answers, [&] { return m_scheduler.handle(winner.backendServer, finished, m_now); });
-        m_scheduler.tick(m_now);
+        timed(submits, [&] { return m_scheduler.tick(m_now); }); // second offers of one request
     }
 
     // Microseconds of each decision since the last round.
