One form of burn rows, one event queue of the models

Cause: entry daemons wrote burn rows as JSON while the operators' report read lines; the spread model and a test had two further event queues. Change: BurnPart writes the report's lines with the tiers' names; the JSON form and the second burnRate are removed; the models share apps/measure/eventqueue.h.

--- a/apps/measure/eventqueue.h
+++ b/apps/measure/eventqueue.h
@@ -30,6 +30,8 @@
 
     void after(Duration delay, Action action) { at(m_now + delay, std::move(action)); }
 
+    void runFor(Duration duration) { runUntil(m_now + duration); }
+
     // Runs all events up to the given time.
     void runUntil(Instant end)
     {
--- a/apps/measure/spreadmodel.cpp
+++ b/apps/measure/spreadmodel.cpp
@@ -2,12 +2,12 @@
 
 #include "spreadmodel.h"
 
+#include "eventqueue.h"
+
 #include <algorithm>
 #include <functional>
 #include <optional>
-#include <queue>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -38,19 +38,9 @@
             scheduleCrash();
     }
 
-    void accept() { m_acceptedAt.push_back(m_now); }
+    void accept() { m_acceptedAt.push_back(m_events.now()); }
 
-    void runFor(Duration duration)
-    {
-        const Instant end = m_now + duration;
-        while (!m_events.empty() && m_events.top().at <= end) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.run();
-        }
-        m_now = end;
-    }
+    void runFor(Duration duration) { m_events.runFor(duration); }
 
     std::uint64_t reads() const { return m_reads; }
     std::uint64_t bytesSent() const { return m_bytes; }
@@ -69,17 +59,6 @@
     std::uint64_t installed(std::size_t n) const { return m_daemons[n].installed; }
 
 private:
-    struct Event
-    {
-        Instant at;
-        std::uint64_t order;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order); // earliest on top
-        }
-    };
-
     struct Daemon
     {
         std::optional<ConfigurationSpread> spread;
@@ -89,11 +68,6 @@
         Instant wakeAt = instantNever;
     };
 
-    void after(Duration delay, std::function<void()> run)
-    {
-        m_events.push({m_now + delay, ++m_order, std::move(run)});
-    }
-
     Duration randomDelay() { return Duration(m_random.below(m_faults.delayMost.count() + 1)); }
     bool happens(std::uint64_t percent) { return m_random.below(100) < percent; }
 
@@ -101,13 +75,13 @@
     {
         Daemon &daemon = m_daemons[n];
         const std::uint64_t incarnation = daemon.incarnation + 1;
-        daemon = Daemon {std::nullopt, incarnation, 0, m_now, instantNever};
+        daemon = Daemon {std::nullopt, incarnation, 0, m_events.now(), instantNever};
         daemon.spread.emplace(
                 SpreadLimits {}, m_random,
                 [](const std::string &digest, const std::string &text) {
                     return text == textOf(std::stoull(digest));
                 },
-                m_now);
+                m_events.now());
         std::vector<std::string> peers;
         for (std::size_t peer = 0; peer < m_daemons.size(); ++peer) {
             if (peer != n)
@@ -119,7 +93,7 @@
 
     void scheduleCrash()
     {
-        after(Duration(m_random.below(2 * m_faults.crashPeriod.count())), [this] {
+        m_events.after(Duration(m_random.below(2 * m_faults.crashPeriod.count())), [this] {
             restart(m_random.below(m_daemons.size()));
             scheduleCrash();
         });
@@ -131,20 +105,20 @@
         if (at >= m_daemons[n].wakeAt)
             return;
         m_daemons[n].wakeAt = at;
-        afterIn(n, at - m_now, [this, n] {
+        afterIn(n, at - m_events.now(), [this, n] {
             m_daemons[n].wakeAt = instantNever;
-            carryOut(n, m_daemons[n].spread->tick(m_now));
+            carryOut(n, m_daemons[n].spread->tick(m_events.now()));
         });
     }
 
     // Runs in the daemon unless it has crashed by then.
     void afterIn(std::size_t n, Duration delay, std::function<void()> run)
     {
-        after(std::max(delay, Duration(0)),
-              [this, n, incarnation = m_daemons[n].incarnation, run = std::move(run)] {
-                  if (m_daemons[n].incarnation == incarnation)
-                      run();
-              });
+        m_events.after(std::max(delay, Duration(0)),
+                       [this, n, incarnation = m_daemons[n].incarnation, run = std::move(run)] {
+                           if (m_daemons[n].incarnation == incarnation)
+                               run();
+                       });
     }
 
     void carryOut(std::size_t n, const SpreadActions &actions)
@@ -160,7 +134,9 @@
         if (happens(m_faults.failedReadPercent))
             return;
         afterIn(n, randomDelay(), [this, n, version = m_acceptedAt.size()] {
-            carryOut(n, m_daemons[n].spread->headRead(version, std::to_string(version), m_now));
+            carryOut(n,
+                     m_daemons[n].spread->headRead(version, std::to_string(version),
+                                                   m_events.now()));
         });
     }
 
@@ -171,7 +147,7 @@
         afterIn(n, randomDelay(), [this, n, action] {
             carryOut(n,
                      m_daemons[n].spread->textFetched(action.version, action.digest,
-                                                      textOf(action.version), m_now));
+                                                      textOf(action.version), m_events.now()));
         });
     }
 
@@ -185,15 +161,15 @@
         for (int copy = 0; copy < copies; ++copy) {
             // A duplicate may arrive seconds late, and by then for another incarnation.
             const Duration late = copy == 0 ? Duration(0) : Duration(m_random.below(5000000));
-            after(randomDelay() + late,
-                  [this, to = std::stoul(action.peer), from = std::to_string(n),
-                   message = action.message] { deliver(to, from, message); });
+            m_events.after(randomDelay() + late,
+                           [this, to = std::stoul(action.peer), from = std::to_string(n),
+                            message = action.message] { deliver(to, from, message); });
         }
     }
 
     void deliver(std::size_t to, const std::string &from, const SpreadMessage &message)
     {
-        carryOut(to, m_daemons[to].spread->handle(from, message, m_now));
+        carryOut(to, m_daemons[to].spread->handle(from, message, m_events.now()));
     }
 
     void perform(std::size_t n, const InstallConfiguration &action)
@@ -207,9 +183,7 @@
     SeededRandom m_random;
     std::vector<Daemon> m_daemons;
     std::vector<Instant> m_acceptedAt; // of version n at n - 1
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_order = 0;
-    Instant m_now {};
+    measure::EventQueue m_events;
     std::uint64_t m_reads = 0;
     std::uint64_t m_bytes = 0;
     bool m_decreased = false;
--- a/src/burn.cpp
+++ b/src/burn.cpp
@@ -74,14 +74,6 @@
     std::map<BurnKey, KeyCounts> m_counts;
 };
 
-double burnRate(const BurnCount &count, double objective)
-{
-    if (count.total == 0)
-        return 0;
-    const double bad = static_cast<double>(count.bad) / static_cast<double>(count.total);
-    return bad / (1 - objective);
-}
-
 BurnCounter::BurnCounter(std::size_t organisationLimit)
     : d(std::make_unique<Private>(organisationLimit))
 { }
--- a/src/burn.h
+++ b/src/burn.h
@@ -1,6 +1,5 @@
 // Service-level burn: exact counts of requests that met or missed their objective, per tier and
-// organisation, over several windows. A burn rate of 1 uses up the error budget exactly as fast as
-// the objective allows; see "multiwindow, multi-burn-rate alerts" in the reliability literature.
+// organisation, over several windows. The report on them is in burnreport.h.
 
 #ifndef CORNELSHED_BURN_H
 #define CORNELSHED_BURN_H
@@ -55,10 +54,6 @@
     bool operator==(const BurnRow &) const = default;
 };
 
-// Share of bad answers over the share that the objective allows. objective is in (0, 1); 0 if
-// nothing was counted.
-double burnRate(const BurnCount &count, double objective);
-
 class BurnCounter
 {
 public:
--- a/src/burnreport.cpp
+++ b/src/burnreport.cpp
@@ -122,6 +122,16 @@
 
 } // namespace
 
+std::string formatBurnRow(const std::vector<BurnLine> &lines)
+{
+    std::string value;
+    for (const BurnLine &it : lines) {
+        value += std::to_string(it.windowSeconds) + " " + it.tier + " " + it.organisation + " "
+                + std::to_string(it.good) + " " + std::to_string(it.bad) + "\n";
+    }
+    return value;
+}
+
 std::optional<std::vector<BurnLine>> parseBurnRow(const std::string &value)
 {
     std::vector<BurnLine> lines;
--- a/src/burnreport.h
+++ b/src/burnreport.h
@@ -25,6 +25,9 @@
     bool operator==(const BurnLine &) const = default;
 };
 
+// The row's value for these lines.
+std::string formatBurnRow(const std::vector<BurnLine> &lines);
+
 // Nothing if a line is malformed.
 std::optional<std::vector<BurnLine>> parseBurnRow(const std::string &value);
 
--- a/test/correctness/burn.cpp
+++ b/test/correctness/burn.cpp
@@ -21,12 +21,6 @@
     CHECK(at(std::chrono::hours(71))[3] == BurnCount {2, 1});
 }
 
-TEST_CASE("the burn rate is the bad share over the allowed share")
-{
-    CHECK(burnRate({1000, 10}, 0.99) == doctest::Approx(1.0));
-    CHECK(burnRate({0, 0}, 0.99) == 0);
-}
-
 TEST_CASE("organisations beyond the limit are counted together")
 {
     BurnCounter counter(2);
--- a/test/correctness/claims.cpp
+++ b/test/correctness/claims.cpp
@@ -231,7 +231,7 @@
         });
     }
 
-    testing::EventQueue m_events;
+    measure::EventQueue m_events;
     testing::TableModel m_table;
     SeededRandom m_random;
     std::uint64_t m_faultPercent;
--- a/test/correctness/rolloutpart.cpp
+++ b/test/correctness/rolloutpart.cpp
@@ -3,6 +3,7 @@
 
 #include "rolloutpart.h"
 #include "burnpart.h"
+#include "burnreport.h"
 #include "faketable.h"
 #include "moverecords.h"
 #include "statechartfile.h"
@@ -205,14 +206,20 @@
     CHECK_FALSE(parseProgress(R"({"stage":1,"end":"ajar","reason":""})").has_value());
 }
 
-TEST_CASE("burn rows of several daemons are added up")
+TEST_CASE("how requests ended reaches the burn row with the names of tiers")
 {
-    BurnRow row;
-    row.key = {1, "shop"};
-    row.counts[0] = {10, 2};
-    const auto parsed = parseBurnRows(formatBurnRows({row}));
-    REQUIRE(parsed.has_value());
-    CHECK(*parsed == std::vector<BurnRow> {row});
-    CHECK(sumBurnRows({*parsed, *parsed}).at(0).counts[0] == BurnCount {20, 4});
-    CHECK_FALSE(parseBurnRows("{").has_value());
+    FakeTable table;
+    FakePartHost host(table, 1);
+    const auto part = makeBurnPart(host, "entry-1");
+    auto settings = std::make_shared<Configuration>();
+    settings->tiers = {{"gold", 0, 0}};
+    part->configurationInstalled(settings, host.time);
+    part->endingRecorded({"shop", 0, true}, host.time);
+    part->endingRecorded({"shop", 0, false}, host.time);
+    part->wake(host.time + std::chrono::minutes(1));
+    const auto lines = parseBurnRow(table.rows.at("burn/entry-1").value);
+    REQUIRE(lines.has_value());
+    CAPTURE(table.rows.at("burn/entry-1").value);
+    REQUIRE(lines->size() == 4);
+    CHECK(lines->front() == BurnLine {300, "gold", "shop", 1, 1});
 }
--- a/test/correctness/tierqueue.cpp
+++ b/test/correctness/tierqueue.cpp
@@ -36,6 +36,7 @@
 {
     std::vector<QueueEntry> entries;
     const int count = *rc::gen::inRange(1, most);
+    entries.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n)
         entries.push_back(randomEntry(static_cast<std::uint64_t>(n)));
     return entries;
