--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -30,5 +30,9 @@
     # Fixed seed: the verdict must be the same on every run.
     set_tests_properties(${kind}.${part} PROPERTIES
       ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 240 LABELS ${kind})
+    # Other tests beside it would be measured too.
+    if(kind STREQUAL "performance")
+      set_tests_properties(${kind}.${part} PROPERTIES RUN_SERIAL TRUE)
+    endif()
   endforeach()
 endforeach()
