--- a/src/adminserver.cpp
+++ b/src/adminserver.cpp
@@ -34,7 +34,7 @@
         response.body() = handlers.metrics();
     } else if (request.target() == "/health") {
         response.body() = "healthy\n";
-    } else if (request.target() == "/ready") {
+    } else if (request.target() == handlers.readyPath) {
         const bool ready = handlers.ready();
         response.result(ready ? http::status::ok : http::status::service_unavailable);
         response.body() = ready ? "ready\n" : "not ready\n";
--- a/src/adminserver.h
+++ b/src/adminserver.h
@@ -1,4 +1,4 @@
-// HTTP server of the admin port: /metrics (text format), /health and /ready.
+// HTTP server of the admin port: /metrics (text format), /health and readiness.
 
 #ifndef CORNELSHED_ADMINSERVER_H
 #define CORNELSHED_ADMINSERVER_H
@@ -20,6 +20,7 @@
 {
     std::function<std::string()> metrics;
     std::function<bool()> ready;
+    std::string readyPath = "/ready";
 };
 
 class AdminServer
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -25,10 +25,27 @@
     Headers headers;
     std::string body;
     Duration timeLimit {}; // for the whole exchange
+    // Answers that do not carry this header with this value belong to other requests and are
+    // skipped. Empty name: every answer is taken.
+    std::string echoName {};
+    std::string echoValue {};
 
     bool operator==(const BackendRequest &) const = default;
 };
 
+struct BackendClientSettings
+{
+    Duration connectLimit = std::chrono::seconds(5);
+    // Idle connections are used again for this time, or for what the server's Keep-Alive says.
+    Duration idleLimit = std::chrono::seconds(10);
+    // Sent bytes that stay unacknowledged for this time break the connection; 0: system default.
+    Duration unacknowledgedLimit {};
+    // Body without a length or chunks, which ends with the connection.
+    bool acceptsUnframed = false;
+
+    bool operator==(const BackendClientSettings &) const = default;
+};
+
 enum class BackendError {
     NotSent,   // no connection; no byte of the request was written
     Cut,       // the connection broke off; the request may have run
@@ -62,7 +79,8 @@
 class BackendClient
 {
 public:
-    BackendClient(boost::asio::io_context &context, const std::string &address, std::uint16_t port);
+    BackendClient(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
+                  const BackendClientSettings &settings = {});
     ~BackendClient();
     BackendClient(const BackendClient &) = delete;
     BackendClient &operator=(const BackendClient &) = delete;
--- a/src/daemonsignals.cpp
+++ b/src/daemonsignals.cpp
@@ -19,7 +19,7 @@
 {
 public:
     Private(boost::asio::io_context &context, std::function<void()> shutdown)
-        : m_signals(context, SIGTERM, SIGINT), m_shutdown(std::move(shutdown))
+        : m_signals(context, SIGTERM, SIGINT, SIGHUP), m_shutdown(std::move(shutdown))
     { }
 
     void wait()
@@ -32,6 +32,12 @@
 
     void handle(int signal)
     {
+        if (signal == SIGHUP) {
+            // Daemons that reload watch the file itself, which may change without a signal.
+            EventLog("signal").field("number", signal);
+            wait();
+            return;
+        }
         EventLog("signal").field("number", signal).field("repeated", m_seen ? "yes" : "no");
         if (m_seen)
             std::_Exit(static_cast<int>(DaemonStatus::ForcedExit));
--- /dev/null
+++ b/src/deploymentstate.h
@@ -0,0 +1,29 @@
+// What the control thread knows of the deployment, as an immutable value for the traffic thread.
+
+#ifndef CORNELSHED_DEPLOYMENTSTATE_H
+#define CORNELSHED_DEPLOYMENTSTATE_H
+
+#include "backendrecord.h"
+#include "routetable.h"
+#include "rowstore.h"
+#include "types.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cornelshed {
+
+struct DeploymentState
+{
+    std::shared_ptr<const RouteTable> routes; // null until a configuration was read
+    std::set<std::string> withdrawnZones;
+    std::vector<RolloutOrder> rollouts;
+    std::vector<BackendRecord> backends;
+    std::vector<GatewayRecord> gateways;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_DEPLOYMENTSTATE_H
--- /dev/null
+++ b/src/deploymentwatcher.cpp
@@ -0,0 +1,433 @@
+// One reader for each table: whole once, then its changes.
+
+#include "deploymentwatcher.h"
+
+#include "backendregistry.h"
+#include "eventlog.h"
+#include "monotonicclock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <utility>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Servers whose rows lapsed while the store was away register again within this time.
+constexpr Duration lapseGrace = 2200ms;
+// Without an answer for this time the store counts as lost.
+constexpr Duration lostAfter = 1500ms;
+
+const char *nameOf(RowStoreError error)
+{
+    switch (error) {
+    case RowStoreError::Unavailable:
+        return "unavailable";
+    case RowStoreError::Unknown:
+        return "no_answer";
+    case RowStoreError::HistoryLost:
+        return "history_lost";
+    case RowStoreError::Conflict:
+        return "conflict";
+    }
+    return "unknown";
+}
+
+// Reads one table: all pages of it, and from then on its changes.
+class TableReader : public std::enable_shared_from_this<TableReader>
+{
+public:
+    struct Events
+    {
+        std::function<void(std::vector<StoredRow>)> whole;   // all rows
+        std::function<void(std::vector<StoredRow>)> changes; // may be empty
+        std::function<void(Duration sentAt)> answered; // time since boot before the call
+        std::function<void(Duration sentAt)> applied;  // after the rows of the answer were given
+        std::function<void(RowStoreError)> failed;
+    };
+
+    TableReader(asio::io_context &context, RowStore &store, RowTable table, Duration interval,
+                Duration retry, Events events)
+        : m_store(store), m_table(table), m_interval(interval), m_retry(retry),
+          m_timer(context), m_events(std::move(events))
+    { }
+
+    void start() { readWhole(); }
+    void stop()
+    {
+        m_stopped = true;
+        m_timer.cancel();
+    }
+
+private:
+    void readWhole()
+    {
+        m_rows.clear();
+        m_startVersion = 0;
+        readPage({});
+    }
+
+    void readPage(const std::string &from)
+    {
+        const Duration sentAt = timeSinceBoot();
+        m_store.scan(m_table, from, [self = shared_from_this(), sentAt](RowsResult result) {
+            self->handlePage(std::move(result), sentAt);
+        });
+    }
+
+    void handlePage(RowsResult result, Duration sentAt)
+    {
+        if (m_stopped)
+            return;
+        if (const auto *error = std::get_if<RowStoreError>(&result)) {
+            m_events.failed(*error);
+            later(m_retry, &TableReader::readWhole);
+            return;
+        }
+        auto &page = std::get<RowsPage>(result);
+        // Changes since the first page are read by the feed.
+        if (m_startVersion == 0) {
+            m_startVersion = page.version;
+            m_sentAt = sentAt;
+        }
+        for (StoredRow &it : page.rows)
+            m_rows.push_back(std::move(it));
+        if (page.more && !m_rows.empty()) {
+            readPage(m_rows.back().key + '\0');
+            return;
+        }
+        m_version = m_startVersion;
+        m_events.answered(m_sentAt);
+        m_events.whole(std::exchange(m_rows, {}));
+        m_events.applied(m_sentAt);
+        later(m_interval, &TableReader::readChanges);
+    }
+
+    void readChanges()
+    {
+        const Duration sentAt = timeSinceBoot();
+        m_store.changes(m_table, m_version, Duration::zero(),
+                        [self = shared_from_this(), sentAt](RowsResult result) {
+                            self->handleChanges(std::move(result), sentAt);
+                        });
+    }
+
+    void handleChanges(RowsResult result, Duration sentAt)
+    {
+        if (m_stopped)
+            return;
+        if (const auto *error = std::get_if<RowStoreError>(&result)) {
+            m_events.failed(*error);
+            if (*error == RowStoreError::HistoryLost)
+                readWhole();
+            else
+                later(m_retry, &TableReader::readChanges);
+            return;
+        }
+        auto &page = std::get<RowsPage>(result);
+        m_version = std::max(m_version, page.version);
+        m_events.answered(sentAt);
+        m_events.changes(std::move(page.rows));
+        m_events.applied(sentAt);
+        later(m_interval, &TableReader::readChanges);
+    }
+
+    void later(Duration delay, void (TableReader::*step)())
+    {
+        m_timer.expires_after(delay);
+        m_timer.async_wait([self = shared_from_this(), step](auto ec) {
+            if (!ec && !self->m_stopped)
+                ((*self).*step)();
+        });
+    }
+
+    RowStore &m_store;
+    RowTable m_table;
+    Duration m_interval;
+    Duration m_retry;
+    asio::steady_timer m_timer;
+    Events m_events;
+    std::vector<StoredRow> m_rows; // pages of the whole table so far
+    std::uint64_t m_startVersion = 0;
+    std::uint64_t m_version = 0; // where the feed goes on
+    Duration m_sentAt {};
+    bool m_stopped = false;
+};
+
+} // namespace
+
+class DeploymentWatcher::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    Private(asio::io_context &given, RowStore &rows, const RowCodec &rowCodec,
+            const WatcherSettings &watcherSettings, WatcherEvents tell)
+        : context(given), store(rows), codec(rowCodec), settings(watcherSettings),
+          events(std::move(tell)), registry(lapseGrace),
+          expiryTimer(given), registerTimer(given)
+    { }
+
+    std::shared_ptr<TableReader> reader(RowTable table, Duration interval,
+                                        TableReader::Events events)
+    {
+        return std::make_shared<TableReader>(context, store, table, interval,
+                                             settings.retryInterval, std::move(events));
+    }
+
+    // --- orders ---
+
+    void handleOrders(const std::vector<StoredRow> &rows, bool whole)
+    {
+        bool changed = whole;
+        if (whole) {
+            withdrawals.clear();
+            rollouts.clear();
+        }
+        for (const StoredRow &row : rows)
+            changed = handleOrder(row) || changed;
+        if (changed)
+            publish();
+    }
+
+    bool handleOrder(const StoredRow &row)
+    {
+        if (row.removed) {
+            const bool known = withdrawals.erase(row.key) + rollouts.erase(row.key) > 0;
+            if (known)
+                EventLog("order_removed").field("key", row.key).field("version", row.version);
+            return known;
+        }
+        DecodedOrder order = codec.decodeOrder(row.key, row.value);
+        if (auto *content = std::get_if<RouteTableContent>(&order))
+            return handleConfiguration(std::move(*content), row);
+        if (const auto *zone = std::get_if<ZoneWithdrawal>(&order)) {
+            EventLog("zone_withdrawn").field("zone", zone->availabilityZone);
+            withdrawals[row.key] = zone->availabilityZone;
+            return true;
+        }
+        if (const auto *rollout = std::get_if<RolloutOrder>(&order)) {
+            EventLog("rollout_ordered")
+                    .field("service", rollout->service)
+                    .field("version", rollout->version);
+            rollouts[row.key] = *rollout;
+            return true;
+        }
+        EventLog("row_unreadable", EventLevel::Warning)
+                .field("key", row.key)
+                .field("reason", std::get<UnreadableRow>(order).reason);
+        return false;
+    }
+
+    bool handleConfiguration(RouteTableContent content, const StoredRow &row)
+    {
+        const std::uint64_t present = routes ? routes->content().version : 0;
+        if (routes && content.version <= present)
+            return false;
+        EventLog("configuration_applied")
+                .field("version", content.version)
+                .field("previous", present)
+                .field("row_version", row.version)
+                .field("routes", content.routes.size())
+                .field("organisations", content.organisations.size());
+        routes = std::make_shared<const RouteTable>(std::move(content));
+        return true;
+    }
+
+    // --- backend servers ---
+
+    std::optional<BackendRecord> decodeBackend(const StoredRow &row)
+    {
+        auto record = codec.decodeBackend(row.key, row.value);
+        if (auto *good = std::get_if<BackendRecord>(&record))
+            return std::move(*good);
+        if (unreadable.insert(row.key).second) {
+            EventLog("row_unreadable", EventLevel::Warning)
+                    .field("key", row.key)
+                    .field("reason", std::get<UnreadableRow>(record).reason);
+        }
+        return std::nullopt;
+    }
+
+    void handleAllBackends(const std::vector<StoredRow> &rows)
+    {
+        std::vector<BackendRecord> records;
+        for (const StoredRow &row : rows) {
+            if (auto record = decodeBackend(row))
+                records.push_back(std::move(*record));
+        }
+        registry.replaceAll(records, monotonicNow());
+        publish();
+    }
+
+    void handleBackendChanges(const std::vector<StoredRow> &rows)
+    {
+        const Instant now = monotonicNow();
+        bool changed = registry.expire(now);
+        for (const StoredRow &row : rows) {
+            if (row.removed) {
+                changed = registry.removed(row.key, now) || changed;
+            } else if (const auto record = decodeBackend(row)) {
+                changed = registry.put(*record) || changed;
+            } else {
+                changed = registry.removed(row.key, now) || changed;
+            }
+        }
+        if (changed)
+            publish();
+    }
+
+    // --- gateways ---
+
+    void handleGateways(const std::vector<StoredRow> &rows)
+    {
+        bool changed = false;
+        for (const StoredRow &row : rows) {
+            auto record = codec.decodeGateway(row.key, row.value);
+            if (row.removed) {
+                changed = gateways.erase(row.key) > 0 || changed;
+            } else if (auto *good = std::get_if<GatewayRecord>(&record)) {
+                gateways[row.key] = *good;
+                changed = true;
+            }
+        }
+        if (changed)
+            publish();
+    }
+
+    void registerSelf()
+    {
+        store.put(RowTable::Gateways, self.name, codec.encodeGateway(self), std::nullopt,
+                  [d = shared_from_this()](std::optional<RowStoreError> error) {
+                      if (!error)
+                          return;
+                      d->registerTimer.expires_after(1s);
+                      d->registerTimer.async_wait([d](auto ec) {
+                          if (!ec)
+                              d->registerSelf();
+                      });
+                  });
+    }
+
+    // --- the store ---
+
+    void answered(Duration sentAt)
+    {
+        answeredAt = std::max(answeredAt, sentAt);
+        if (!storeLost)
+            return;
+        storeLost = false;
+        EventLog("store_regained");
+        registry.storeRegained(monotonicNow());
+        expiryTimer.expires_after(lapseGrace + 10ms);
+        expiryTimer.async_wait([d = shared_from_this()](auto ec) {
+            if (!ec && d->registry.expire(monotonicNow()))
+                d->publish();
+        });
+    }
+
+    void failed(const char *table, RowStoreError error)
+    {
+        const Duration silent = timeSinceBoot() - answeredAt;
+        if (error == RowStoreError::HistoryLost) {
+            EventLog("store_history_lost", EventLevel::Warning).field("table", table);
+            return;
+        }
+        if (storeLost || silent < lostAfter)
+            return;
+        storeLost = true;
+        registry.storeLost();
+        EventLog("store_lost", EventLevel::Warning)
+                .field("table", table)
+                .field("reason", nameOf(error))
+                .field("silent_ms", silent / 1ms);
+    }
+
+    void publish()
+    {
+        auto state = std::make_shared<DeploymentState>();
+        state->routes = routes;
+        for (const auto &[key, zone] : withdrawals)
+            state->withdrawnZones.insert(zone);
+        for (const auto &[key, rollout] : rollouts)
+            state->rollouts.push_back(rollout);
+        state->backends = registry.list();
+        for (const auto &[name, gateway] : gateways)
+            state->gateways.push_back(gateway);
+        events.changed(std::move(state));
+    }
+
+    asio::io_context &context;
+    RowStore &store;
+    const RowCodec &codec;
+    WatcherSettings settings;
+    WatcherEvents events;
+    GatewayRecord self;
+    std::shared_ptr<const RouteTable> routes;
+    std::map<std::string, std::string> withdrawals; // zone by row
+    std::map<std::string, RolloutOrder> rollouts;   // by row
+    BackendRegistry registry;
+    std::map<std::string, GatewayRecord> gateways;
+    std::set<std::string> unreadable; // rows that were logged
+    asio::steady_timer expiryTimer;
+    asio::steady_timer registerTimer;
+    std::vector<std::shared_ptr<TableReader>> readers;
+    Duration answeredAt {}; // since boot
+    bool storeLost = false;
+};
+
+DeploymentWatcher::DeploymentWatcher(asio::io_context &context, RowStore &store,
+                                     const RowCodec &codec, const WatcherSettings &settings,
+                                     WatcherEvents events)
+    : d(std::make_shared<Private>(context, store, codec, settings, std::move(events)))
+{ }
+
+DeploymentWatcher::~DeploymentWatcher()
+{
+    for (const auto &it : d->readers)
+        it->stop();
+    d->expiryTimer.cancel();
+    d->registerTimer.cancel();
+}
+
+void DeploymentWatcher::start(const GatewayRecord &self)
+{
+    d->self = self;
+    d->answeredAt = timeSinceBoot();
+    Private *state = d.get(); // the readers are stopped before it goes
+    using Rows = std::vector<StoredRow>;
+    const auto answered = [state](Duration sentAt) { state->answered(sentAt); };
+    const auto failed = [state](const char *table) {
+        return [state, table](RowStoreError error) { state->failed(table, error); };
+    };
+    const auto proven = [state](Duration sentAt) {
+        if (state->routes)
+            state->events.proven(sentAt);
+    };
+    const auto ignore = [](Duration /*sentAt*/) {};
+    d->readers.push_back(
+            d->reader(RowTable::Orders, d->settings.ordersInterval,
+                      {[state](const Rows &rows) { state->handleOrders(rows, true); },
+                       [state](const Rows &rows) { state->handleOrders(rows, false); }, answered,
+                       proven, failed("orders")}));
+    d->readers.push_back(
+            d->reader(RowTable::Backends, d->settings.backendsInterval,
+                      {[state](const Rows &rows) { state->handleAllBackends(rows); },
+                       [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
+                       ignore, failed("backends")}));
+    d->readers.push_back(
+            d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
+                      {[state](const Rows &rows) { state->handleGateways(rows); },
+                       [state](const Rows &rows) { state->handleGateways(rows); }, answered,
+                       ignore, failed("gateways")}));
+    for (const auto &it : d->readers)
+        it->start();
+    d->registerSelf();
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/deploymentwatcher.h
@@ -0,0 +1,59 @@
+// Reads configuration, operators' orders and the registries of backend servers and gateways from the
+// platform's rows, and tells each change as a whole new state. Reads changes by short periodic calls,
+// because an answer proves freshness and a silent watch does not. Runs on the control thread.
+
+#ifndef CORNELSHED_DEPLOYMENTWATCHER_H
+#define CORNELSHED_DEPLOYMENTWATCHER_H
+
+#include "deploymentstate.h"
+#include "rowstore.h"
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cornelshed {
+
+struct WatcherSettings
+{
+    Duration ordersInterval = std::chrono::milliseconds(450);
+    Duration backendsInterval = std::chrono::milliseconds(450);
+    Duration gatewaysInterval = std::chrono::seconds(5);
+    Duration retryInterval = std::chrono::milliseconds(150); // after a failed call
+
+    bool operator==(const WatcherSettings &) const = default;
+};
+
+// Called on the control thread.
+struct WatcherEvents
+{
+    std::function<void(std::shared_ptr<const DeploymentState>)> changed;
+
+    // The configuration told last was the newest at this time since boot; called after changed.
+    std::function<void(Duration sinceBoot)> proven;
+};
+
+class DeploymentWatcher
+{
+public:
+    // store and codec must outlive the watcher.
+    DeploymentWatcher(boost::asio::io_context &context, RowStore &store, const RowCodec &codec,
+                      const WatcherSettings &settings, WatcherEvents events);
+    ~DeploymentWatcher();
+    DeploymentWatcher(const DeploymentWatcher &) = delete;
+    DeploymentWatcher &operator=(const DeploymentWatcher &) = delete;
+
+    // Registers this gateway and starts to read.
+    void start(const GatewayRecord &self);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d; // shared with the handlers of the io_context
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_DEPLOYMENTWATCHER_H
--- /dev/null
+++ b/src/directscheduler.cpp
@@ -0,0 +1,528 @@
+// Queues by service and placement by the expected time to the first event.
+
+#include "directscheduler.h"
+
+#include "outlierdetector.h"
+#include "stabledigest.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <unordered_map>
+
+namespace cornelshed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Reports of a peer older than this are dropped: it is gone or cut off.
+constexpr Duration peerReportAge = 2s;
+// A backend server that broke a connection may have restarted; until its record tells, it is held
+// to the rate of a cold one.
+constexpr Duration suspectTime = 3s;
+// After a refusal for lack of room, when the next request is tried.
+constexpr Duration fullPause = 40ms;
+// Share of the prompt that a backend server reads although it ran the session's last request.
+constexpr double cachedPromptShare = 0.25;
+// Cost of another availability zone: a round trip and the priced bytes, as time.
+constexpr double otherZoneSeconds = 0.004;
+// Cost of a full batch: every stream's next token waits for the same step.
+constexpr double occupancySeconds = 0.030;
+constexpr double slownessSmoothing = 0.2;
+constexpr double slownessLimit = 10;
+// Requests of this many slots at least leave room for higher ranks.
+constexpr std::uint32_t leastSlotsForReserve = 3;
+constexpr double firstServiceSeconds = 0.3;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+OutlierSettings outlierSettings()
+{
+    OutlierSettings settings;
+    settings.consecutiveFailures = 3;
+    settings.slowFactor = 4; // engines of one service differ threefold in speed without a fault
+    settings.firstEjection = 1s;
+    settings.longestEjection = 8s;
+    return settings;
+}
+
+} // namespace
+
+class DirectScheduler::Private
+{
+public:
+    struct Backend
+    {
+        BackendRecord record;
+        std::uint64_t digest = 0;
+        ServerSlot slot = noServerSlot;
+        bool listed = false;
+        std::uint32_t running = 0;             // own
+        std::uint64_t unreadPromptTokens = 0; // own, of requests without a first event
+        std::uint32_t peerRunning = 0;
+        std::uint64_t peerPromptTokens = 0;
+        double slowness = 1; // time over the service's mean
+        Instant coldUntil {};
+        Instant fullUntil {};
+        std::deque<Instant> starts; // own, of the last second
+    };
+    struct Service
+    {
+        OutlierGroup group = 0;
+        std::map<std::pair<std::uint64_t, std::uint64_t>, DirectRequest> queue; // by order, arrival
+        std::vector<Backend *> backends; // listed ones
+        double coldRate = 0;
+        double serviceSeconds = firstServiceSeconds; // mean time of a request on a backend server
+        double eventSeconds = 0;                     // mean time between events; 0: unknown
+    };
+    struct Started
+    {
+        std::string backend;
+        std::string service;
+        std::uint64_t promptTokens = 0;
+        std::uint64_t outputTokens = 0;
+        bool probe = false;
+        bool firstEventSeen = false;
+    };
+    struct PeerState
+    {
+        std::vector<PeerLoad> loads;
+        Instant reportedAt {};
+    };
+
+    explicit Private(const DirectSettings &given) : settings(given), outliers(outlierSettings()) { }
+
+    Service &serviceOf(const std::string &name)
+    {
+        const auto [it, added] = services.try_emplace(name);
+        if (added)
+            it->second.group = static_cast<OutlierGroup>(services.size() - 1);
+        return it->second;
+    }
+
+    void applyPeer(const PeerState &peer, int sign)
+    {
+        for (const PeerLoad &load : peer.loads) {
+            const auto it = backendOfDigest.find(load.backendDigest);
+            if (it == backendOfDigest.end())
+                continue;
+            it->second->peerRunning += sign * load.running;
+            it->second->peerPromptTokens += sign * load.promptTokens;
+        }
+    }
+
+    void recountPeers()
+    {
+        for (auto &[id, backend] : backends) {
+            backend.peerRunning = 0;
+            backend.peerPromptTokens = 0;
+        }
+        for (const auto &[id, peer] : peers)
+            applyPeer(peer, 1);
+    }
+
+    void dropSilentPeers(Instant now)
+    {
+        const auto erased = std::erase_if(peers, [&](const auto &it) {
+            return it.second.reportedAt + peerReportAge <= now;
+        });
+        if (erased > 0)
+            recountPeers();
+    }
+
+    // Requests a second that this daemon may send to a cold backend server.
+    std::uint32_t coldShare(const Backend &backend, double coldRate) const
+    {
+        const double bound = coldRate * settings.coldOver + settings.coldConstant;
+        const auto limit = static_cast<std::uint32_t>(std::min(bound - 1, coldRate * 1.25));
+        if (limit >= daemonCount)
+            return limit / daemonCount;
+        // More daemons than requests: each backend server is left to some of them.
+        const std::uint64_t turn = (daemonPlace + backend.digest) % daemonCount;
+        return turn < limit ? 1 : 0;
+    }
+
+    bool bearsOneMore(Backend &backend, const Service &service, Instant now) const
+    {
+        if (service.coldRate <= 0 || backend.coldUntil <= now)
+            return true;
+        while (!backend.starts.empty() && backend.starts.front() + 1s <= now)
+            backend.starts.pop_front();
+        return backend.starts.size() < coldShare(backend, service.coldRate);
+    }
+
+    bool mayUse(const Backend &backend) const
+    {
+        return backend.listed && !backend.record.draining
+                && !withdrawnZones.contains(backend.record.availabilityZone);
+    }
+
+    bool hasRoom(Backend &backend, const Service &service, const DirectRequest &request,
+                 Instant now) const
+    {
+        const std::uint32_t slots = backend.record.slots;
+        const std::uint32_t reserve = slots >= leastSlotsForReserve ? request.leaveFree : 0;
+        if (!mayUse(backend) || backend.running + backend.peerRunning + reserve >= slots
+            || backend.fullUntil > now || request.excluded.contains(backend.record.id))
+            return false;
+        const OutlierState state = outliers.state(backend.slot);
+        return (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
+                && bearsOneMore(backend, service, now);
+    }
+
+    // Expected seconds to the first event, with what the placement costs others.
+    double cost(const Backend &backend, const DirectRequest &request, const Backend *home) const
+    {
+        const double cached = home == &backend ? cachedPromptShare : 1;
+        const double unread = static_cast<double>(backend.unreadPromptTokens)
+                + static_cast<double>(backend.peerPromptTokens)
+                + cached * static_cast<double>(request.promptTokens);
+        const double occupancy = static_cast<double>(backend.running + backend.peerRunning)
+                / std::max(backend.record.slots, 1U);
+        double seconds = backend.slowness
+                * (unread / settings.promptTokensPerSecond + occupancy * occupancySeconds);
+        if (backend.record.availabilityZone != settings.availabilityZone)
+            seconds += otherZoneSeconds;
+        return seconds;
+    }
+
+    // The backend server on which requests of the session meet, by rendezvous hashing; it stays
+    // the same for all daemons and for most sessions when the set changes.
+    const Backend *homeOf(const Service &service, const DirectRequest &request) const
+    {
+        if (request.sessionPart.empty())
+            return nullptr;
+        const Backend *home = nullptr;
+        std::uint64_t best = 0;
+        for (const Backend *it : service.backends) {
+            const std::uint64_t weight = stableDigest(request.sessionPart, it->digest);
+            if (mayUse(*it) && (home == nullptr || weight > best)) {
+                home = it;
+                best = weight;
+            }
+        }
+        return home;
+    }
+
+    Backend *place(Service &service, const DirectRequest &request, Instant now)
+    {
+        const Backend *home = homeOf(service, request);
+        Backend *chosen = nullptr;
+        double least = 0;
+        for (Backend *it : service.backends) {
+            if (!hasRoom(*it, service, request, now))
+                continue;
+            const double seconds = cost(*it, request, home);
+            if (chosen == nullptr || seconds < least) {
+                chosen = it;
+                least = seconds;
+            }
+        }
+        return chosen;
+    }
+
+    void start(Backend &backend, const DirectRequest &request, Instant now)
+    {
+        ++backend.running;
+        backend.unreadPromptTokens += request.promptTokens;
+        backend.starts.push_back(now);
+        while (backend.starts.front() + 1s <= now)
+            backend.starts.pop_front();
+        Started started {backend.record.id, request.service, request.promptTokens,
+                         request.outputTokens};
+        started.probe = outliers.state(backend.slot) == OutlierState::ProbeReady;
+        outliers.probeStarted(backend.slot);
+        startedRequests.emplace(request.id, std::move(started));
+    }
+
+    // Time that a request behind this many others waits, by the places that this daemon can use.
+    Duration expectedWait(const Service &service, std::size_t ahead) const
+    {
+        double places = 0;
+        for (const Backend *it : service.backends) {
+            if (mayUse(*it))
+                places += it->record.slots;
+        }
+        places /= daemonCount;
+        if (places <= 0)
+            return 1s;
+        return durationOf(static_cast<double>(ahead + 1) * service.serviceSeconds / places);
+    }
+
+    bool anyUsable(const Service &service) const
+    {
+        return std::any_of(service.backends.begin(), service.backends.end(),
+                           [&](const Backend *it) { return mayUse(*it); });
+    }
+
+    void advanceService(Service &service, Instant now, std::vector<DirectAction> &actions)
+    {
+        std::size_t ahead = 0;
+        for (auto it = service.queue.begin(); it != service.queue.end();) {
+            DirectRequest &request = it->second;
+            // Only the first may start: the others come after it.
+            Backend *backend = ahead == 0 ? place(service, request, now) : nullptr;
+            if (backend != nullptr) {
+                start(*backend, request, now);
+                actions.emplace_back(StartAction {request.id, backend->record.id});
+                it = erase(service, it);
+                continue;
+            }
+            if (const auto refusal = refuse(service, request, ahead, now)) {
+                actions.emplace_back(*refusal);
+                it = erase(service, it);
+                continue;
+            }
+            ++ahead;
+            ++it;
+        }
+    }
+
+    std::optional<RefuseAction> refuse(const Service &service, const DirectRequest &request,
+                                       std::size_t ahead, Instant now) const
+    {
+        const Duration wait = expectedWait(service, ahead);
+        RefuseAction action {request.id, RefusalReason::WaitedTooLong, wait,
+                             static_cast<std::uint32_t>(ahead)};
+        if (request.waitUntil <= now)
+            return action;
+        // The rest of the queue is judged when it arrives, and not again while it waits.
+        const bool arrived = request.arrivedAt == now && !request.repeat;
+        if (arrived && ahead > 0 && now + wait > request.waitUntil) {
+            action.reason = RefusalReason::QueueTooLong;
+            return action;
+        }
+        return std::nullopt;
+    }
+
+    using Queue = std::map<std::pair<std::uint64_t, std::uint64_t>, DirectRequest>;
+
+    Queue::iterator erase(Service &service, Queue::iterator it)
+    {
+        queued.erase(it->second.id);
+        return service.queue.erase(it);
+    }
+
+    void learn(Service &service, Backend &backend, const AttemptReport &report)
+    {
+        const bool stream = report.eventInterval > Duration::zero();
+        double &mean = stream ? service.eventSeconds : service.serviceSeconds;
+        const double seconds = secondsOf(stream ? report.eventInterval : report.total);
+        if (stream) {
+            const double total = secondsOf(report.total);
+            service.serviceSeconds += 0.02 * (total - service.serviceSeconds);
+        }
+        if (mean <= 0)
+            mean = seconds;
+        mean += 0.02 * (seconds - mean);
+        const double slowness = std::clamp(seconds / mean, 1 / slownessLimit, slownessLimit);
+        // Times of requests without a stream vary with their size, which is not known.
+        const double weight = stream ? slownessSmoothing : slownessSmoothing / 4;
+        backend.slowness += weight * (slowness - backend.slowness);
+    }
+
+    DirectSettings settings;
+    OutlierDetector outliers;
+    std::map<std::string, Service> services;
+    std::unordered_map<std::string, Backend> backends; // by id
+    std::unordered_map<std::uint64_t, Backend *> backendOfDigest;
+    std::unordered_map<std::uint64_t, PeerState> peers;
+    std::set<std::string> withdrawnZones;
+    std::unordered_map<RequestId, Started> startedRequests;
+    std::unordered_map<RequestId, std::pair<std::string, Queue::key_type>> queued;
+    std::vector<ServerSlot> freeSlots;
+    ServerSlot slotCount = 0;
+    std::uint64_t arrivals = 0;
+    std::uint32_t daemonCount = 1;
+    std::uint32_t daemonPlace = 0;
+};
+
+DirectScheduler::DirectScheduler(const DirectSettings &settings)
+    : d(std::make_unique<Private>(settings))
+{ }
+
+DirectScheduler::~DirectScheduler() = default;
+
+void DirectScheduler::setBackends(const std::vector<BackendRecord> &records,
+                                  const std::map<std::string, double> &coldRateOfService,
+                                  Instant now)
+{
+    for (auto &[name, service] : d->services)
+        service.backends.clear();
+    for (const auto &[name, rate] : coldRateOfService)
+        d->serviceOf(name).coldRate = rate;
+    for (auto &[id, backend] : d->backends)
+        backend.listed = false;
+    for (const BackendRecord &record : records) {
+        auto [it, added] = d->backends.try_emplace(record.id);
+        Private::Backend &backend = it->second;
+        const bool reborn = !added && backend.record.startedAtMs != record.startedAtMs;
+        if (added) {
+            backend.digest = stableDigest(record.id);
+            d->backendOfDigest[backend.digest] = &backend;
+        }
+        if (added || reborn) {
+            if (added && d->freeSlots.empty())
+                d->freeSlots.push_back(d->slotCount++);
+            if (added) {
+                backend.slot = d->freeSlots.back();
+                d->freeSlots.pop_back();
+            } else {
+                d->outliers.forget(backend.slot);
+            }
+            d->outliers.add(backend.slot, d->serviceOf(record.service).group);
+            backend.slowness = 1;
+        }
+        if (added || reborn || backend.record != record)
+            backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
+        backend.record = record;
+        backend.listed = true;
+        d->serviceOf(record.service).backends.push_back(&backend);
+    }
+    for (auto it = d->backends.begin(); it != d->backends.end();) {
+        if (it->second.listed || it->second.running > 0) {
+            ++it;
+            continue;
+        }
+        d->outliers.forget(it->second.slot);
+        d->freeSlots.push_back(it->second.slot);
+        d->backendOfDigest.erase(it->second.digest);
+        it = d->backends.erase(it);
+    }
+    d->recountPeers();
+}
+
+void DirectScheduler::setWithdrawnZones(std::set<std::string> zones)
+{
+    d->withdrawnZones = std::move(zones);
+}
+
+void DirectScheduler::setDaemons(std::uint32_t count, std::uint32_t place)
+{
+    d->daemonCount = std::max(count, 1U);
+    d->daemonPlace = place;
+}
+
+void DirectScheduler::peerReport(std::uint64_t peer, const std::vector<PeerLoad> &loads,
+                                 Instant now)
+{
+    Private::PeerState &state = d->peers[peer];
+    d->applyPeer(state, -1);
+    state = {loads, now};
+    d->applyPeer(state, 1);
+}
+
+std::vector<PeerLoad> DirectScheduler::ownLoads() const
+{
+    std::vector<PeerLoad> loads;
+    for (const auto &[id, backend] : d->backends) {
+        if (backend.running > 0)
+            loads.push_back({backend.digest, backend.running, backend.unreadPromptTokens});
+    }
+    return loads;
+}
+
+void DirectScheduler::add(DirectRequest request)
+{
+    const Private::Queue::key_type key {request.order, d->arrivals++};
+    d->queued[request.id] = {request.service, key};
+    d->serviceOf(request.service).queue.emplace(key, std::move(request));
+}
+
+void DirectScheduler::remove(const RequestId &id)
+{
+    const auto it = d->queued.find(id);
+    if (it == d->queued.end())
+        return;
+    d->services[it->second.first].queue.erase(it->second.second);
+    d->queued.erase(it);
+}
+
+std::vector<DirectAction> DirectScheduler::advance(Instant now)
+{
+    std::vector<ServerSlot> changed;
+    d->outliers.expire(now, changed);
+    d->dropSilentPeers(now);
+    std::vector<DirectAction> actions;
+    for (auto &[name, service] : d->services) {
+        if (!service.queue.empty())
+            d->advanceService(service, now, actions);
+    }
+    return actions;
+}
+
+Instant DirectScheduler::nextDue() const
+{
+    Instant due = instantNever;
+    for (const auto &[name, service] : d->services) {
+        for (const auto &[key, request] : service.queue)
+            due = std::min(due, request.waitUntil);
+    }
+    return due;
+}
+
+void DirectScheduler::firstEvent(const RequestId &id)
+{
+    const auto it = d->startedRequests.find(id);
+    if (it == d->startedRequests.end() || it->second.firstEventSeen)
+        return;
+    it->second.firstEventSeen = true;
+    d->backends[it->second.backend].unreadPromptTokens -= it->second.promptTokens;
+}
+
+void DirectScheduler::ended(const RequestId &id, const AttemptReport &report, Instant now)
+{
+    firstEvent(id);
+    const auto it = d->startedRequests.find(id);
+    if (it == d->startedRequests.end())
+        return;
+    const Private::Started started = it->second;
+    d->startedRequests.erase(it);
+    Private::Backend &backend = d->backends[started.backend];
+    --backend.running;
+    if (report.outcome == AttemptOutcome::NotRun)
+        backend.fullUntil = now + fullPause;
+    if (report.outcome == AttemptOutcome::Broken)
+        backend.coldUntil = std::max(backend.coldUntil, now + suspectTime);
+    if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Abandoned) {
+        if (started.probe)
+            d->outliers.probeReleased(backend.slot);
+        return;
+    }
+    const bool failed = report.outcome != AttemptOutcome::Answered;
+    if (!failed)
+        d->learn(d->serviceOf(started.service), backend, report);
+    d->outliers.record(backend.slot,
+                       {failed, started.promptTokens, started.outputTokens, report.total,
+                        started.probe},
+                       now);
+}
+
+std::optional<BackendRecord> DirectScheduler::backend(const std::string &id) const
+{
+    const auto it = d->backends.find(id);
+    if (it == d->backends.end())
+        return std::nullopt;
+    return it->second.record;
+}
+
+std::size_t DirectScheduler::waiting() const
+{
+    return d->queued.size();
+}
+
+std::size_t DirectScheduler::running() const
+{
+    return d->startedRequests.size();
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/eventsplitter.cpp
@@ -0,0 +1,73 @@
+// Splitting at blank lines.
+
+#include "eventsplitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace cornelshed {
+
+namespace {
+
+constexpr std::size_t eventLimitBytes = std::size_t {1} << 20U;
+constexpr std::string_view eventEnd = "\n\n";
+
+// The number after "id:" at the start of a line; nothing if there is none.
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        std::string_view line = event.substr(at, end - at);
+        at = end + 1;
+        if (!line.starts_with("id:"))
+            continue;
+        line.remove_prefix(3);
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (ec == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string EventSplitter::append(std::string_view data)
+{
+    m_pending += data;
+    std::string whole;
+    std::size_t at = 0;
+    while (!m_malformed) {
+        const std::size_t end = m_pending.find(eventEnd, at);
+        if (end == std::string::npos)
+            break;
+        const std::string_view event(m_pending.data() + at, end + eventEnd.size() - at);
+        if (accept(event))
+            whole += event;
+        at = end + eventEnd.size();
+    }
+    m_pending.erase(0, at);
+    if (m_pending.size() > eventLimitBytes)
+        m_malformed = true;
+    return whole;
+}
+
+bool EventSplitter::accept(std::string_view event)
+{
+    if (const auto id = idOf(event)) {
+        if (m_last && *id <= *m_last)
+            return false;
+        if (m_last && *id != *m_last + 1) {
+            m_malformed = true;
+            return false;
+        }
+        m_last = id;
+    }
+    ++m_count;
+    return true;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,638 @@
+// Admission, scheduling and bookkeeping of requests; one exchange for each.
+
+#include "gateway.h"
+
+#include "callerchannel.h"
+#include "eventlog.h"
+#include "gatewayexchange.h"
+#include "httpheaders.h"
+#include "listener.h"
+#include "monotonicclock.h"
+#include "stabledigest.h"
+#include "tokenallowance.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+using detail::AdmittedRequest;
+using detail::CallerChannel;
+using detail::GatewayExchange;
+using detail::IngressExchange;
+using detail::IngressRequest;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Connections to backend servers.
+constexpr Duration backendConnectLimit = 300ms; // one round trip takes a few milliseconds
+constexpr Duration backendIdleLimit = 8s;
+constexpr Duration backendUnacknowledgedLimit = 1s;
+// A waiting request is refused after this share of its objective: an answer that is begun later
+// would be late, and the caller can still try elsewhere.
+constexpr double waitObjectives = 0.9;
+// A caller without a limit of its own and on a route without one.
+constexpr Duration usualTimeLimit = 30s;
+constexpr Duration unconfiguredRetryAfter = 500ms;
+constexpr Duration staleRetryAfter = 100ms;
+constexpr Duration leastAllowanceRetryAfter = 200ms;
+// At the end of a shutdown, connections are closed this long before the process must have ended.
+constexpr Duration shutdownMargin = 300ms;
+// Organisations' ranks go before routes'.
+constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
+
+std::string retryAfterText(Duration duration)
+{
+    return std::to_string(std::chrono::duration<double>(duration).count());
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+class Gateway::Private final : public detail::ExchangeServices,
+                               public std::enable_shared_from_this<Private>
+{
+public:
+    struct BackendEntry
+    {
+        std::unique_ptr<BackendClient> client;
+        std::string address;
+        std::uint16_t port = 0;
+        std::int64_t startedAtMs = 0;
+    };
+
+    Private(asio::io_context &given, const IngressProtocol &ingress, GatewayTraffic traffic,
+            Metrics &metricsOf)
+        : ioContext(given), headers(ingress), settings(std::move(traffic)), metrics(metricsOf),
+          listener(std::make_shared<detail::Listener>(std::vector {&given})),
+          scheduler(settings.scheduling), dueTimer(given), drainTimer(given),
+          firstEventTimes(metrics.summary("cornelshed_gateway_first_event_seconds",
+                                          "From a request's arrival to its first event")),
+          answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
+                                      "From a request's arrival to the end of its answer"))
+    { }
+
+    Counter &counter(const std::string &name, const char *help)
+    {
+        return metrics.counter("cornelshed_gateway_" + name, help);
+    }
+
+    // --- admission ---
+
+    std::shared_ptr<IngressExchange> admit(IngressRequest request,
+                                           const std::shared_ptr<CallerChannel> &channel)
+    {
+        counter("requests_total", "Requests received").add();
+        const Instant now = monotonicNow();
+        auto decoded = headers.decodeCaller(request.headers);
+        if (const auto *error = std::get_if<InputError>(&decoded))
+            return refuse(channel, {}, *error, std::nullopt);
+        AdmittedRequest admitted;
+        admitted.facts = std::get<CallerFacts>(std::move(decoded));
+        if (!state || !state->routes) {
+            return refuse(channel, admitted.facts, {503, "unconfigured", "no configuration yet"},
+                          unconfiguredRetryAfter);
+        }
+        const RouteTable &routes = *state->routes;
+        const std::string *host = hostOf(request);
+        const DirectRoute *route = routes.find(host ? *host : "", pathOf(request.target));
+        if (route == nullptr)
+            return refuse(channel, admitted.facts, {404, "no_route", "no such route"}, std::nullopt);
+        admitted.route = *route;
+        admitted.configurationVersion = routes.content().version;
+        admitted.request = std::move(request);
+        const Organisation *organisation = nullptr;
+        if (!routes.content().organisations.empty() && !route->keyExempt) {
+            if (const auto problem = checkKey(routes, admitted.facts.key, organisation))
+                return refuse(channel, admitted.facts, problem->first, problem->second);
+        }
+        return schedule(std::move(admitted), organisation, channel, now);
+    }
+
+    static const std::string *hostOf(const IngressRequest &request)
+    {
+        return findHeader(request.headers, "Host");
+    }
+
+    std::optional<std::pair<InputError, std::optional<Duration>>>
+    checkKey(const RouteTable &routes, const std::string &key, const Organisation *&organisation)
+    {
+        const Duration age = proofAge();
+        if (age >= settings.keyProofLimit) {
+            // The key may have been taken back meanwhile.
+            return std::pair {InputError {503, "stale_configuration", "cannot check the key now"},
+                              std::optional<Duration>(staleRetryAfter)};
+        }
+        organisation = routes.organisationOf(key);
+        if (organisation == nullptr)
+            return std::pair {InputError {401, "unknown_key", "unknown key"},
+                              std::optional<Duration>()};
+        return std::nullopt;
+    }
+
+    std::shared_ptr<IngressExchange> schedule(AdmittedRequest admitted,
+                                              const Organisation *organisation,
+                                              const std::shared_ptr<CallerChannel> &channel,
+                                              Instant now)
+    {
+        const DirectRoute &route = admitted.route;
+        TierRank organisationRank = 0;
+        if (organisation != nullptr) {
+            admitted.organisation = organisation->name;
+            admitted.allowanceCost = costOf(*organisation, admitted.facts);
+            organisationRank = organisation->rank;
+            if (!allowances.tryTake(organisation->name, admitted.allowanceCost, now)) {
+                const Duration wait = allowances.timeUntil(organisation->name,
+                                                           admitted.allowanceCost, now);
+                return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
+                              std::max<Duration>(wait, leastAllowanceRetryAfter));
+            }
+        }
+        admitted.id = {settings.incarnation, ++sequence};
+        admitted.service = chooseService(route, admitted.facts.requestId);
+        admitted.order = organisationRank * organisationRankWeight + route.rank;
+        admitted.leaveFree = route.rank > highestRankOf(admitted.service) ? 1 : 0;
+        const Duration caller = admitted.facts.remaining.value_or(usualTimeLimit);
+        const Duration limit =
+                route.timeout > Duration::zero() ? std::min(route.timeout, caller) : caller;
+        admitted.deadline = admitted.request.receivedAt + limit;
+        const auto exchange =
+                std::make_shared<GatewayExchange>(*this, std::move(admitted), channel);
+        const AdmittedRequest &stored = exchange->admitted();
+        exchanges.emplace(stored.id, exchange);
+        exchange->start();
+        repeatBudget(stored.service).firstAttempt(now);
+        scheduler.add(directRequest(*exchange, now, false));
+        advance(now);
+        return exchange;
+    }
+
+    static double costOf(const Organisation &organisation, const CallerFacts &facts)
+    {
+        if (organisation.countsRequests)
+            return 1;
+        return static_cast<double>(facts.tokensKnown ? facts.promptTokens + facts.outputTokens
+                                                     : organisation.plainTokens);
+    }
+
+    // The same request id always chooses the same service.
+    static std::string chooseService(const DirectRoute &route, const std::string &requestId)
+    {
+        std::uint64_t total = 0;
+        for (const WeightedService &it : route.services)
+            total += it.weight;
+        if (total == 0)
+            return route.services.front().service;
+        std::uint64_t draw = stableDigest(requestId) % total;
+        for (const WeightedService &it : route.services) {
+            if (draw < it.weight)
+                return it.service;
+            draw -= it.weight;
+        }
+        return route.services.back().service;
+    }
+
+    TierRank highestRankOf(const std::string &service) const
+    {
+        const auto it = highestRank.find(service);
+        return it == highestRank.end() ? 0 : it->second;
+    }
+
+    DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat) const
+    {
+        const AdmittedRequest &admitted = exchange.admitted();
+        const auto wait = std::chrono::duration_cast<Duration>(admitted.route.objective
+                                                               * waitObjectives);
+        DirectRequest request;
+        request.id = admitted.id;
+        request.service = admitted.service;
+        request.order = admitted.order;
+        request.leaveFree = repeat ? 0 : admitted.leaveFree;
+        request.arrivedAt = now;
+        const Instant waitUntil = (repeat ? now : admitted.request.receivedAt) + wait;
+        request.waitUntil = std::min(waitUntil, admitted.deadline);
+        request.promptTokens = admitted.facts.promptTokens;
+        request.outputTokens = admitted.facts.outputTokens;
+        request.sessionPart = admitted.facts.sessionPart;
+        request.excluded = exchange.triedBackends();
+        request.repeat = repeat;
+        return request;
+    }
+
+    // Answers a request that is not admitted.
+    std::shared_ptr<IngressExchange> refuse(const std::shared_ptr<CallerChannel> &channel,
+                                            const CallerFacts &facts, const InputError &error,
+                                            std::optional<Duration> retryAfter)
+    {
+        counter("refused_total{reason=\"" + error.code + "\"}", "Requests not admitted").add();
+        EventLog("request_refused", EventLevel::Warning)
+                .field("request", facts.requestId)
+                .field("status", error.status)
+                .field("reason", error.code)
+                .field("configuration",
+                       state && state->routes ? state->routes->content().version : 0)
+                .field("proof_age_ms", proofAge() == Duration::max() ? -1 : proofAge() / 1ms)
+                .field("retry_after_ms", retryAfter ? *retryAfter / 1ms : -1);
+        Headers answer {{"Content-Type", "text/plain"}};
+        if (retryAfter)
+            answer.emplace_back("Retry-After", retryAfterText(*retryAfter));
+        channel->respond(error.status, std::move(answer), error.message + "\n");
+        return nullptr;
+    }
+
+    // --- scheduling ---
+
+    void advance(Instant now)
+    {
+        // Starting a request may end another one, which advances again.
+        if (advancing) {
+            advanceAgain = true;
+            return;
+        }
+        advancing = true;
+        do {
+            advanceAgain = false;
+            for (const DirectAction &action : scheduler.advance(now)) {
+                if (const auto *start = std::get_if<StartAction>(&action))
+                    startRequest(*start);
+                else
+                    refuseRequest(std::get<RefuseAction>(action));
+            }
+        } while (advanceAgain);
+        advancing = false;
+        armDueTimer(now);
+    }
+
+    void startRequest(const StartAction &action)
+    {
+        const auto exchange = exchanges.find(action.request);
+        const auto record = scheduler.backend(action.backend);
+        const auto entry = backends.find(action.backend);
+        if (exchange == exchanges.end() || !record || entry == backends.end()) {
+            // The caller left between the choice and now.
+            scheduler.ended(action.request, {AttemptOutcome::Abandoned, {}, {}}, monotonicNow());
+            return;
+        }
+        const auto kept = exchange->second;
+        kept->startAttempt(*record, *entry->second.client);
+    }
+
+    void refuseRequest(const RefuseAction &action)
+    {
+        const auto exchange = exchanges.find(action.request);
+        if (exchange == exchanges.end())
+            return;
+        const auto kept = exchange->second;
+        kept->refused(action);
+    }
+
+    void armDueTimer(Instant now)
+    {
+        const Instant due = scheduler.nextDue();
+        // While something waits, room may come without an event: a pause ends, a peer reports.
+        const Instant wake = scheduler.waiting() > 0 ? std::min<Instant>(due, now + 10ms) : due;
+        if (wake == instantNever || wake == dueAt)
+            return;
+        dueAt = wake;
+        dueTimer.expires_at(toSteadyTime(wake, now));
+        dueTimer.async_wait([self = shared_from_this()](auto ec) {
+            if (ec)
+                return;
+            self->dueAt = instantNever;
+            self->advance(monotonicNow());
+        });
+    }
+
+    WindowedBudget &repeatBudget(const std::string &service)
+    {
+        return repeatBudgets.try_emplace(service, settings.repeats).first->second;
+    }
+
+    // --- ExchangeServices ---
+
+    const IngressProtocol &protocol() const override { return headers; }
+    asio::io_context &context() override { return ioContext; }
+
+    bool tryRepeat(const std::string &service) override
+    {
+        const bool allowed = repeatBudget(service).tryRepeat(view.mayBeAlive, monotonicNow());
+        counter(allowed ? "repeats_total" : "repeats_denied_total",
+                allowed ? "Further attempts" : "Further attempts denied by the budget")
+                .add();
+        return allowed;
+    }
+
+    void offerAgain(GatewayExchange &exchange) override
+    {
+        const Instant now = monotonicNow();
+        scheduler.add(directRequest(exchange, now, true));
+        advance(now);
+    }
+
+    void firstEvent(const RequestId &id) override { scheduler.firstEvent(id); }
+
+    void attemptEnded(const RequestId &id, const AttemptReport &report) override
+    {
+        scheduler.ended(id, report, monotonicNow());
+    }
+
+    void exchangeEnded(GatewayExchange &exchange, std::uint32_t status) override
+    {
+        const Instant now = monotonicNow();
+        const AdmittedRequest &admitted = exchange.admitted();
+        scheduler.remove(admitted.id);
+        if (!exchange.everSent() && admitted.allowanceCost > 0)
+            allowances.giveBack(admitted.organisation, admitted.allowanceCost);
+        record(exchange, status, now);
+        exchanges.erase(admitted.id);
+        advance(now);
+        if (draining && exchanges.empty())
+            finishDrain();
+    }
+
+    void record(const GatewayExchange &exchange, std::uint32_t status, Instant now)
+    {
+        const AdmittedRequest &admitted = exchange.admitted();
+        const bool answered = status >= 200 && status < 500;
+        counter("answered_total{status=\"" + std::to_string(status) + "\"}",
+                "Requests by the status that the caller got; 0: connection closed")
+                .add();
+        const Duration total = now - admitted.request.receivedAt;
+        if (answered)
+            answerTimes.record(total);
+        if (exchange.timeToFirstEvent() > Duration::zero())
+            firstEventTimes.record(exchange.timeToFirstEvent());
+        if (answered && ++answeredCount % settings.answeredLogInterval != 0)
+            return;
+        EventLog("request_ended", answered ? EventLevel::Info : EventLevel::Warning)
+                .field("request", admitted.facts.requestId)
+                .field("status", status)
+                .field("problem", exchange.lastProblem())
+                .field("route", admitted.route.name)
+                .field("rank", admitted.route.rank)
+                .field("organisation", admitted.organisation)
+                .field("backend", exchange.lastBackend())
+                .field("ran", exchange.history().ran)
+                .field("not_run", exchange.history().refused)
+                .field("total_ms", total / 1ms)
+                .field("first_event_ms", exchange.timeToFirstEvent() / 1ms)
+                .field("prompt_tokens", admitted.facts.promptTokens)
+                .field("waiting", scheduler.waiting())
+                .field("running", scheduler.running())
+                .field("configuration", admitted.configurationVersion);
+    }
+
+    // --- state ---
+
+    Duration proofAge() const
+    {
+        const std::int64_t at = provenAt.load();
+        return at < 0 ? Duration::max() : timeSinceBoot() - Duration(at);
+    }
+
+    void applyBackends(Instant now)
+    {
+        std::unordered_set<std::string> listed;
+        for (const BackendRecord &it : state->backends) {
+            listed.insert(it.id);
+            BackendEntry &entry = backends[it.id];
+            const bool same = entry.client && entry.address == it.address && entry.port == it.port
+                    && entry.startedAtMs == it.startedAtMs;
+            if (same)
+                continue;
+            EventLog("backend_listed")
+                    .field("backend", it.id)
+                    .field("service", it.service)
+                    .field("zone", it.availabilityZone)
+                    .field("version", it.version)
+                    .field("cold_ms", it.coldRemaining / 1ms);
+            BackendClientSettings client;
+            client.connectLimit = backendConnectLimit;
+            client.idleLimit = backendIdleLimit;
+            client.unacknowledgedLimit = backendUnacknowledgedLimit;
+            client.acceptsUnframed = true;
+            entry = {std::make_unique<BackendClient>(ioContext, it.address, it.port, client),
+                     it.address, it.port, it.startedAtMs};
+        }
+        std::erase_if(backends, [&](const auto &it) {
+            const bool gone = !listed.contains(it.first);
+            if (gone)
+                EventLog("backend_gone").field("backend", it.first);
+            return gone;
+        });
+        scheduler.setBackends(state->backends, coldRates(), now);
+        scheduler.setWithdrawnZones(state->withdrawnZones);
+    }
+
+    std::map<std::string, double> coldRates() const
+    {
+        std::map<std::string, double> rates;
+        if (!state->routes)
+            return rates;
+        for (const ServiceDefinition &it : state->routes->content().services)
+            rates[it.name] = it.coldRequestsPerSecond;
+        return rates;
+    }
+
+    void applyConfiguration(Instant now)
+    {
+        highestRank.clear();
+        if (!state->routes)
+            return;
+        for (const DirectRoute &route : state->routes->content().routes) {
+            for (const WeightedService &it : route.services) {
+                const auto [rank, added] = highestRank.try_emplace(it.service, route.rank);
+                rank->second = std::min(rank->second, route.rank);
+            }
+        }
+        for (const Organisation &it : state->routes->content().organisations)
+            allowances.configure(it.name, {it.tokensPerSecond, it.burstTokens}, now);
+    }
+
+    // --- shutdown ---
+
+    void closeIdleChannels()
+    {
+        listener->stop();
+        for (const auto &it : channels) {
+            if (const auto channel = it.lock())
+                channel->closeWhenIdle();
+        }
+        if (exchanges.empty())
+            finishDrain();
+    }
+
+    void finishDrain()
+    {
+        if (!closing)
+            return;
+        if (const auto done = std::exchange(drained, nullptr))
+            done();
+    }
+
+    void accept(asio::ip::tcp::socket socket)
+    {
+        const std::weak_ptr<Private> weak = weak_from_this();
+        auto channel = CallerChannel::create(
+                std::move(socket),
+                [weak](IngressRequest request, std::shared_ptr<CallerChannel> caller)
+                        -> std::shared_ptr<IngressExchange> {
+                    const auto self = weak.lock();
+                    return self ? self->admit(std::move(request), caller) : nullptr;
+                },
+                [weak] {
+                    const auto self = weak.lock();
+                    return self ? self->limits() : CallerLimits {};
+                });
+        if (draining)
+            channel->announceClose();
+        std::erase_if(channels, [](const auto &it) { return it.expired(); });
+        channels.push_back(channel);
+        channel->start();
+    }
+
+    CallerLimits limits() const
+    {
+        return state && state->routes ? state->routes->content().limits : CallerLimits {};
+    }
+
+    asio::io_context &ioContext;
+    const IngressProtocol &headers;
+    GatewayTraffic settings;
+    Metrics &metrics;
+    std::shared_ptr<detail::Listener> listener;
+    DirectScheduler scheduler;
+    asio::steady_timer dueTimer;
+    asio::steady_timer drainTimer;
+    TimeSummary &firstEventTimes;
+    TimeSummary &answerTimes;
+    TokenAllowances allowances;
+    std::unordered_map<std::string, WindowedBudget> repeatBudgets; // by service
+    std::unordered_map<std::string, TierRank> highestRank;         // by service
+    std::shared_ptr<const DeploymentState> state;
+    std::unordered_map<std::string, BackendEntry> backends; // by id
+    std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges;
+    std::vector<std::weak_ptr<CallerChannel>> channels;
+    GossipView view;
+    std::atomic<std::int64_t> provenAt {-1}; // microseconds since boot; -1: never
+    std::atomic<bool> draining {false};
+    Instant dueAt = instantNever;
+    std::function<void()> drained;
+    std::uint64_t sequence = 0;
+    mutable std::uint64_t reports = 0;
+    std::uint64_t answeredCount = 0;
+    bool advancing = false;
+    bool advanceAgain = false;
+    bool closing = false; // the listener and idle connections are closed
+};
+
+Gateway::Gateway(asio::io_context &context, const IngressProtocol &protocol,
+                 GatewayTraffic settings, Metrics &metrics)
+    : d(std::make_shared<Private>(context, protocol, std::move(settings), metrics))
+{ }
+
+Gateway::~Gateway()
+{
+    d->dueTimer.cancel();
+    d->drainTimer.cancel();
+    d->listener->stop();
+}
+
+std::optional<std::string> Gateway::listen(const std::string &address, std::uint16_t port)
+{
+    return d->listener->listen(address, port, [weak = std::weak_ptr<Private>(d)](auto socket) {
+        if (const auto self = weak.lock())
+            self->accept(std::move(socket));
+    });
+}
+
+void Gateway::reload(const GatewayTraffic &settings)
+{
+    d->settings.keyProofLimit = settings.keyProofLimit;
+    d->settings.readyProofLimit = settings.readyProofLimit;
+    d->settings.answeredLogInterval = settings.answeredLogInterval;
+}
+
+void Gateway::applyState(std::shared_ptr<const DeploymentState> state)
+{
+    const Instant now = monotonicNow();
+    const bool newRoutes = !d->state || d->state->routes != state->routes;
+    d->state = std::move(state);
+    if (newRoutes)
+        d->applyConfiguration(now);
+    d->applyBackends(now);
+    d->advance(now);
+}
+
+void Gateway::configurationProven(Duration sinceBoot)
+{
+    d->provenAt.store(sinceBoot.count());
+}
+
+GossipReport Gateway::composeReport() const
+{
+    return {d->settings.name, d->settings.incarnation,  ++d->reports,
+            d->draining,      d->scheduler.ownLoads(), d->allowances.ownTotals()};
+}
+
+void Gateway::peerReported(const GossipReport &report)
+{
+    const Instant now = monotonicNow();
+    d->scheduler.peerReport(stableDigest(report.name), report.loads, now);
+    for (const auto &[organisation, taken] : report.taken)
+        d->allowances.peerTotal(report.incarnation, organisation, taken, now);
+    if (d->scheduler.waiting() > 0)
+        d->advance(now);
+}
+
+void Gateway::setView(const GossipView &view)
+{
+    d->view = view;
+    d->scheduler.setDaemons(view.mayBeAlive, view.place);
+    d->allowances.setDaemons(view.heard, view.mayBeAlive);
+}
+
+bool Gateway::ready() const
+{
+    return !d->draining && d->proofAge() < d->settings.readyProofLimit;
+}
+
+void Gateway::drain(Duration announce, Duration limit, std::function<void()> done)
+{
+    d->draining = true;
+    d->drained = std::move(done);
+    for (const auto &it : d->channels) {
+        if (const auto channel = it.lock())
+            channel->announceClose();
+    }
+    d->drainTimer.expires_after(announce);
+    d->drainTimer.async_wait([self = d, announce, limit](auto ec) {
+        if (ec)
+            return;
+        self->closing = true;
+        self->closeIdleChannels();
+        self->drainTimer.expires_after(limit - announce - shutdownMargin);
+        self->drainTimer.async_wait([self](auto ended) {
+            if (ended)
+                return;
+            const auto left = self->exchanges;
+            for (const auto &[id, exchange] : left)
+                exchange->shutDown();
+            self->finishDrain();
+        });
+    });
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,79 @@
+// The traffic side of a gateway: admits callers' requests, schedules them directly on backend
+// servers and relays the answers. Runs on the traffic thread.
+
+#ifndef CORNELSHED_GATEWAY_H
+#define CORNELSHED_GATEWAY_H
+
+#include "deploymentstate.h"
+#include "directscheduler.h"
+#include "ingressprotocol.h"
+#include "metrics.h"
+#include "peergossip.h"
+#include "types.h"
+#include "windowedbudget.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cornelshed {
+
+struct GatewayTraffic
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    DirectSettings scheduling;
+    WindowedBudgetSettings repeats;
+    // A key is accepted only if the configuration was proven to be the newest within this time.
+    Duration keyProofLimit = std::chrono::milliseconds(4500);
+    // Not ready for new connections when the proof is older than this.
+    Duration readyProofLimit = std::chrono::milliseconds(2500);
+    // Every so many answered requests one is logged; failed and refused ones always are.
+    std::uint32_t answeredLogInterval = 20;
+
+    bool operator==(const GatewayTraffic &) const = default;
+};
+
+class Gateway
+{
+public:
+    Gateway(boost::asio::io_context &context, const IngressProtocol &protocol,
+            GatewayTraffic settings, Metrics &metrics);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    // Accepts callers. Returns what went wrong, if anything.
+    std::optional<std::string> listen(const std::string &address, std::uint16_t port);
+
+    // Changes what may change while running: bounds and intervals.
+    void reload(const GatewayTraffic &settings);
+
+    void applyState(std::shared_ptr<const DeploymentState> state);
+    void configurationProven(Duration sinceBoot);
+
+    GossipReport composeReport() const;
+    void peerReported(const GossipReport &report);
+    void setView(const GossipView &view);
+
+    // Safe from any thread.
+    bool ready() const;
+
+    // Graceful shutdown: announces it to callers, then closes idle connections and the listener
+    // after the announcement time, and calls done when no request is left or the limit has passed.
+    void drain(Duration announce, Duration limit, std::function<void()> done);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d; // shared with the handlers of the io_context
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_GATEWAY_H
--- /dev/null
+++ b/src/gatewaydaemon.cpp
@@ -0,0 +1,248 @@
+// Wires the parts of a gateway together.
+
+#include "gatewaydaemon.h"
+
+#include "adminserver.h"
+#include "daemonsignals.h"
+#include "deploymentwatcher.h"
+#include "eventlog.h"
+#include "gateway.h"
+#include "metrics.h"
+#include "peergossip.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The bound on revoked keys counts from the store's acknowledgement to the caller's sending; the
+// margin covers the difference of reading the clock and of its rate.
+constexpr Duration keyMargin = 300ms;
+// Callers move away from a gateway without a fresh configuration after half of that bound.
+constexpr std::int64_t readyShare = 2;
+// The balancer asks every second and takes a daemon out after two misses; until then, new
+// connections are accepted.
+constexpr Duration announceTime = 2500ms;
+constexpr Duration viewInterval = 250ms;
+constexpr Duration fileCheckInterval = 1s;
+
+GatewayTraffic trafficSettings(const GatewaySettings &settings, std::uint64_t incarnation)
+{
+    GatewayTraffic traffic;
+    traffic.name = settings.name;
+    traffic.incarnation = incarnation;
+    traffic.scheduling.availabilityZone = settings.availabilityZone;
+    traffic.scheduling.coldOver = settings.coldOver;
+    traffic.scheduling.coldConstant = settings.coldConstant;
+    traffic.repeats = {settings.repeatRatio, settings.repeatConstant,
+                       std::chrono::milliseconds(settings.repeatWindowMs)};
+    const Duration revocation = std::chrono::milliseconds(settings.keyRevocationMs);
+    traffic.keyProofLimit = std::max<Duration>(revocation - keyMargin, revocation / 2);
+    traffic.readyProofLimit = revocation / readyShare;
+    traffic.answeredLogInterval = settings.answeredLogInterval;
+    return traffic;
+}
+
+} // namespace
+
+class GatewayDaemon::Private
+{
+public:
+    Private(const GatewaySettings &given, std::string file, const GatewayPlatform &adapter)
+        : settings(given), settingsFile(std::move(file)), platform(adapter),
+          gateway(traffic, platform.protocol, trafficSettings(settings, incarnation), metrics),
+          gossip(traffic, self(), [this] { return gateway.composeReport(); },
+                 [this](const GossipReport &it) { gateway.peerReported(it); }),
+          admin(traffic, adminHandlers("/ready")),
+          readiness(traffic, adminHandlers(settings.readinessPath)),
+          signals(traffic, [this] { shutDown(); }), viewTimer(traffic), fileTimer(traffic)
+    { }
+
+    GatewayRecord self() const
+    {
+        return {settings.name, settings.peer.address, settings.peer.port};
+    }
+
+    AdminHandlers adminHandlers(const std::string &readyPath)
+    {
+        return {[this] { return metrics.text(); }, [this] { return gateway.ready(); }, readyPath};
+    }
+
+    std::optional<std::string> start()
+    {
+        fileText = readTextFile(settingsFile).value_or(std::string());
+        store = platform.openStore(control, settings);
+        watcher = std::make_unique<DeploymentWatcher>(control, *store, platform.rows,
+                                                      WatcherSettings {}, watcherEvents());
+        if (auto problem = gossip.start())
+            return problem;
+        if (auto problem = gateway.listen(settings.listen.address, settings.listen.port))
+            return problem;
+        if (auto problem = readiness.listen(settings.readiness.address, settings.readiness.port))
+            return problem;
+        if (settings.metricsPort != 0) {
+            if (auto problem = admin.listen(settings.listen.address, settings.metricsPort))
+                return problem;
+        }
+        EventLog("started")
+                .field("gateway", settings.name)
+                .field("zone", settings.availabilityZone)
+                .field("version", CORNELSHED_VERSION)
+                .field("incarnation", incarnation);
+        watcher->start(self());
+        updateView();
+        checkFile();
+        return std::nullopt;
+    }
+
+    WatcherEvents watcherEvents()
+    {
+        // Posted in order, so that a proof never arrives before the state that it proves.
+        return {[this](std::shared_ptr<const DeploymentState> state) {
+                    asio::post(traffic, [this, state = std::move(state)] {
+                        gossip.setListed(state->gateways);
+                        gateway.applyState(state);
+                    });
+                },
+                [this](Duration sinceBoot) {
+                    asio::post(traffic,
+                               [this, sinceBoot] { gateway.configurationProven(sinceBoot); });
+                }};
+    }
+
+    void updateView()
+    {
+        gateway.setView(gossip.view());
+        viewTimer.expires_after(viewInterval);
+        viewTimer.async_wait([this](auto ec) {
+            if (!ec)
+                updateView();
+        });
+    }
+
+    // The file may change without a signal.
+    void checkFile()
+    {
+        const auto text = readTextFile(settingsFile);
+        if (text && *text != fileText) {
+            fileText = *text;
+            reload(*text);
+        }
+        fileTimer.expires_after(fileCheckInterval);
+        fileTimer.async_wait([this](auto ec) {
+            if (!ec)
+                checkFile();
+        });
+    }
+
+    void reload(const std::string &text)
+    {
+        const auto parsed = parseGatewaySettings(text, settingsFile);
+        if (const auto *problems = std::get_if<TomlProblems>(&parsed)) {
+            EventLog("reload_rejected", EventLevel::Warning)
+                    .field("problem", problems->front().toString());
+            return;
+        }
+        const auto &changed = std::get<GatewaySettings>(parsed);
+        EventLog("reloaded").field("changed", changed != settings ? "yes" : "no");
+        gateway.reload(trafficSettings(changed, incarnation));
+    }
+
+    void shutDown()
+    {
+        EventLog("shutdown_started").field("limit_ms", settings.shutdownTimeoutMs);
+        const Duration limit = std::chrono::milliseconds(settings.shutdownTimeoutMs);
+        gateway.drain(std::min<Duration>(announceTime, limit / 3), limit,
+                      [this] { traffic.stop(); });
+        gossip.sendNow();
+    }
+
+    DaemonStatus run()
+    {
+        auto work = asio::make_work_guard(control);
+        std::thread controlThread([this] { control.run(); });
+        traffic.run();
+        control.stop();
+        controlThread.join();
+        watcher = nullptr;
+        EventLog("stopped");
+        return DaemonStatus::Success;
+    }
+
+    GatewaySettings settings;
+    std::string settingsFile;
+    std::string fileText;
+    GatewayPlatform platform;
+    const std::uint64_t incarnation = randomIncarnation();
+    Metrics metrics;
+    asio::io_context control;
+    asio::io_context traffic;
+    Gateway gateway;
+    PeerGossip gossip;
+    AdminServer admin;
+    AdminServer readiness;
+    DaemonSignals signals;
+    asio::steady_timer viewTimer;
+    asio::steady_timer fileTimer;
+    std::unique_ptr<RowStore> store;
+    std::unique_ptr<DeploymentWatcher> watcher;
+};
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
+                             const GatewayPlatform &platform)
+    : d(std::make_unique<Private>(settings, settingsFile, platform))
+{ }
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+std::optional<std::string> GatewayDaemon::start()
+{
+    return d->start();
+}
+
+DaemonStatus GatewayDaemon::run()
+{
+    return d->run();
+}
+
+int gatewayMain(int argc, const char *const *argv, const std::string &program,
+                const GatewayPlatform &platform)
+{
+    const auto parsed = parseDaemonOptions(
+            argc, argv, program, "gateway; schedules requests directly on backend servers.");
+    if (const auto *status = std::get_if<DaemonStatus>(&parsed))
+        return static_cast<int>(*status);
+    const auto &options = std::get<DaemonOptions>(parsed);
+    const auto text = readTextFile(options.settingsFile);
+    if (!text) {
+        std::cerr << options.settingsFile << ": cannot be read\n";
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const auto settings = parseGatewaySettings(*text, options.settingsFile);
+    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
+        for (const TomlProblem &it : *problems)
+            std::cerr << it.toString() << '\n';
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    if (options.checkOnly)
+        return static_cast<int>(DaemonStatus::Success);
+    EventLog::initialize(argv[0]);
+    GatewayDaemon daemon(std::get<GatewaySettings>(settings), options.settingsFile, platform);
+    if (const auto problem = daemon.start()) {
+        EventLog("start_failed", EventLevel::Error).field("reason", *problem);
+        return static_cast<int>(DaemonStatus::RuntimeFailure);
+    }
+    return static_cast<int>(daemon.run());
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/gatewaysettings.cpp
@@ -0,0 +1,87 @@
+// Reads a gateway's settings; limits and their ranges stand here only.
+
+#include "gatewaysettings.h"
+
+#include "configurationsections.h"
+#include "settingsvalues.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace cornelshed {
+
+using namespace detail;
+
+namespace {
+
+constexpr std::int64_t longestMs = 3600000;
+
+SocketAddress readSocketAddress(TomlSection &section, std::string_view key)
+{
+    const std::string text = section.text(key);
+    SocketAddress result;
+    const std::size_t colon = text.rfind(':');
+    boost::system::error_code ec;
+    if (colon != std::string::npos) {
+        result.address = text.substr(0, colon);
+        boost::asio::ip::make_address(result.address, ec);
+        const char *end = text.data() + text.size();
+        const auto [rest, problem] = std::from_chars(text.data() + colon + 1, end, result.port);
+        if (!ec && problem == std::errc() && rest == end)
+            return result;
+    }
+    section.reject(key, "an address as IP:PORT");
+    return {};
+}
+
+void readGateway(TomlSection section, GatewaySettings &settings)
+{
+    settings.name = readName(section, "name");
+    settings.availabilityZone = readName(section, "availability_zone");
+    settings.listen = readSocketAddress(section, "listen");
+    settings.readiness = readSocketAddress(section, "readiness");
+    settings.readinessPath = section.text("readiness_path", settings.readinessPath);
+    settings.peer.address = readAddress(section, "peer_address");
+    settings.peer.port = readPort(section, "peer_port", 1);
+    settings.metricsPort = static_cast<std::uint16_t>(section.integer("metrics_port", 0, 65535, 0));
+    settings.answeredLogInterval = readCount(section, "answered_log_interval", 1, 1000000,
+                                             settings.answeredLogInterval);
+}
+
+void readBounds(TomlSection section, GatewaySettings &settings)
+{
+    settings.keyRevocationMs =
+            readCount(section, "key_revocation_ms", 100, longestMs, settings.keyRevocationMs);
+    settings.shutdownTimeoutMs =
+            readCount(section, "shutdown_timeout_ms", 100, longestMs, settings.shutdownTimeoutMs);
+    settings.repeatRatio = section.number("repeat_ratio", 0, 10, settings.repeatRatio);
+    settings.repeatConstant = section.number("repeat_constant", 0, 1e6, settings.repeatConstant);
+    settings.repeatWindowMs =
+            readCount(section, "repeat_window_ms", 100, longestMs, settings.repeatWindowMs);
+    settings.coldOver = section.number("cold_over", 1, 100, settings.coldOver);
+    settings.coldConstant = section.number("cold_constant", 0, 1e6, settings.coldConstant);
+}
+
+} // namespace
+
+Result<GatewaySettings, TomlProblems> parseGatewaySettings(std::string_view text,
+                                                           const std::string &file)
+{
+    TomlProblems problems;
+    TomlDocument document = TomlDocument::parse(text, file, problems);
+    if (!problems.empty())
+        return problems;
+    GatewaySettings settings;
+    TomlSection root = document.root();
+    readGateway(root.table("gateway"), settings);
+    TomlSection platform = root.table("platform");
+    settings.platform = readSocketAddress(platform, "address");
+    readBounds(root.table("bounds"), settings);
+    document.reportUnknownKeys();
+    if (!problems.empty())
+        return problems;
+    return settings;
+}
+
+} // namespace cornelshed
--- a/src/monotonicclock.h
+++ b/src/monotonicclock.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 
 namespace cornelshed {
 
@@ -16,6 +17,16 @@
     return Instant(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+// Time since the host started, including time for which it was suspended; the steady clock stops
+// there. For judging how old a fact is, never for timers.
+inline Duration timeSinceBoot()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 // The clock's time point for an Instant; instants too far away to represent become a day ahead.
 inline std::chrono::steady_clock::time_point toSteadyTime(Instant instant, Instant now)
 {
--- /dev/null
+++ b/src/peergossip.cpp
@@ -0,0 +1,267 @@
+// Datagrams between gateways, and which of them are heard.
+
+#include "peergossip.h"
+
+#include "eventlog.h"
+#include "monotonicclock.h"
+
+#include "gossip.capnp.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t datagramLimitBytes = 60000;
+// Interval between reports: the shortest, and for each peer, so that the traffic of a daemon stays
+// the same in large fleets.
+constexpr Duration leastInterval = 50ms;
+constexpr Duration intervalPerPeer = 10ms;
+// A peer is heard if a report arrived within this time, and may be alive for a while longer.
+constexpr Duration heardTime = 1s;
+constexpr Duration mayBeAliveTime = 30s;
+
+} // namespace
+
+std::string encodeGossip(const GossipReport &report)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::GossipReport>();
+    root.setName(report.name);
+    root.setIncarnation(report.incarnation);
+    root.setSequence(report.sequence);
+    root.setLeaving(report.leaving);
+    auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        loads[i].setBackend(report.loads[i].backendDigest);
+        loads[i].setRunning(report.loads[i].running);
+        loads[i].setPromptTokens(report.loads[i].promptTokens);
+    }
+    auto allowances = root.initAllowances(static_cast<unsigned>(report.taken.size()));
+    unsigned n = 0;
+    for (const auto &[organisation, taken] : report.taken) {
+        allowances[n].setOrganisation(organisation);
+        allowances[n].setTaken(taken);
+        ++n;
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+std::optional<GossipReport> decodeGossip(const std::string &datagram)
+{
+    if (datagram.empty() || datagram.size() % sizeof(capnp::word) != 0)
+        return std::nullopt;
+    // Copied, because the reader needs aligned words.
+    kj::Array<capnp::word> words =
+            kj::heapArray<capnp::word>(datagram.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), datagram.data(), datagram.size());
+    GossipReport report;
+    const auto problem = kj::runCatchingExceptions([&] {
+        capnp::FlatArrayMessageReader message(words);
+        const auto root = message.getRoot<wire::GossipReport>();
+        report.name = root.getName().cStr();
+        report.incarnation = root.getIncarnation();
+        report.sequence = root.getSequence();
+        report.leaving = root.getLeaving();
+        for (const auto it : root.getLoads())
+            report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens()});
+        for (const auto it : root.getAllowances())
+            report.taken[it.getOrganisation()] = it.getTaken();
+    });
+    if (problem != nullptr || report.name.empty())
+        return std::nullopt;
+    return report;
+}
+
+class PeerGossip::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    struct Peer
+    {
+        udp::endpoint endpoint;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        bool leaving = false;
+        bool wasHeard = false; // as last logged
+        Instant heardAt = Instant::min();
+        Instant listedAt = Instant::min();
+    };
+
+    Private(asio::io_context &context, GatewayRecord given, Compose composes, Received receives)
+        : self(std::move(given)), compose(std::move(composes)), received(std::move(receives)),
+          socket(context), timer(context)
+    { }
+
+    static bool heard(const Peer &peer, Instant now)
+    {
+        return !peer.leaving && peer.heardAt != Instant::min() && now - peer.heardAt < heardTime;
+    }
+
+    static bool mayBeAlive(const Peer &peer, Instant now)
+    {
+        const Instant last = std::max(peer.heardAt, peer.listedAt);
+        return !peer.leaving && last != Instant::min() && now - last < mayBeAliveTime;
+    }
+
+    void receive()
+    {
+        socket.async_receive_from(asio::buffer(buf), sender,
+                                  [self = shared_from_this()](auto ec, std::size_t n) {
+                                      if (ec == asio::error::operation_aborted)
+                                          return;
+                                      if (!ec)
+                                          self->handle(std::string(self->buf.data(), n));
+                                      self->receive();
+                                  });
+    }
+
+    void handle(const std::string &datagram)
+    {
+        const auto report = decodeGossip(datagram);
+        if (!report || report->name == self.name)
+            return;
+        Peer &peer = peers[report->name];
+        // A datagram that was overtaken, or of an earlier life, tells nothing.
+        if (peer.incarnation == report->incarnation && report->sequence <= peer.sequence)
+            return;
+        peer.endpoint = sender;
+        peer.incarnation = report->incarnation;
+        peer.sequence = report->sequence;
+        peer.leaving = report->leaving;
+        peer.heardAt = monotonicNow();
+        received(*report);
+    }
+
+    void logChanges(Instant now)
+    {
+        for (auto &[name, peer] : peers) {
+            const bool isHeard = heard(peer, now);
+            if (isHeard != peer.wasHeard)
+                EventLog(isHeard ? "peer_heard" : "peer_silent").field("peer", name);
+            peer.wasHeard = isHeard;
+        }
+    }
+
+    void send()
+    {
+        const Instant now = monotonicNow();
+        logChanges(now);
+        std::string datagram = encodeGossip(compose());
+        if (datagram.size() > datagramLimitBytes)
+            return;
+        for (const auto &[name, peer] : peers) {
+            if (!mayBeAlive(peer, now))
+                continue;
+            boost::system::error_code ignored; // a lost report is replaced by the next
+            socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
+        }
+    }
+
+    void tick()
+    {
+        send();
+        const auto n = static_cast<std::int64_t>(peers.size());
+        timer.expires_after(std::max(leastInterval, intervalPerPeer * n));
+        timer.async_wait([self = shared_from_this()](auto ec) {
+            if (!ec)
+                self->tick();
+        });
+    }
+
+    GatewayRecord self;
+    Compose compose;
+    Received received;
+    udp::socket socket;
+    asio::steady_timer timer;
+    udp::endpoint sender;
+    std::array<char, datagramLimitBytes + 8> buf {};
+    std::map<std::string, Peer> peers; // by name
+};
+
+PeerGossip::PeerGossip(asio::io_context &context, GatewayRecord self, Compose compose,
+                       Received received)
+    : d(std::make_shared<Private>(context, std::move(self), std::move(compose),
+                                  std::move(received)))
+{ }
+
+PeerGossip::~PeerGossip()
+{
+    boost::system::error_code ignored;
+    d->timer.cancel();
+    d->socket.close(ignored);
+}
+
+std::optional<std::string> PeerGossip::start()
+{
+    boost::system::error_code ec;
+    const udp::endpoint endpoint(asio::ip::make_address(d->self.address, ec), d->self.port);
+    if (!ec)
+        d->socket.open(endpoint.protocol(), ec);
+    if (!ec)
+        d->socket.bind(endpoint, ec);
+    if (!ec)
+        d->socket.non_blocking(true, ec);
+    if (ec)
+        return "cannot receive peer reports on port " + std::to_string(d->self.port) + ": "
+                + ec.message();
+    d->receive();
+    d->tick();
+    return std::nullopt;
+}
+
+void PeerGossip::setListed(const std::vector<GatewayRecord> &gateways)
+{
+    const Instant now = monotonicNow();
+    for (const GatewayRecord &it : gateways) {
+        boost::system::error_code ec;
+        const auto address = asio::ip::make_address(it.address, ec);
+        if (ec || it.name == d->self.name)
+            continue;
+        auto &peer = d->peers[it.name];
+        const udp::endpoint endpoint(address, it.port);
+        // A row that was seen before is no sign of life.
+        if (peer.endpoint == endpoint)
+            continue;
+        peer.endpoint = endpoint;
+        peer.listedAt = now;
+    }
+}
+
+void PeerGossip::sendNow()
+{
+    d->send();
+}
+
+GossipView PeerGossip::view() const
+{
+    const Instant now = monotonicNow();
+    GossipView view;
+    for (const auto &[name, peer] : d->peers) {
+        view.heard += Private::heard(peer, now) ? 1 : 0;
+        if (!Private::mayBeAlive(peer, now))
+            continue;
+        ++view.mayBeAlive;
+        view.place += name < d->self.name ? 1 : 0;
+    }
+    return view;
+}
+
+} // namespace cornelshed
