Allowances by buckets that start empty; the process ends after the last answer is written

Now it waits for the connections to close, until its limit. Buckets that start empty and refill by the window less their size keep the bound over a restart.

--- a/src/attemptpolicy.cpp
+++ b/src/attemptpolicy.cpp
@@ -41,7 +41,8 @@
     const NextStep last = lastStep(end, history);
     const bool again = end == AttemptEnd::NotRun
             ? history.refused <= refusedAttemptLimit
-                    && (history.ran == 0 || (history.repeatable && history.ran < history.attemptLimit))
+                    && (history.ran == 0
+                        || (history.repeatable && history.ran < history.attemptLimit))
             : history.repeatable && history.ran < history.attemptLimit;
     return {again ? NextStep::OfferAgain : last, last};
 }
--- a/src/attemptpolicy.h
+++ b/src/attemptpolicy.h
@@ -1,7 +1,7 @@
-// What follows the end of one attempt at a backend server: whether the request may be offered again,
-// and which answer the caller gets otherwise. A request that may have run is never reported as not
-// run, and one that must not run twice is only offered again when the last attempt surely did not
-// run.
+// What follows the end of one attempt at a backend server: whether the request may be offered
+// again, and which answer the caller gets otherwise. A request that may have run is never reported
+// as not run, and one that must not run twice is only offered again when the last attempt surely
+// did not run.
 
 #ifndef CORNELSHED_ATTEMPTPOLICY_H
 #define CORNELSHED_ATTEMPTPOLICY_H
@@ -13,10 +13,10 @@
 namespace cornelshed {
 
 enum class AttemptEnd : std::uint8_t {
-    Success,     // whole, authenticated answer
+    Success,      // whole, authenticated answer
     RanAndFailed, // whole, authenticated answer that tells a failure
-    NotRun,      // surely not run
-    MayHaveRun   // cut, silent, malformed or not authenticated
+    NotRun,       // surely not run
+    MayHaveRun    // cut, silent, malformed or not authenticated
 };
 
 // Classifies a whole answer.
@@ -24,11 +24,11 @@
 
 struct AttemptHistory
 {
-    bool repeatable = false;         // the request may run more than once
-    std::uint32_t attemptLimit = 1;  // backend servers that may run it
-    std::uint32_t ran = 0;           // attempts that ran or may have run, the last one included
-    std::uint32_t refused = 0;       // attempts that were not run, the last one included
-    bool answerBegun = false;        // part of a stream has reached the caller
+    bool repeatable = false;        // the request may run more than once
+    std::uint32_t attemptLimit = 1; // backend servers that may run it
+    std::uint32_t ran = 0;          // attempts that ran or may have run, the last one included
+    std::uint32_t refused = 0;      // attempts that were not run, the last one included
+    bool answerBegun = false;       // part of a stream has reached the caller
 
     bool operator==(const AttemptHistory &) const = default;
 };
--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -299,8 +299,8 @@
         m_headReported = true;
         const auto &head = m_parser->get();
         // 1xx announce a final answer on the same connection.
-        m_skipping = head.result_int() < 200
-                || (!m_echoName.empty() && head[m_echoName] != m_echoValue);
+        m_skipping =
+                head.result_int() < 200 || (!m_echoName.empty() && head[m_echoName] != m_echoValue);
         const bool unframed = m_parser->need_eof() && !m_parser->is_done();
         // Without a length or chunks, the end cannot be told from a connection that broke off,
         // unless the server closes in an orderly way.
@@ -356,11 +356,11 @@
     std::string m_echoValue;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser; // of the present answer
-    bool m_sent = false;        // a byte of the request may have been written
-    bool m_written = false;     // all of it was
+    bool m_sent = false;    // a byte of the request may have been written
+    bool m_written = false; // all of it was
     bool m_headReported = false;
-    bool m_skipping = false;    // the present answer belongs to another request
-    bool m_keepAllowed = true;  // false once an answer of another request was seen
+    bool m_skipping = false;   // the present answer belongs to another request
+    bool m_keepAllowed = true; // false once an answer of another request was seen
     bool m_ended = false;
 };
 
--- a/src/backendrecord.h
+++ b/src/backendrecord.h
@@ -20,7 +20,7 @@
     std::string version;
     std::uint32_t slots = 1; // requests that it runs at once
     bool draining = false;
-    Duration coldRemaining {}; // when the record was written
+    Duration coldRemaining {};    // when the record was written
     std::int64_t startedAtMs = 0; // Unix time; a new value under the same id is a new incarnation
 
     bool operator==(const BackendRecord &) const = default;
--- a/src/backendregistry.cpp
+++ b/src/backendregistry.cpp
@@ -55,9 +55,9 @@
 
 bool BackendRegistry::expire(Instant now)
 {
-    return std::erase_if(m_entries, [&](const auto &it) {
-               return it.second.dropAt && *it.second.dropAt <= now;
-           })
+    return std::erase_if(
+                   m_entries,
+                   [&](const auto &it) { return it.second.dropAt && *it.second.dropAt <= now; })
             > 0;
 }
 
--- a/src/backendregistry.h
+++ b/src/backendregistry.h
@@ -1,6 +1,6 @@
 // Backend servers by their rows in the platform's registry. Rows that vanish while the store cannot
-// be read may have lapsed because of the outage alone: they are kept for a grace time after the store
-// is back, in which living servers register again.
+// be read may have lapsed because of the outage alone: they are kept for a grace time after the
+// store is back, in which living servers register again.
 
 #ifndef CORNELSHED_BACKENDREGISTRY_H
 #define CORNELSHED_BACKENDREGISTRY_H
--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -158,7 +158,10 @@
     }
 
 private:
-    std::shared_ptr<Channel> self() { return std::static_pointer_cast<Channel>(shared_from_this()); }
+    std::shared_ptr<Channel> self()
+    {
+        return std::static_pointer_cast<Channel>(shared_from_this());
+    }
 
     // --- reading ---
 
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -1,6 +1,6 @@
-// One caller's HTTP/1.1 connection of the gateway. Reads requests strictly, one at a time, hands each
-// to an IngressHandler and writes the answer. A request that is not proper HTTP is answered here and
-// the connection closed, because what follows it cannot be trusted.
+// One caller's HTTP/1.1 connection of the gateway. Reads requests strictly, one at a time, hands
+// each to an IngressHandler and writes the answer. A request that is not proper HTTP is answered
+// here and the connection closed, because what follows it cannot be trusted.
 //
 // Everything runs on the io_context's only thread. Internal to the runtime; includes Asio.
 
@@ -44,8 +44,8 @@
 public:
     // Called for each whole request. The answer is written through the channel, during the call or
     // later; a null result means that it was answered during the call.
-    using Handler = std::function<std::shared_ptr<IngressExchange>(
-            IngressRequest, std::shared_ptr<CallerChannel>)>;
+    using Handler = std::function<std::shared_ptr<IngressExchange>(IngressRequest,
+                                                                   std::shared_ptr<CallerChannel>)>;
     using Limits = std::function<CallerLimits()>;
 
     static std::shared_ptr<CallerChannel> create(boost::asio::ip::tcp::socket socket,
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -48,15 +48,15 @@
     {
         std::function<void(std::vector<StoredRow>)> whole;   // all rows
         std::function<void(std::vector<StoredRow>)> changes; // may be empty
-        std::function<void(Duration sentAt)> answered; // time since boot before the call
-        std::function<void(Duration sentAt)> applied;  // after the rows of the answer were given
+        std::function<void(Duration sentAt)> answered;       // time since boot before the call
+        std::function<void(Duration sentAt)> applied; // after the rows of the answer were given
         std::function<void(RowStoreError)> failed;
     };
 
     TableReader(asio::io_context &context, RowStore &store, RowTable table, Duration interval,
                 Duration retry, Events events)
-        : m_store(store), m_table(table), m_interval(interval), m_retry(retry),
-          m_timer(context), m_events(std::move(events))
+        : m_store(store), m_table(table), m_interval(interval), m_retry(retry), m_timer(context),
+          m_events(std::move(events))
     { }
 
     void start() { readWhole(); }
@@ -169,8 +169,7 @@
     Private(asio::io_context &given, RowStore &rows, const RowCodec &rowCodec,
             const WatcherSettings &watcherSettings, WatcherEvents tell)
         : context(given), store(rows), codec(rowCodec), settings(watcherSettings),
-          events(std::move(tell)), registry(lapseGrace),
-          expiryTimer(given), registerTimer(given)
+          events(std::move(tell)), registry(lapseGrace), expiryTimer(given), registerTimer(given)
     { }
 
     std::shared_ptr<TableReader> reader(RowTable table, Duration interval,
@@ -410,21 +409,19 @@
             state->events.proven(sentAt);
     };
     const auto ignore = [](Duration /*sentAt*/) {};
-    d->readers.push_back(
-            d->reader(RowTable::Orders, d->settings.ordersInterval,
-                      {[state](const Rows &rows) { state->handleOrders(rows, true); },
-                       [state](const Rows &rows) { state->handleOrders(rows, false); }, answered,
-                       proven, failed("orders")}));
+    d->readers.push_back(d->reader(RowTable::Orders, d->settings.ordersInterval,
+                                   {[state](const Rows &rows) { state->handleOrders(rows, true); },
+                                    [state](const Rows &rows) { state->handleOrders(rows, false); },
+                                    answered, proven, failed("orders")}));
     d->readers.push_back(
             d->reader(RowTable::Backends, d->settings.backendsInterval,
                       {[state](const Rows &rows) { state->handleAllBackends(rows); },
                        [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
                        ignore, failed("backends")}));
-    d->readers.push_back(
-            d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
-                      {[state](const Rows &rows) { state->handleGateways(rows); },
-                       [state](const Rows &rows) { state->handleGateways(rows); }, answered,
-                       ignore, failed("gateways")}));
+    d->readers.push_back(d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
+                                   {[state](const Rows &rows) { state->handleGateways(rows); },
+                                    [state](const Rows &rows) { state->handleGateways(rows); },
+                                    answered, ignore, failed("gateways")}));
     for (const auto &it : d->readers)
         it->start();
     d->registerSelf();
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -1,6 +1,7 @@
-// Reads configuration, operators' orders and the registries of backend servers and gateways from the
-// platform's rows, and tells each change as a whole new state. Reads changes by short periodic calls,
-// because an answer proves freshness and a silent watch does not. Runs on the control thread.
+// Reads configuration, operators' orders and the registries of backend servers and gateways from
+// the platform's rows, and tells each change as a whole new state. Reads changes by short periodic
+// calls, because an answer proves freshness and a silent watch does not. Runs on the control
+// thread.
 
 #ifndef CORNELSHED_DEPLOYMENTWATCHER_H
 #define CORNELSHED_DEPLOYMENTWATCHER_H
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -66,7 +66,7 @@
         std::uint64_t digest = 0;
         ServerSlot slot = noServerSlot;
         bool listed = false;
-        std::uint32_t running = 0;             // own
+        std::uint32_t running = 0;            // own
         std::uint64_t unreadPromptTokens = 0; // own, of requests without a first event
         std::uint32_t peerRunning = 0;
         std::uint64_t peerPromptTokens = 0;
@@ -79,7 +79,7 @@
     {
         OutlierGroup group = 0;
         std::map<std::pair<std::uint64_t, std::uint64_t>, DirectRequest> queue; // by order, arrival
-        std::vector<Backend *> backends; // listed ones
+        std::vector<Backend *> backends;                                        // listed ones
         double coldRate = 0;
         double serviceSeconds = firstServiceSeconds; // mean time of a request on a backend server
         double eventSeconds = 0;                     // mean time between events; 0: unknown
@@ -132,9 +132,8 @@
 
     void dropSilentPeers(Instant now)
     {
-        const auto erased = std::erase_if(peers, [&](const auto &it) {
-            return it.second.reportedAt + peerReportAge <= now;
-        });
+        const auto erased = std::erase_if(
+                peers, [&](const auto &it) { return it.second.reportedAt + peerReportAge <= now; });
         if (erased > 0)
             recountPeers();
     }
@@ -501,10 +500,9 @@
     const bool failed = report.outcome != AttemptOutcome::Answered;
     if (!failed)
         d->learn(d->serviceOf(started.service), backend, report);
-    d->outliers.record(backend.slot,
-                       {failed, started.promptTokens, started.outputTokens, report.total,
-                        started.probe},
-                       now);
+    d->outliers.record(
+            backend.slot,
+            {failed, started.promptTokens, started.outputTokens, report.total, started.probe}, now);
 }
 
 std::optional<BackendRecord> DirectScheduler::backend(const std::string &id) const
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -27,15 +27,15 @@
 {
     RequestId id;
     std::string service;
-    std::uint64_t order = 0;  // smaller goes first; equal ones in order of arrival
+    std::uint64_t order = 0;     // smaller goes first; equal ones in order of arrival
     std::uint32_t leaveFree = 0; // slots of a backend server kept free for requests before this one
     Instant arrivedAt {};
     Instant waitUntil {}; // refused if there is no place by then
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
-    std::string sessionPart;           // requests with the same one share cached memory
-    std::set<std::string> excluded;    // backend servers that must not get it
-    bool repeat = false;               // was offered to a backend server before
+    std::string sessionPart;        // requests with the same one share cached memory
+    std::set<std::string> excluded; // backend servers that must not get it
+    bool repeat = false;            // was offered to a backend server before
 
     bool operator==(const DirectRequest &) const = default;
 };
@@ -51,11 +51,11 @@
 };
 
 enum class AttemptOutcome : std::uint8_t {
-    Answered,   // with success
-    Failed,     // an answer that tells a fault of the backend server
-    Broken,     // no connection, or it broke off
-    NotRun,     // refused by the backend server
-    Abandoned   // ended by this daemon; tells nothing about the backend server
+    Answered, // with success
+    Failed,   // an answer that tells a fault of the backend server
+    Broken,   // no connection, or it broke off
+    NotRun,   // refused by the backend server
+    Abandoned // ended by this daemon; tells nothing about the backend server
 };
 
 struct AttemptReport
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,7 +9,6 @@
 #include "listener.h"
 #include "monotonicclock.h"
 #include "stabledigest.h"
-#include "tokenallowance.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -46,6 +45,8 @@
 constexpr Duration leastAllowanceRetryAfter = 200ms;
 // At the end of a shutdown, connections are closed this long before the process must have ended.
 constexpr Duration shutdownMargin = 300ms;
+// How often a shutdown checks whether the last answers are written.
+constexpr Duration drainCheckInterval = 20ms;
 // Organisations' ranks go before routes'.
 constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
 
@@ -77,11 +78,12 @@
             Metrics &metricsOf)
         : ioContext(given), headers(ingress), settings(std::move(traffic)), metrics(metricsOf),
           listener(std::make_shared<detail::Listener>(std::vector {&given})),
-          scheduler(settings.scheduling), dueTimer(given), drainTimer(given),
+          scheduler(settings.scheduling), dueTimer(given), drainTimer(given), limitTimer(given),
           firstEventTimes(metrics.summary("cornelshed_gateway_first_event_seconds",
                                           "From a request's arrival to its first event")),
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
-                                      "From a request's arrival to the end of its answer"))
+                                      "From a request's arrival to the end of its answer")),
+          allowances(settings.allowanceWindow, settings.allowanceTolerance)
     { }
 
     Counter &counter(const std::string &name, const char *help)
@@ -109,7 +111,8 @@
         const std::string *host = hostOf(request);
         const DirectRoute *route = routes.find(host ? *host : "", pathOf(request.target));
         if (route == nullptr)
-            return refuse(channel, admitted.facts, {404, "no_route", "no such route"}, std::nullopt);
+            return refuse(channel, admitted.facts, {404, "no_route", "no such route"},
+                          std::nullopt);
         admitted.route = *route;
         admitted.configurationVersion = routes.content().version;
         admitted.request = std::move(request);
@@ -153,9 +156,10 @@
             admitted.organisation = organisation->name;
             admitted.allowanceCost = costOf(*organisation, admitted.facts);
             organisationRank = organisation->rank;
-            if (!allowances.tryTake(organisation->name, admitted.allowanceCost, now)) {
-                const Duration wait = allowances.timeUntil(organisation->name,
-                                                           admitted.allowanceCost, now);
+            if (!allowances.tryTake(organisation->name, admitted.allowanceCost,
+                                    scheduler.waiting() == 0, now)) {
+                const Duration wait =
+                        allowances.timeUntil(organisation->name, admitted.allowanceCost, now);
                 return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
                               std::max<Duration>(wait, leastAllowanceRetryAfter));
             }
@@ -213,8 +217,8 @@
     DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat) const
     {
         const AdmittedRequest &admitted = exchange.admitted();
-        const auto wait = std::chrono::duration_cast<Duration>(admitted.route.objective
-                                                               * waitObjectives);
+        const auto wait =
+                std::chrono::duration_cast<Duration>(admitted.route.objective * waitObjectives);
         DirectRequest request;
         request.id = admitted.id;
         request.service = admitted.service;
@@ -457,8 +461,15 @@
                 rank->second = std::min(rank->second, route.rank);
             }
         }
-        for (const Organisation &it : state->routes->content().organisations)
-            allowances.configure(it.name, {it.tokensPerSecond, it.burstTokens}, now);
+        for (const Organisation &it : state->routes->content().organisations) {
+            if (!allowances.configure(it.name, {it.tokensPerSecond, it.burstTokens}, now))
+                continue;
+            EventLog("allowance_changed")
+                    .field("organisation", it.name)
+                    .field("tokens_per_second", it.tokensPerSecond)
+                    .field("burst", it.burstTokens)
+                    .field("rank", it.rank);
+        }
     }
 
     // --- shutdown ---
@@ -474,12 +485,22 @@
             finishDrain();
     }
 
+    // The process may end once every answer is written and its connection closed.
     void finishDrain()
     {
-        if (!closing)
+        if (!closing || !exchanges.empty())
+            return;
+        std::erase_if(channels, [](const auto &it) { return it.expired(); });
+        if (channels.empty() || monotonicNow() >= drainDeadline) {
+            if (const auto done = std::exchange(drained, nullptr))
+                done();
             return;
-        if (const auto done = std::exchange(drained, nullptr))
-            done();
+        }
+        drainTimer.expires_after(drainCheckInterval);
+        drainTimer.async_wait([self = shared_from_this()](auto ec) {
+            if (!ec)
+                self->finishDrain();
+        });
     }
 
     void accept(asio::ip::tcp::socket socket)
@@ -487,8 +508,8 @@
         const std::weak_ptr<Private> weak = weak_from_this();
         auto channel = CallerChannel::create(
                 std::move(socket),
-                [weak](IngressRequest request, std::shared_ptr<CallerChannel> caller)
-                        -> std::shared_ptr<IngressExchange> {
+                [weak](IngressRequest request,
+                       std::shared_ptr<CallerChannel> caller) -> std::shared_ptr<IngressExchange> {
                     const auto self = weak.lock();
                     return self ? self->admit(std::move(request), caller) : nullptr;
                 },
@@ -516,6 +537,7 @@
     DirectScheduler scheduler;
     asio::steady_timer dueTimer;
     asio::steady_timer drainTimer;
+    asio::steady_timer limitTimer;
     TimeSummary &firstEventTimes;
     TimeSummary &answerTimes;
     TokenAllowances allowances;
@@ -535,6 +557,7 @@
     std::uint64_t answeredCount = 0;
     bool advancing = false;
     bool advanceAgain = false;
+    Instant drainDeadline = instantNever;
     bool closing = false; // the listener and idle connections are closed
 };
 
@@ -547,6 +570,7 @@
 {
     d->dueTimer.cancel();
     d->drainTimer.cancel();
+    d->limitTimer.cancel();
     d->listener->stop();
 }
 
@@ -583,7 +607,7 @@
 
 GossipReport Gateway::composeReport() const
 {
-    return {d->settings.name, d->settings.incarnation,  ++d->reports,
+    return {d->settings.name, d->settings.incarnation, ++d->reports,
             d->draining,      d->scheduler.ownLoads(), d->allowances.ownTotals()};
 }
 
@@ -613,6 +637,7 @@
 {
     d->draining = true;
     d->drained = std::move(done);
+    d->drainDeadline = monotonicNow() + limit - shutdownMargin / 2;
     for (const auto &it : d->channels) {
         if (const auto channel = it.lock())
             channel->announceClose();
@@ -623,8 +648,8 @@
             return;
         self->closing = true;
         self->closeIdleChannels();
-        self->drainTimer.expires_after(limit - announce - shutdownMargin);
-        self->drainTimer.async_wait([self](auto ended) {
+        self->limitTimer.expires_after(limit - announce - shutdownMargin);
+        self->limitTimer.async_wait([self](auto ended) {
             if (ended)
                 return;
             const auto left = self->exchanges;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -9,6 +9,7 @@
 #include "ingressprotocol.h"
 #include "metrics.h"
 #include "peergossip.h"
+#include "tokenallowance.h"
 #include "types.h"
 #include "windowedbudget.h"
 
@@ -32,6 +33,9 @@
     WindowedBudgetSettings repeats;
     // A key is accepted only if the configuration was proven to be the newest within this time.
     Duration keyProofLimit = std::chrono::milliseconds(4500);
+    // Length of the window over which allowances of organisations are counted.
+    Duration allowanceWindow = std::chrono::seconds(8);
+    AllowanceTolerance allowanceTolerance;
     // Not ready for new connections when the proof is older than this.
     Duration readyProofLimit = std::chrono::milliseconds(2500);
     // Every so many answered requests one is logged; failed and refused ones always are.
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -46,6 +46,8 @@
     traffic.scheduling.coldConstant = settings.coldConstant;
     traffic.repeats = {settings.repeatRatio, settings.repeatConstant,
                        std::chrono::milliseconds(settings.repeatWindowMs)};
+    traffic.allowanceWindow = std::chrono::milliseconds(settings.allowanceWindowMs);
+    traffic.allowanceTolerance = {settings.allowanceOver, settings.allowanceConstant};
     const Duration revocation = std::chrono::milliseconds(settings.keyRevocationMs);
     traffic.keyProofLimit = std::max<Duration>(revocation - keyMargin, revocation / 2);
     traffic.readyProofLimit = revocation / readyShare;
@@ -61,8 +63,9 @@
     Private(const GatewaySettings &given, std::string file, const GatewayPlatform &adapter)
         : settings(given), settingsFile(std::move(file)), platform(adapter),
           gateway(traffic, platform.protocol, trafficSettings(settings, incarnation), metrics),
-          gossip(traffic, self(), [this] { return gateway.composeReport(); },
-                 [this](const GossipReport &it) { gateway.peerReported(it); }),
+          gossip(
+                  traffic, self(), [this] { return gateway.composeReport(); },
+                  [this](const GossipReport &it) { gateway.peerReported(it); }),
           admin(traffic, adminHandlers("/ready")),
           readiness(traffic, adminHandlers(settings.readinessPath)),
           signals(traffic, [this] { shutDown(); }), viewTimer(traffic), fileTimer(traffic)
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -165,8 +165,8 @@
     const DirectRoute &route = m_admitted.route;
     const bool begun = m_firstEventAt != Instant {};
     const double factor = begun ? silenceGaps : silenceObjectives;
-    const Duration base = begun && route.gapObjective > Duration::zero() ? route.gapObjective
-                                                                         : route.objective;
+    const Duration base =
+            begun && route.gapObjective > Duration::zero() ? route.gapObjective : route.objective;
     const auto limit = std::chrono::duration_cast<Duration>(base * factor);
     return std::max<Duration>(limit, leastSilence);
 }
@@ -189,8 +189,8 @@
         return;
     }
     // Only worth it if a further attempt is allowed; the present one may still answer.
-    const bool mayRepeat = m_history.ran + 1 < m_history.attemptLimit
-            && m_services.tryRepeat(m_admitted.service);
+    const bool mayRepeat =
+            m_history.ran + 1 < m_history.attemptLimit && m_services.tryRepeat(m_admitted.service);
     if (!mayRepeat)
         return;
     EventLog("attempt_silent", EventLevel::Warning)
@@ -400,7 +400,8 @@
 
 void GatewayExchange::refused(const RefuseAction &refusal)
 {
-    m_problem = refusal.reason == RefusalReason::QueueTooLong ? "queue_too_long" : "waited_too_long";
+    m_problem =
+            refusal.reason == RefusalReason::QueueTooLong ? "queue_too_long" : "waited_too_long";
     if (m_history.answerBegun)
         breakOff();
     else if (m_history.ran > 0)
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -139,7 +139,7 @@
     Instant m_firstEventAt {};
 
     std::optional<std::uint64_t> m_lastEvent; // passed to the caller
-    Duration m_firstEventTime {}; // since arrival; 0 before
+    Duration m_firstEventTime {};             // since arrival; 0 before
     const char *m_problem = "";
     bool m_over = false;
 };
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -45,8 +45,8 @@
     settings.peer.address = readAddress(section, "peer_address");
     settings.peer.port = readPort(section, "peer_port", 1);
     settings.metricsPort = static_cast<std::uint16_t>(section.integer("metrics_port", 0, 65535, 0));
-    settings.answeredLogInterval = readCount(section, "answered_log_interval", 1, 1000000,
-                                             settings.answeredLogInterval);
+    settings.answeredLogInterval =
+            readCount(section, "answered_log_interval", 1, 1000000, settings.answeredLogInterval);
 }
 
 void readBounds(TomlSection section, GatewaySettings &settings)
@@ -59,6 +59,11 @@
     settings.repeatConstant = section.number("repeat_constant", 0, 1e6, settings.repeatConstant);
     settings.repeatWindowMs =
             readCount(section, "repeat_window_ms", 100, longestMs, settings.repeatWindowMs);
+    settings.allowanceWindowMs =
+            readCount(section, "allowance_window_ms", 1000, longestMs, settings.allowanceWindowMs);
+    settings.allowanceOver = section.number("allowance_over", 0, 10, settings.allowanceOver);
+    settings.allowanceConstant =
+            section.number("allowance_constant", 0, 1e12, settings.allowanceConstant);
     settings.coldOver = section.number("cold_over", 1, 100, settings.coldOver);
     settings.coldConstant = section.number("cold_constant", 0, 1e6, settings.coldConstant);
 }
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -28,7 +28,7 @@
     SocketAddress listen;    // callers
     SocketAddress readiness; // the platform's balancer
     std::string readinessPath = "/ready";
-    SocketAddress peer; // reports of other gateways, UDP
+    SocketAddress peer;            // reports of other gateways, UDP
     std::uint16_t metricsPort = 0; // 0: none
     SocketAddress platform;
 
@@ -38,7 +38,10 @@
     double repeatRatio = 0.2; // further attempts for each request
     double repeatConstant = 50;
     std::uint32_t repeatWindowMs = 10000;
-    double coldOver = 1.5; // a cold server bears this multiple of its rate
+    std::uint32_t allowanceWindowMs = 8000; // allowances of organisations hold in each window
+    double allowanceOver = 0;               // share beyond an allowance that counts as a violation
+    double allowanceConstant = 0;           // and tokens beyond that
+    double coldOver = 1.5;                  // a cold server bears this multiple of its rate
     double coldConstant = 5;
 
     std::uint32_t answeredLogInterval = 20; // one of so many answered requests is logged
--- a/src/ingressprotocol.h
+++ b/src/ingressprotocol.h
@@ -18,13 +18,13 @@
 // What a caller's headers say.
 struct CallerFacts
 {
-    std::string requestId; // names one attempt of the caller
-    std::string key;       // empty: none was sent
+    std::string requestId;             // names one attempt of the caller
+    std::string key;                   // empty: none was sent
     std::optional<Duration> remaining; // the caller waits that long
     bool tokensKnown = false;
     std::uint64_t promptTokens = 0;
-    std::uint64_t outputTokens = 0;  // at most
-    std::string sessionPart;         // last part of the prompt; requests of a session share it
+    std::uint64_t outputTokens = 0; // at most
+    std::string sessionPart;        // last part of the prompt; requests of a session share it
     std::optional<std::uint64_t> resumeAfter; // the caller has the stream's events up to this one
 
     bool operator==(const CallerFacts &) const = default;
@@ -44,10 +44,10 @@
 // What a backend server's answer says.
 struct BackendReply
 {
-    bool notRun = false;       // the request was not run and will not be
-    bool misdirected = false;  // another backend server has the address
+    bool notRun = false;        // the request was not run and will not be
+    bool misdirected = false;   // another backend server has the address
     bool authenticated = false; // carries the backend server's message authentication code
-    bool encoded = false;      // the body is not the backend server's own bytes
+    bool encoded = false;       // the body is not the backend server's own bytes
     std::optional<std::uint32_t> running; // load as the backend server counts it
     std::optional<std::uint32_t> waiting;
 
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -1,6 +1,6 @@
 // Periodic load reports between gateways, as datagrams: each tells what it has running on every
-// backend server and what organisations have taken of their allowances. A lost report is replaced by
-// the next. Runs on the traffic thread.
+// backend server and what organisations have taken of their allowances. A lost report is replaced
+// by the next. Runs on the traffic thread.
 
 #ifndef CORNELSHED_PEERGOSSIP_H
 #define CORNELSHED_PEERGOSSIP_H
--- a/src/routetable.cpp
+++ b/src/routetable.cpp
@@ -62,8 +62,9 @@
     const auto routes = d->routesOfHost.find(normalisedHost(host));
     if (routes == d->routesOfHost.end())
         return nullptr;
-    const auto it = std::find_if(routes->second.begin(), routes->second.end(),
-                                 [&](const auto *route) { return path.starts_with(route->prefix); });
+    const auto it =
+            std::find_if(routes->second.begin(), routes->second.end(),
+                         [&](const auto *route) { return path.starts_with(route->prefix); });
     return it == routes->second.end() ? nullptr : *it;
 }
 
--- a/src/routetable.h
+++ b/src/routetable.h
@@ -1,5 +1,6 @@
-// What operators configure for direct dispatch: routes, services, organisations with their keys, and
-// limits of the caller interface. A RouteTable is immutable; a new version replaces it as a whole.
+// What operators configure for direct dispatch: routes, services, organisations with their keys,
+// and limits of the caller interface. A RouteTable is immutable; a new version replaces it as a
+// whole.
 
 #ifndef CORNELSHED_ROUTETABLE_H
 #define CORNELSHED_ROUTETABLE_H
@@ -31,9 +32,9 @@
     std::string host;
     std::string prefix; // begins and ends with a slash
     RequestKind kind = RequestKind::NonIdempotent;
-    bool resumable = false;  // a broken stream may go on at another backend server
-    Duration timeout {};     // longest time that a caller is kept waiting
-    Duration objective {};   // to the answer, or to the first event of a stream
+    bool resumable = false;   // a broken stream may go on at another backend server
+    Duration timeout {};      // longest time that a caller is kept waiting
+    Duration objective {};    // to the answer, or to the first event of a stream
     Duration gapObjective {}; // between events of a stream; 0: none
     TierRank rank = 0;
     std::uint32_t attemptLimit = 1; // backend servers that may run one request
@@ -61,7 +62,7 @@
 {
     std::string name;
     std::vector<std::string> keys;
-    TierRank rank = 0; // goes before the route's
+    TierRank rank = 0;          // goes before the route's
     double tokensPerSecond = 0; // 0: no limit
     double burstTokens = 0;
     bool countsRequests = false;   // the allowance counts requests, not tokens
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -5,12 +5,17 @@
 #include "stabledigest.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cornelshed {
 
 namespace {
 
+// Part of the tolerance that is lent; the rest is for what peers admit between two reports.
+constexpr double lentShare = 0.7;
+// Part of an allowance's burst, and of what is lent, that may be taken at once; the rest adds to
+// the sustained rate.
+constexpr double burstShare = 0.3;
+
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -18,66 +23,68 @@
 
 } // namespace
 
-void TokenAllowances::configure(const std::string &organisation, const Allowance &allowance,
+bool TokenAllowances::configure(const std::string &organisation, const Allowance &allowance,
                                 Instant now)
 {
-    const auto [it, added] = m_buckets.try_emplace(organisation);
-    Bucket &bucket = it->second;
+    const auto [it, added] = m_accounts.try_emplace(organisation);
+    Account &account = it->second;
+    const bool changed = added || account.allowance != allowance;
     if (added) {
-        bucket.level = allowance.burst;
-        bucket.refilledAt = now;
+        account.refilledAt = now;
         m_organisationOfDigest[stableDigest(organisation)] = organisation;
     } else {
-        refill(bucket, now);
-        bucket.level = std::min(bucket.level, allowance.burst);
+        refill(account, now);
     }
-    bucket.allowance = allowance;
+    account.allowance = allowance;
+    resize(account);
+    add(account, 0);
+    return changed;
 }
 
 void TokenAllowances::setDaemons(std::uint32_t heard, std::uint32_t mayBeAlive)
 {
-    m_refillShare = mayBeAlive == 0
+    m_share = mayBeAlive == 0
             ? 1
             : std::clamp(static_cast<double>(heard) / mayBeAlive, 1.0 / mayBeAlive, 1.0);
 }
 
-bool TokenAllowances::tryTake(const std::string &organisation, double cost, Instant now)
+bool TokenAllowances::tryTake(const std::string &organisation, double cost, bool spare, Instant now)
 {
-    const auto it = m_buckets.find(organisation);
-    if (it == m_buckets.end())
-        return true;
-    Bucket &bucket = it->second;
-    bucket.ownTotal += cost;
-    if (bucket.allowance.perSecond <= 0)
+    const auto it = m_accounts.find(organisation);
+    if (it == m_accounts.end())
         return true;
-    refill(bucket, now);
-    if (bucket.level < std::min(cost, bucket.allowance.burst)) {
-        bucket.ownTotal -= cost;
-        return false;
+    Account &account = it->second;
+    if (account.allowance.perSecond > 0) {
+        refill(account, now);
+        const Bucket &bucket = spare ? account.tolerant : account.strict;
+        if (bucket.level < needed(bucket, cost))
+            return false;
+        add(account, -cost);
     }
-    bucket.level -= cost;
+    account.ownTotal += cost;
     return true;
 }
 
 Duration TokenAllowances::timeUntil(const std::string &organisation, double cost, Instant now)
 {
-    const auto it = m_buckets.find(organisation);
-    if (it == m_buckets.end() || it->second.allowance.perSecond <= 0)
+    const auto it = m_accounts.find(organisation);
+    if (it == m_accounts.end() || it->second.allowance.perSecond <= 0)
         return {};
-    Bucket &bucket = it->second;
-    refill(bucket, now);
-    const double missing = std::min(cost, bucket.allowance.burst) - bucket.level;
-    const double seconds = std::max(missing, 0.0) / (bucket.allowance.perSecond * m_refillShare);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    Account &account = it->second;
+    refill(account, now);
+    const Bucket &bucket = account.strict;
+    const double missing = std::max(needed(bucket, cost) - bucket.level, 0.0);
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(missing / refillRate(bucket)));
 }
 
 void TokenAllowances::giveBack(const std::string &organisation, double cost)
 {
-    const auto it = m_buckets.find(organisation);
-    if (it == m_buckets.end())
+    const auto it = m_accounts.find(organisation);
+    if (it == m_accounts.end())
         return;
     it->second.ownTotal -= cost;
-    it->second.level = std::min(it->second.level + cost, it->second.allowance.burst);
+    add(it->second, cost);
 }
 
 void TokenAllowances::peerTotal(std::uint64_t peerIncarnation, std::uint64_t organisationDigest,
@@ -92,29 +99,57 @@
         return;
     const double growth = total - known->second;
     known->second = total;
-    Bucket &bucket = m_buckets[name->second];
-    refill(bucket, now);
-    // The debt of a burst taken by several daemons at once is bounded, so that it is paid back.
-    bucket.level = std::clamp(bucket.level - growth, -bucket.allowance.burst,
-                              bucket.allowance.burst);
+    Account &account = m_accounts[name->second];
+    refill(account, now);
+    add(account, -growth);
 }
 
 std::map<std::uint64_t, double> TokenAllowances::ownTotals() const
 {
     std::map<std::uint64_t, double> totals;
-    for (const auto &[name, bucket] : m_buckets) {
-        if (bucket.ownTotal > 0)
-            totals.emplace(stableDigest(name), bucket.ownTotal);
+    for (const auto &[name, account] : m_accounts) {
+        if (account.ownTotal > 0)
+            totals.emplace(stableDigest(name), account.ownTotal);
     }
     return totals;
 }
 
-void TokenAllowances::refill(Bucket &bucket, Instant now) const
+void TokenAllowances::resize(Account &account) const
+{
+    const Allowance &allowance = account.allowance;
+    const double limit = allowance.perSecond * secondsOf(m_window) + allowance.burst;
+    const double lent = lentShare * (limit * m_tolerance.share + m_tolerance.constant);
+    account.strict.perWindow = limit;
+    account.strict.size = burstShare * allowance.burst;
+    account.tolerant.perWindow = limit + lent;
+    account.tolerant.size = burstShare * (allowance.burst + lent);
+}
+
+double TokenAllowances::refillRate(const Bucket &bucket) const
+{
+    return m_share * (bucket.perWindow - bucket.size) / secondsOf(m_window);
+}
+
+// The level at which the cost may be taken; a cost above the size passes on a full bucket.
+double TokenAllowances::needed(const Bucket &bucket, double cost) const
+{
+    return std::min(cost, m_share * bucket.size);
+}
+
+void TokenAllowances::refill(Account &account, Instant now) const
+{
+    const double seconds = std::max(0.0, secondsOf(now - account.refilledAt));
+    account.refilledAt = std::max(account.refilledAt, now);
+    for (Bucket *it : {&account.strict, &account.tolerant})
+        it->level += seconds * refillRate(*it);
+    add(account, 0);
+}
+
+// The debt of what several daemons took at once is bounded, so that it is paid back.
+void TokenAllowances::add(Account &account, double amount) const
 {
-    const double seconds = std::max(0.0, secondsOf(now - bucket.refilledAt));
-    bucket.refilledAt = std::max(bucket.refilledAt, now);
-    bucket.level = std::min(bucket.level + seconds * bucket.allowance.perSecond * m_refillShare,
-                            bucket.allowance.burst);
+    for (Bucket *it : {&account.strict, &account.tolerant})
+        it->level = std::clamp(it->level + amount, -it->size, m_share * it->size);
 }
 
 } // namespace cornelshed
--- a/src/tokenallowance.h
+++ b/src/tokenallowance.h
@@ -1,6 +1,10 @@
-// Allowances of organisations: a token bucket for each, over all daemons. A daemon subtracts what it
-// admits and what its peers report. While a peer that was heard lately is silent, the bucket refills
-// only by this daemon's share, so that daemons cut off from each other keep the sum.
+// Allowances of organisations over all daemons: in any window of a fixed length an organisation may
+// take its rate times the window, plus its burst. Each daemon keeps token buckets for the whole
+// deployment and subtracts what it admits and what its peers report. A bucket refills by what a
+// window allows beyond the bucket's size, so that one that starts empty after a restart keeps the
+// window's bound together with what was taken before. While a peer that may be alive is silent,
+// only the share of the daemons that are heard is used, so that daemons cut off from each other
+// keep the sum.
 
 #ifndef CORNELSHED_TOKENALLOWANCE_H
 #define CORNELSHED_TOKENALLOWANCE_H
@@ -14,6 +18,17 @@
 
 namespace cornelshed {
 
+// What may pass beyond the allowances in a window, over all daemons, before a deployment counts it
+// as a violation. It absorbs the lag of reports; what is left of it is lent while nothing else
+// waits.
+struct AllowanceTolerance
+{
+    double share = 0;    // of the allowance
+    double constant = 0; // tokens
+
+    bool operator==(const AllowanceTolerance &) const = default;
+};
+
 struct Allowance
 {
     double perSecond = 0; // 0: no limit
@@ -25,14 +40,20 @@
 class TokenAllowances
 {
 public:
-    // Sets or changes the allowance of an organisation; a lower burst takes effect at once.
-    void configure(const std::string &organisation, const Allowance &allowance, Instant now);
+    TokenAllowances(Duration window, const AllowanceTolerance &tolerance)
+        : m_window(window), m_tolerance(tolerance)
+    { }
+
+    // Sets or changes the allowance of an organisation; returns true if it changed. The bucket of a
+    // new organisation is empty.
+    bool configure(const std::string &organisation, const Allowance &allowance, Instant now);
 
     // Daemons that are heard, this one included, of those that may be alive.
     void setDaemons(std::uint32_t heard, std::uint32_t mayBeAlive);
 
-    // Takes the cost if the bucket holds it; a cost above the burst passes on a full bucket.
-    bool tryTake(const std::string &organisation, double cost, Instant now);
+    // Takes the cost if the bucket holds it; a cost above the bucket's size passes on a full one.
+    // spare: nothing else waits, so that part of the tolerance may be lent.
+    bool tryTake(const std::string &organisation, double cost, bool spare, Instant now);
 
     // Time until tryTake() of the cost may succeed; 0 if it would now.
     Duration timeUntil(const std::string &organisation, double cost, Instant now);
@@ -50,19 +71,32 @@
 
 private:
     struct Bucket
+    {
+        double perWindow = 0; // what any window may take
+        double size = 0;
+        double level = 0; // invariant: in [-size, size]
+    };
+    struct Account
     {
         Allowance allowance;
-        double level = 0;
+        Bucket strict;   // by the allowance alone
+        Bucket tolerant; // with the part of the tolerance that is lent
         Instant refilledAt {};
-        double ownTotal = 0;
+        double ownTotal = 0; // taken since the start
     };
 
-    void refill(Bucket &bucket, Instant now) const;
+    void resize(Account &account) const;
+    void refill(Account &account, Instant now) const;
+    double refillRate(const Bucket &bucket) const;
+    double needed(const Bucket &bucket, double cost) const;
+    void add(Account &account, double amount) const;
 
-    std::unordered_map<std::string, Bucket> m_buckets;
+    Duration m_window;
+    AllowanceTolerance m_tolerance;
+    std::unordered_map<std::string, Account> m_accounts;
     std::unordered_map<std::uint64_t, std::string> m_organisationOfDigest;
     std::map<std::pair<std::uint64_t, std::uint64_t>, double> m_peerTotals;
-    double m_refillShare = 1; // invariant: in (0, 1]
+    double m_share = 1; // of the allowance that may be used; invariant: in (0, 1]
 };
 
 } // namespace cornelshed
