--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -153,7 +153,8 @@
     {
         m_announceClose = true;
         m_closeAfterAnswer = true;
-        if (!m_busy && m_buffer.size() == 0)
+        // An answer whose bytes are still being written closes the connection by itself.
+        if (!m_busy && !m_lingering && m_buffer.size() == 0)
             closeNow();
     }
 
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -31,8 +31,9 @@
 constexpr double occupancySeconds = 0.030;
 constexpr double slownessSmoothing = 0.2;
 constexpr double slownessLimit = 10;
-// Requests of this many slots at least leave room for higher ranks.
-constexpr std::uint32_t leastSlotsForReserve = 3;
+// Part of a service's slots that is left free for each higher rank: enough for what arrives until
+// others end.
+constexpr double reserveShare = 0.06;
 constexpr double firstServiceSeconds = 0.3;
 
 double secondsOf(Duration duration)
@@ -169,8 +170,7 @@
                  Instant now) const
     {
         const std::uint32_t slots = backend.record.slots;
-        const std::uint32_t reserve = slots >= leastSlotsForReserve ? request.leaveFree : 0;
-        if (!mayUse(backend) || backend.running + backend.peerRunning + reserve >= slots
+        if (!mayUse(backend) || backend.running + backend.peerRunning >= slots
             || backend.fullUntil > now || request.excluded.contains(backend.record.id))
             return false;
         const OutlierState state = outliers.state(backend.slot);
@@ -212,8 +212,26 @@
         return home;
     }
 
+    // Whether enough slots of the service stay free for requests of higher ranks.
+    bool leavesEnough(const Service &service, const DirectRequest &request) const
+    {
+        if (request.leaveFree == 0)
+            return true;
+        std::uint32_t slots = 0;
+        std::uint32_t taken = 0;
+        for (const Backend *it : service.backends) {
+            if (!mayUse(*it))
+                continue;
+            slots += it->record.slots;
+            taken += std::min(it->running + it->peerRunning, it->record.slots);
+        }
+        return slots - taken > request.leaveFree * reserveShare * slots;
+    }
+
     Backend *place(Service &service, const DirectRequest &request, Instant now)
     {
+        if (!leavesEnough(service, request))
+            return nullptr;
         const Backend *home = homeOf(service, request);
         Backend *chosen = nullptr;
         double least = 0;
@@ -266,10 +284,12 @@
     void advanceService(Service &service, Instant now, std::vector<DirectAction> &actions)
     {
         std::size_t ahead = 0;
+        // Requests that leave at least this many slots free come after one that found no place.
+        std::uint32_t blockedFrom = UINT32_MAX;
         for (auto it = service.queue.begin(); it != service.queue.end();) {
             DirectRequest &request = it->second;
-            // Only the first may start: the others come after it.
-            Backend *backend = ahead == 0 ? place(service, request, now) : nullptr;
+            Backend *backend =
+                    request.leaveFree < blockedFrom ? place(service, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
@@ -281,6 +301,9 @@
                 it = erase(service, it);
                 continue;
             }
+            // A request that is kept from some backend servers does not hold up the others.
+            if (request.excluded.empty())
+                blockedFrom = std::min(blockedFrom, request.leaveFree);
             ++ahead;
             ++it;
         }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -15,6 +15,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -167,7 +169,7 @@
         admitted.id = {settings.incarnation, ++sequence};
         admitted.service = chooseService(route, admitted.facts.requestId);
         admitted.order = organisationRank * organisationRankWeight + route.rank;
-        admitted.leaveFree = route.rank > highestRankOf(admitted.service) ? 1 : 0;
+        admitted.leaveFree = higherRanks(admitted.service, route.rank);
         const Duration caller = admitted.facts.remaining.value_or(usualTimeLimit);
         const Duration limit =
                 route.timeout > Duration::zero() ? std::min(route.timeout, caller) : caller;
@@ -208,10 +210,14 @@
         return route.services.back().service;
     }
 
-    TierRank highestRankOf(const std::string &service) const
+    // How many ranks of the service's routes go before this one.
+    std::uint32_t higherRanks(const std::string &service, TierRank rank) const
     {
-        const auto it = highestRank.find(service);
-        return it == highestRank.end() ? 0 : it->second;
+        const auto it = ranksOfService.find(service);
+        if (it == ranksOfService.end())
+            return 0;
+        return static_cast<std::uint32_t>(
+                std::distance(it->second.begin(), it->second.lower_bound(rank)));
     }
 
     DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat) const
@@ -390,6 +396,7 @@
                 .field("backend", exchange.lastBackend())
                 .field("ran", exchange.history().ran)
                 .field("not_run", exchange.history().refused)
+                .field("queue_ms", exchange.timeInQueue() / 1ms)
                 .field("total_ms", total / 1ms)
                 .field("first_event_ms", exchange.timeToFirstEvent() / 1ms)
                 .field("prompt_tokens", admitted.facts.promptTokens)
@@ -452,14 +459,12 @@
 
     void applyConfiguration(Instant now)
     {
-        highestRank.clear();
+        ranksOfService.clear();
         if (!state->routes)
             return;
         for (const DirectRoute &route : state->routes->content().routes) {
-            for (const WeightedService &it : route.services) {
-                const auto [rank, added] = highestRank.try_emplace(it.service, route.rank);
-                rank->second = std::min(rank->second, route.rank);
-            }
+            for (const WeightedService &it : route.services)
+                ranksOfService[it.service].insert(route.rank);
         }
         for (const Organisation &it : state->routes->content().organisations) {
             if (!allowances.configure(it.name, {it.tokensPerSecond, it.burstTokens}, now))
@@ -542,7 +547,7 @@
     TimeSummary &answerTimes;
     TokenAllowances allowances;
     std::unordered_map<std::string, WindowedBudget> repeatBudgets; // by service
-    std::unordered_map<std::string, TierRank> highestRank;         // by service
+    std::unordered_map<std::string, std::set<TierRank>> ranksOfService;
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -130,6 +130,8 @@
 void GatewayExchange::startAttempt(const BackendRecord &backend, BackendClient &client)
 {
     const Instant now = monotonicNow();
+    if (m_tried.empty())
+        m_queueTime = now - m_admitted.request.receivedAt;
     m_running = true;
     m_backend = backend.id;
     m_tried.insert(backend.id);
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -87,6 +87,7 @@
     bool everSent() const { return m_history.ran > 0 || m_running; }
     const std::string &lastBackend() const { return m_backend; }
     const char *lastProblem() const { return m_problem; }
+    Duration timeInQueue() const { return m_queueTime; } // until the first attempt
     Duration timeToFirstEvent() const { return m_firstEventTime; }
 
 private:
@@ -139,7 +140,8 @@
     Instant m_firstEventAt {};
 
     std::optional<std::uint64_t> m_lastEvent; // passed to the caller
-    Duration m_firstEventTime {};             // since arrival; 0 before
+    Duration m_queueTime {};      // from the arrival to the first attempt
+    Duration m_firstEventTime {}; // from the arrival; 0 before
     const char *m_problem = "";
     bool m_over = false;
 };
