--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -31,9 +31,8 @@
 constexpr double occupancySeconds = 0.030;
 constexpr double slownessSmoothing = 0.2;
 constexpr double slownessLimit = 10;
-// Part of a service's slots that is left free for each higher rank: enough for what arrives until
-// others end.
-constexpr double reserveShare = 0.06;
+// At most this part of the slots of a backend server is left free for higher ranks.
+constexpr std::uint32_t reserveDivisor = 3;
 constexpr double firstServiceSeconds = 0.3;
 
 double secondsOf(Duration duration)
@@ -170,7 +169,8 @@
                  Instant now) const
     {
         const std::uint32_t slots = backend.record.slots;
-        if (!mayUse(backend) || backend.running + backend.peerRunning >= slots
+        const std::uint32_t reserve = std::min(request.leaveFree, slots / reserveDivisor);
+        if (!mayUse(backend) || backend.running + backend.peerRunning + reserve >= slots
             || backend.fullUntil > now || request.excluded.contains(backend.record.id))
             return false;
         const OutlierState state = outliers.state(backend.slot);
@@ -212,26 +212,8 @@
         return home;
     }
 
-    // Whether enough slots of the service stay free for requests of higher ranks.
-    bool leavesEnough(const Service &service, const DirectRequest &request) const
-    {
-        if (request.leaveFree == 0)
-            return true;
-        std::uint32_t slots = 0;
-        std::uint32_t taken = 0;
-        for (const Backend *it : service.backends) {
-            if (!mayUse(*it))
-                continue;
-            slots += it->record.slots;
-            taken += std::min(it->running + it->peerRunning, it->record.slots);
-        }
-        return slots - taken > request.leaveFree * reserveShare * slots;
-    }
-
     Backend *place(Service &service, const DirectRequest &request, Instant now)
     {
-        if (!leavesEnough(service, request))
-            return nullptr;
         const Backend *home = homeOf(service, request);
         Backend *chosen = nullptr;
         double least = 0;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -28,7 +28,7 @@
     RequestId id;
     std::string service;
     std::uint64_t order = 0;     // smaller goes first; equal ones in order of arrival
-    std::uint32_t leaveFree = 0; // ranks of the service for which slots are left free
+    std::uint32_t leaveFree = 0; // slots of a backend server left free for higher ranks
     Instant arrivedAt {};
     Instant waitUntil {}; // refused if there is no place by then
     std::uint64_t promptTokens = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -169,7 +169,7 @@
         admitted.id = {settings.incarnation, ++sequence};
         admitted.service = chooseService(route, admitted.facts.requestId);
         admitted.order = organisationRank * organisationRankWeight + route.rank;
-        admitted.leaveFree = higherRanks(admitted.service, route.rank);
+        admitted.leaveFree = std::min(higherRanks(admitted.service, route.rank), 1U);
         const Duration caller = admitted.facts.remaining.value_or(usualTimeLimit);
         const Duration limit =
                 route.timeout > Duration::zero() ? std::min(route.timeout, caller) : caller;
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t datagramLimitBytes = 60000;
 // Interval between reports: the shortest, and for each peer, so that the traffic of a daemon stays
 // the same in large fleets.
-constexpr Duration leastInterval = 50ms;
+constexpr Duration leastInterval = 20ms;
 constexpr Duration intervalPerPeer = 10ms;
 // A peer is heard if a report arrived within this time, and may be alive for a while longer.
 constexpr Duration heardTime = 1s;
