One gateway's read of the store proves freshness for all

Change: reports carry the newest change applied and the age of its proof, and echo the peer's last report; who has applied that change is proven fresh without a call.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -16,6 +16,17 @@
   taken @1 :Float64;        # tokens since the sender started
 }
 
+struct GossipProof {
+  lastChange @0 :UInt64;    # version of the newest change of a table that matters
+  ageMicros @1 :Int64;      # of the proof when the report was composed; -1: never read
+}
+
+struct GossipEcho {
+  peer @0 :UInt64;          # digest of the peer's name
+  sequence @1 :UInt64;      # of its last report
+  incarnation @2 :UInt64;
+}
+
 struct GossipReport {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -23,4 +34,6 @@
   leaving @3 :Bool;         # the sender shuts down and takes no new work
   loads @4 :List(GossipLoad);
   allowances @5 :List(GossipAllowance);
+  proofs @6 :List(GossipProof);    # by table, in the order of src/freshness.h
+  echoes @7 :List(GossipEcho);
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(da793db429c6b3c3);
 CAPNP_DECLARE_SCHEMA(d3868f3375db5656);
+CAPNP_DECLARE_SCHEMA(805803d5e6a051fd);
+CAPNP_DECLARE_SCHEMA(91b16c37abd45b15);
 CAPNP_DECLARE_SCHEMA(c14a0518ea04717e);
 
 }  // namespace schemas
@@ -56,6 +58,36 @@
   };
 };
 
+struct GossipProof {
+  GossipProof() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(805803d5e6a051fd, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GossipEcho {
+  GossipEcho() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91b16c37abd45b15, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipReport {
   GossipReport() = delete;
 
@@ -64,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -240,6 +272,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class GossipProof::Reader {
+public:
+  typedef GossipProof Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLastChange() const;
+
+  inline  ::int64_t getAgeMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipProof::Builder {
+public:
+  typedef GossipProof Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLastChange();
+  inline void setLastChange( ::uint64_t value);
+
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipProof::Pipeline {
+public:
+  typedef GossipProof Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GossipEcho::Reader {
+public:
+  typedef GossipEcho Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPeer() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipEcho::Builder {
+public:
+  typedef GossipEcho Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPeer();
+  inline void setPeer( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipEcho::Pipeline {
+public:
+  typedef GossipEcho Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipReport::Reader {
 public:
   typedef GossipReport Reads;
@@ -272,6 +471,12 @@
   inline bool hasAllowances() const;
   inline  ::capnp::List< ::cornelshed::wire::GossipAllowance,  ::capnp::Kind::STRUCT>::Reader getAllowances() const;
 
+  inline bool hasProofs() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Reader getProofs() const;
+
+  inline bool hasEchoes() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Reader getEchoes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -330,6 +535,20 @@
   inline void adoptAllowances(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipAllowance,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipAllowance,  ::capnp::Kind::STRUCT>> disownAllowances();
 
+  inline bool hasProofs();
+  inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Builder getProofs();
+  inline void setProofs( ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Builder initProofs(unsigned int size);
+  inline void adoptProofs(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>> disownProofs();
+
+  inline bool hasEchoes();
+  inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Builder getEchoes();
+  inline void setEchoes( ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Builder initEchoes(unsigned int size);
+  inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>> disownEchoes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -428,6 +647,76 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t GossipProof::Reader::getLastChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipProof::Builder::getLastChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipProof::Builder::setLastChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GossipProof::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipProof::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipProof::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipEcho::Reader::getPeer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipEcho::Builder::getPeer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipEcho::Builder::setPeer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipEcho::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipEcho::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipEcho::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipEcho::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipEcho::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipEcho::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipReport::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -572,6 +861,74 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool GossipReport::Reader::hasProofs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipReport::Builder::hasProofs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Reader GossipReport::Reader::getProofs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::getProofs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GossipReport::Builder::setProofs( ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::initProofs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GossipReport::Builder::adoptProofs(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>> GossipReport::Builder::disownProofs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipProof,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool GossipReport::Reader::hasEchoes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipReport::Builder::hasEchoes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Reader GossipReport::Reader::getEchoes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::getEchoes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GossipReport::Builder::setEchoes( ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::initEchoes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GossipReport::Builder::adoptEchoes(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>> GossipReport::Builder::disownEchoes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -49,8 +49,9 @@
         std::function<void(std::vector<StoredRow>)> whole;   // all rows
         std::function<void(std::vector<StoredRow>)> changes; // may be empty
         std::function<void(Duration sentAt)> answered;       // time since boot before the call
-        std::function<void(Duration sentAt)> applied; // after the rows of the answer were given
+        std::function<void(const ReadProof &)> applied; // after the rows of the answer were given
         std::function<void(RowStoreError)> failed;
+        std::function<Duration()> provenAt; // time since boot
     };
 
     TableReader(asio::io_context &context, RowStore &store, RowTable table, Duration interval,
@@ -60,6 +61,18 @@
     { }
 
     void start() { readWhole(); }
+
+    void readNow()
+    {
+        if (!m_calling && m_loaded)
+            readChanges();
+    }
+
+    void setDelay(Duration delay) { m_delay = delay; }
+
+    // A change that matters; called while rows are given.
+    void changed(std::uint64_t version) { m_lastChange = std::max(m_lastChange, version); }
+
     void stop()
     {
         m_stopped = true;
@@ -71,6 +84,7 @@
     {
         m_rows.clear();
         m_startVersion = 0;
+        m_calling = true;
         readPage({});
     }
 
@@ -87,6 +101,7 @@
         if (m_stopped)
             return;
         if (const auto *error = std::get_if<RowStoreError>(&result)) {
+            m_calling = false;
             m_events.failed(*error);
             later(m_retry, &TableReader::readWhole);
             return;
@@ -103,15 +118,33 @@
             readPage(m_rows.back().key + '\0');
             return;
         }
+        m_calling = false;
+        m_loaded = true;
         m_version = m_startVersion;
+        for (const StoredRow &it : m_rows)
+            changed(it.version);
         m_events.answered(m_sentAt);
         m_events.whole(std::exchange(m_rows, {}));
-        m_events.applied(m_sentAt);
-        later(m_interval, &TableReader::readChanges);
+        m_events.applied({m_sentAt, m_lastChange, m_version});
+        awaitDue();
+    }
+
+    // A read is due when the last proof, own or of a peer, is as old as the interval.
+    void awaitDue()
+    {
+        const Duration age = timeSinceBoot() - m_events.provenAt();
+        const Duration limit = m_interval + m_delay;
+        if (age >= limit) {
+            readChanges();
+            return;
+        }
+        later(limit - age, &TableReader::awaitDue);
     }
 
     void readChanges()
     {
+        m_calling = true;
+        m_timer.cancel();
         const Duration sentAt = timeSinceBoot();
         m_store.changes(m_table, m_version, Duration::zero(),
                         [self = shared_from_this(), sentAt](RowsResult result) {
@@ -121,6 +154,7 @@
 
     void handleChanges(RowsResult result, Duration sentAt)
     {
+        m_calling = false;
         if (m_stopped)
             return;
         if (const auto *error = std::get_if<RowStoreError>(&result)) {
@@ -135,8 +169,9 @@
         m_version = std::max(m_version, page.version);
         m_events.answered(sentAt);
         m_events.changes(std::move(page.rows));
-        m_events.applied(sentAt);
-        later(m_interval, &TableReader::readChanges);
+        m_events.applied({sentAt, m_lastChange, m_version});
+        // Not awaitDue() at once: the proof reaches the other thread a little later.
+        later(m_interval + m_delay, &TableReader::awaitDue);
     }
 
     void later(Duration delay, void (TableReader::*step)())
@@ -157,7 +192,11 @@
     std::vector<StoredRow> m_rows; // pages of the whole table so far
     std::uint64_t m_startVersion = 0;
     std::uint64_t m_version = 0; // where the feed goes on
+    std::uint64_t m_lastChange = 0;
     Duration m_sentAt {};
+    Duration m_delay {}; // left to other gateways to read first
+    bool m_calling = false;
+    bool m_loaded = false;
     bool m_stopped = false;
 };
 
@@ -188,8 +227,10 @@
             withdrawals.clear();
             rollouts.clear();
         }
-        for (const StoredRow &row : rows)
+        for (const StoredRow &row : rows) {
+            readerOf(RowTable::Orders).changed(row.version);
             changed = handleOrder(row) || changed;
+        }
         if (changed)
             publish();
     }
@@ -269,18 +310,25 @@
         const Instant now = monotonicNow();
         bool changed = registry.expire(now);
         for (const StoredRow &row : rows) {
-            if (row.removed) {
-                changed = registry.removed(row.key, now) || changed;
-            } else if (const auto record = decodeBackend(row)) {
-                changed = registry.put(*record) || changed;
-            } else {
-                changed = registry.removed(row.key, now) || changed;
-            }
+            if (!applyBackend(row, now))
+                continue;
+            readerOf(RowTable::Backends).changed(row.version);
+            changed = true;
         }
         if (changed)
             publish();
     }
 
+    // Returns true if the row changes which servers may be used, and how. Most only tell that the
+    // server lives.
+    bool applyBackend(const StoredRow &row, Instant now)
+    {
+        const auto record = row.removed ? std::nullopt : decodeBackend(row);
+        return record ? registry.put(*record) : registry.removed(row.key, now);
+    }
+
+    TableReader &readerOf(RowTable table) { return *readers.at(static_cast<std::size_t>(table)); }
+
     // --- gateways ---
 
     void handleGateways(const std::vector<StoredRow> &rows)
@@ -375,8 +423,9 @@
     std::set<std::string> unreadable; // rows that were logged
     asio::steady_timer expiryTimer;
     asio::steady_timer registerTimer;
-    std::vector<std::shared_ptr<TableReader>> readers;
-    Duration answeredAt {}; // since boot
+    std::vector<std::shared_ptr<TableReader>> readers; // by RowTable
+    Duration answeredAt {};                            // since boot, by any table
+    Duration gatewaysReadAt {};                        // since boot
     bool storeLost = false;
 };
 
@@ -404,27 +453,43 @@
     const auto failed = [state](const char *table) {
         return [state, table](RowStoreError error) { state->failed(table, error); };
     };
-    const auto proven = [state](Duration sentAt) {
-        if (state->routes)
-            state->events.proven(sentAt);
+    const auto read = [state](RowTable table) {
+        return [state, table](const ReadProof &proof) { state->events.read(table, proof); };
+    };
+    const auto provenAt = [state](RowTable table) {
+        return [state, table] { return state->events.provenAt(table); };
     };
-    const auto ignore = [](Duration /*sentAt*/) {};
-    d->readers.push_back(d->reader(RowTable::Orders, d->settings.ordersInterval,
-                                   {[state](const Rows &rows) { state->handleOrders(rows, true); },
-                                    [state](const Rows &rows) { state->handleOrders(rows, false); },
-                                    answered, proven, failed("orders")}));
     d->readers.push_back(
-            d->reader(RowTable::Backends, d->settings.backendsInterval,
-                      {[state](const Rows &rows) { state->handleAllBackends(rows); },
-                       [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
-                       ignore, failed("backends")}));
-    d->readers.push_back(d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
-                                   {[state](const Rows &rows) { state->handleGateways(rows); },
-                                    [state](const Rows &rows) { state->handleGateways(rows); },
-                                    answered, ignore, failed("gateways")}));
+            d->reader(RowTable::Orders, d->settings.ordersInterval,
+                      {[state](const Rows &rows) { state->handleOrders(rows, true); },
+                       [state](const Rows &rows) { state->handleOrders(rows, false); }, answered,
+                       read(RowTable::Orders), failed("orders"), provenAt(RowTable::Orders)}));
+    d->readers.push_back(d->reader(
+            RowTable::Backends, d->settings.backendsInterval,
+            {[state](const Rows &rows) { state->handleAllBackends(rows); },
+             [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
+             read(RowTable::Backends), failed("backends"), provenAt(RowTable::Backends)}));
+    // Gateways are read by each one for itself, and seldom.
+    d->readers.push_back(
+            d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
+                      {[state](const Rows &rows) { state->handleGateways(rows); },
+                       [state](const Rows &rows) { state->handleGateways(rows); }, answered,
+                       [state](const ReadProof &it) { state->gatewaysReadAt = it.sentAt; },
+                       failed("gateways"), [state] { return state->gatewaysReadAt; }}));
     for (const auto &it : d->readers)
         it->start();
     d->registerSelf();
 }
 
+void DeploymentWatcher::readNow(RowTable table)
+{
+    d->readerOf(table).readNow();
+}
+
+void DeploymentWatcher::setDelay(Duration delay)
+{
+    d->readerOf(RowTable::Orders).setDelay(delay);
+    d->readerOf(RowTable::Backends).setDelay(delay);
+}
+
 } // namespace cornelshed
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -7,6 +7,7 @@
 #define CORNELSHED_DEPLOYMENTWATCHER_H
 
 #include "deploymentstate.h"
+#include "freshness.h"
 #include "rowstore.h"
 
 #include <functional>
@@ -33,8 +34,12 @@
 {
     std::function<void(std::shared_ptr<const DeploymentState>)> changed;
 
-    // The configuration told last was the newest at this time since boot; called after changed.
-    std::function<void(Duration sinceBoot)> proven;
+    // A table was read, and what changed was told before.
+    std::function<void(RowTable table, const ReadProof &proof)> read;
+
+    // When the copy of the table was last proven fresh, by own reads or others, since boot; called
+    // to decide whether a read is due.
+    std::function<Duration(RowTable table)> provenAt;
 };
 
 class DeploymentWatcher
@@ -50,6 +55,12 @@
     // Registers this gateway and starts to read.
     void start(const GatewayRecord &self);
 
+    // Reads the table at once; a peer knows a change that is not applied here.
+    void readNow(RowTable table);
+
+    // Time that this gateway leaves others to read first.
+    void setDelay(Duration delay);
+
 private:
     class Private;
     std::shared_ptr<Private> d; // shared with the handlers of the io_context
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <iterator>
 #include <set>
@@ -409,8 +410,19 @@
 
     Duration proofAge() const
     {
-        const std::int64_t at = provenAt.load();
-        return at < 0 ? Duration::max() : timeSinceBoot() - Duration(at);
+        const Duration at = provenAt(RowTable::Orders);
+        return at == Duration::zero() ? Duration::max() : timeSinceBoot() - at;
+    }
+
+    Duration provenAt(RowTable table) const
+    {
+        return Duration(provenMicros.at(static_cast<std::size_t>(table)).load());
+    }
+
+    void publishProof(RowTable table)
+    {
+        const auto at = freshness.provenAt(table).value_or(Duration::zero());
+        provenMicros.at(static_cast<std::size_t>(table)).store(at.count());
     }
 
     void applyBackends(Instant now)
@@ -553,7 +565,9 @@
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges;
     std::vector<std::weak_ptr<CallerChannel>> channels;
     GossipView view;
-    std::atomic<std::int64_t> provenAt {-1}; // microseconds since boot; -1: never
+    FreshnessBoard freshness;
+    // Copy of the board for other threads, since boot; 0: never.
+    std::array<std::atomic<std::int64_t>, sharedTables.size()> provenMicros {};
     std::atomic<bool> draining {false};
     Instant dueAt = instantNever;
     std::function<void()> drained;
@@ -605,25 +619,51 @@
     d->advance(now);
 }
 
-void Gateway::configurationProven(Duration sinceBoot)
+void Gateway::tableRead(RowTable table, const ReadProof &proof)
 {
-    d->provenAt.store(sinceBoot.count());
+    d->freshness.ownRead(table, proof);
+    d->publishProof(table);
+}
+
+Duration Gateway::provenAt(RowTable table) const
+{
+    return d->provenAt(table);
 }
 
 GossipReport Gateway::composeReport() const
 {
-    return {d->settings.name, d->settings.incarnation, ++d->reports,
-            d->draining,      d->scheduler.ownLoads(), d->allowances.ownTotals()};
+    const Duration sinceBoot = timeSinceBoot();
+    return {d->settings.name,
+            d->settings.incarnation,
+            ++d->reports,
+            d->draining,
+            d->scheduler.ownLoads(),
+            d->allowances.ownTotals(),
+            {d->freshness.share(RowTable::Orders, sinceBoot),
+             d->freshness.share(RowTable::Backends, sinceBoot)}};
 }
 
-void Gateway::peerReported(const GossipReport &report)
+std::vector<RowTable> Gateway::peerReported(const GossipReport &report,
+                                            std::optional<Duration> echoedSentAt)
 {
+    std::vector<RowTable> behind;
+    for (std::size_t i = 0; i < sharedTables.size() && echoedSentAt; ++i) {
+        if (!report.proofs[i])
+            continue;
+        const RowTable table = sharedTables[i];
+        const ProofUse use = d->freshness.peerRead(table, *report.proofs[i], *echoedSentAt);
+        if (use == ProofUse::Behind)
+            behind.push_back(table);
+        else if (use == ProofUse::Extended)
+            d->publishProof(table);
+    }
     const Instant now = monotonicNow();
     d->scheduler.peerReport(stableDigest(report.name), report.loads, now);
     for (const auto &[organisation, taken] : report.taken)
         d->allowances.peerTotal(report.incarnation, organisation, taken, now);
     if (d->scheduler.waiting() > 0)
         d->advance(now);
+    return behind;
 }
 
 void Gateway::setView(const GossipView &view)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -6,6 +6,7 @@
 
 #include "deploymentstate.h"
 #include "directscheduler.h"
+#include "freshness.h"
 #include "ingressprotocol.h"
 #include "metrics.h"
 #include "peergossip.h"
@@ -60,10 +61,17 @@
     void reload(const GatewayTraffic &settings);
 
     void applyState(std::shared_ptr<const DeploymentState> state);
-    void configurationProven(Duration sinceBoot);
+    void tableRead(RowTable table, const ReadProof &proof);
+
+    // When the copy of a shared table was last proven fresh, since boot; zero if never. Safe from
+    // any thread.
+    Duration provenAt(RowTable table) const;
 
     GossipReport composeReport() const;
-    void peerReported(const GossipReport &report);
+
+    // Returns the tables in which the peer knows a change that is not applied here.
+    std::vector<RowTable> peerReported(const GossipReport &report,
+                                       std::optional<Duration> echoedSentAt);
     void setView(const GossipView &view);
 
     // Safe from any thread.
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -34,6 +34,10 @@
 // connections are accepted.
 constexpr Duration announceTime = 2500ms;
 constexpr Duration viewInterval = 250ms;
+// The first gateway in the common order reads the store; each next one leaves it this much time to
+// tell, so that it takes over soon after the first ones are gone.
+constexpr Duration readDelay = 60ms;
+constexpr std::uint32_t readDelaySteps = 6;
 constexpr Duration fileCheckInterval = 1s;
 
 GatewayTraffic trafficSettings(const GatewaySettings &settings, std::uint64_t incarnation)
@@ -65,7 +69,9 @@
           gateway(traffic, platform.protocol, trafficSettings(settings, incarnation), metrics),
           gossip(
                   traffic, self(), [this] { return gateway.composeReport(); },
-                  [this](const GossipReport &it) { gateway.peerReported(it); }),
+                  [this](const GossipReport &report, std::optional<Duration> echoedSentAt) {
+                      readMissing(gateway.peerReported(report, echoedSentAt));
+                  }),
           admin(traffic, adminHandlers("/ready")),
           readiness(traffic, adminHandlers(settings.readinessPath)),
           signals(traffic, [this] { shutDown(); }), viewTimer(traffic), fileTimer(traffic)
@@ -117,15 +123,25 @@
                         gateway.applyState(state);
                     });
                 },
-                [this](Duration sinceBoot) {
-                    asio::post(traffic,
-                               [this, sinceBoot] { gateway.configurationProven(sinceBoot); });
-                }};
+                [this](RowTable table, const ReadProof &proof) {
+                    asio::post(traffic, [this, table, proof] { gateway.tableRead(table, proof); });
+                },
+                [this](RowTable table) { return gateway.provenAt(table); }};
+    }
+
+    // Changes that peers know and that are not applied here.
+    void readMissing(const std::vector<RowTable> &tables)
+    {
+        for (const RowTable table : tables)
+            asio::post(control, [this, table] { watcher->readNow(table); });
     }
 
     void updateView()
     {
-        gateway.setView(gossip.view());
+        const GossipView view = gossip.view();
+        gateway.setView(view);
+        const Duration delay = readDelay * std::min(view.place, readDelaySteps);
+        asio::post(control, [this, delay] { watcher->setDelay(delay); });
         viewTimer.expires_after(viewInterval);
         viewTimer.async_wait([this](auto ec) {
             if (!ec)
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -140,8 +140,8 @@
     Instant m_firstEventAt {};
 
     std::optional<std::uint64_t> m_lastEvent; // passed to the caller
-    Duration m_queueTime {};      // from the arrival to the first attempt
-    Duration m_firstEventTime {}; // from the arrival; 0 before
+    Duration m_queueTime {};                  // from the arrival to the first attempt
+    Duration m_firstEventTime {};             // from the arrival; 0 before
     const char *m_problem = "";
     bool m_over = false;
 };
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -4,6 +4,7 @@
 
 #include "eventlog.h"
 #include "monotonicclock.h"
+#include "stabledigest.h"
 
 #include "gossip.capnp.h"
 
@@ -36,10 +37,12 @@
 // A peer is heard if a report arrived within this time, and may be alive for a while longer.
 constexpr Duration heardTime = 1s;
 constexpr Duration mayBeAliveTime = 30s;
+// Own reports whose sending times are kept for echoes; older ones would prove little.
+constexpr std::size_t sentTimesKept = 64;
 
 } // namespace
 
-std::string encodeGossip(const GossipReport &report)
+std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::GossipReport>();
@@ -60,12 +63,26 @@
         allowances[n].setTaken(taken);
         ++n;
     }
+    auto proofs = root.initProofs(static_cast<unsigned>(report.proofs.size()));
+    for (unsigned i = 0; i < proofs.size(); ++i) {
+        const auto &proof = report.proofs[i];
+        proofs[i].setLastChange(proof ? proof->lastChange : 0);
+        proofs[i].setAgeMicros(proof ? proof->age.count() : -1);
+    }
+    auto sentEchoes = root.initEchoes(static_cast<unsigned>(echoes.size()));
+    n = 0;
+    for (const auto &[peer, echo] : echoes) {
+        sentEchoes[n].setPeer(peer);
+        sentEchoes[n].setIncarnation(echo.incarnation);
+        sentEchoes[n].setSequence(echo.sequence);
+        ++n;
+    }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
-std::optional<GossipReport> decodeGossip(const std::string &datagram)
+std::optional<DecodedGossip> decodeGossip(const std::string &datagram)
 {
     if (datagram.empty() || datagram.size() % sizeof(capnp::word) != 0)
         return std::nullopt;
@@ -73,7 +90,8 @@
     kj::Array<capnp::word> words =
             kj::heapArray<capnp::word>(datagram.size() / sizeof(capnp::word));
     std::memcpy(words.begin(), datagram.data(), datagram.size());
-    GossipReport report;
+    DecodedGossip decoded;
+    GossipReport &report = decoded.report;
     const auto problem = kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader message(words);
         const auto root = message.getRoot<wire::GossipReport>();
@@ -85,10 +103,18 @@
             report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens()});
         for (const auto it : root.getAllowances())
             report.taken[it.getOrganisation()] = it.getTaken();
+        for (const auto it : root.getEchoes())
+            decoded.echoes[it.getPeer()] = {it.getIncarnation(), it.getSequence()};
+        const auto proofs = root.getProofs();
+        for (unsigned i = 0; i < proofs.size() && i < report.proofs.size(); ++i) {
+            if (proofs[i].getAgeMicros() >= 0)
+                report.proofs[i] =
+                        SharedProof {proofs[i].getLastChange(), Duration(proofs[i].getAgeMicros())};
+        }
     });
     if (problem != nullptr || report.name.empty())
         return std::nullopt;
-    return report;
+    return decoded;
 }
 
 class PeerGossip::Private : public std::enable_shared_from_this<Private>
@@ -135,9 +161,10 @@
 
     void handle(const std::string &datagram)
     {
-        const auto report = decodeGossip(datagram);
-        if (!report || report->name == self.name)
+        const auto decoded = decodeGossip(datagram);
+        if (!decoded || decoded->report.name == self.name)
             return;
+        const GossipReport *report = &decoded->report;
         Peer &peer = peers[report->name];
         // A datagram that was overtaken, or of an earlier life, tells nothing.
         if (peer.incarnation == report->incarnation && report->sequence <= peer.sequence)
@@ -147,7 +174,26 @@
         peer.sequence = report->sequence;
         peer.leaving = report->leaving;
         peer.heardAt = monotonicNow();
-        received(*report);
+        received(*report, echoedSentAt(decoded->echoes));
+    }
+
+    std::optional<Duration> echoedSentAt(const GossipEchoes &echoes) const
+    {
+        const auto echo = echoes.find(stableDigest(self.name));
+        if (echo == echoes.end() || echo->second.incarnation != incarnation)
+            return std::nullopt;
+        const auto sent = sentTimes.find(echo->second.sequence);
+        return sent == sentTimes.end() ? std::nullopt : std::optional(sent->second);
+    }
+
+    GossipEchoes echoes() const
+    {
+        GossipEchoes result;
+        for (const auto &[name, peer] : peers) {
+            if (peer.incarnation != 0)
+                result[stableDigest(name)] = {peer.incarnation, peer.sequence};
+        }
+        return result;
     }
 
     void logChanges(Instant now)
@@ -164,7 +210,12 @@
     {
         const Instant now = monotonicNow();
         logChanges(now);
-        std::string datagram = encodeGossip(compose());
+        const GossipReport report = compose();
+        incarnation = report.incarnation;
+        sentTimes[report.sequence] = timeSinceBoot();
+        if (sentTimes.size() > sentTimesKept)
+            sentTimes.erase(sentTimes.begin());
+        const std::string datagram = encodeGossip(report, echoes());
         if (datagram.size() > datagramLimitBytes)
             return;
         for (const auto &[name, peer] : peers) {
@@ -194,6 +245,8 @@
     udp::endpoint sender;
     std::array<char, datagramLimitBytes + 8> buf {};
     std::map<std::string, Peer> peers; // by name
+    std::uint64_t incarnation = 0;
+    std::map<std::uint64_t, Duration> sentTimes; // of the last own reports, by sequence
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, GatewayRecord self, Compose compose,
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -6,9 +6,11 @@
 #define CORNELSHED_PEERGOSSIP_H
 
 #include "directscheduler.h"
+#include "freshness.h"
 #include "rowstore.h"
 #include "types.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,14 +33,35 @@
     bool leaving = false;
     std::vector<PeerLoad> loads;
     std::map<std::uint64_t, double> taken; // tokens since the start, by organisation digest
+    std::array<std::optional<SharedProof>, sharedTables.size()> proofs; // by table
 
     bool operator==(const GossipReport &) const = default;
 };
 
-std::string encodeGossip(const GossipReport &report);
+// The last report that a gateway had from a peer.
+struct GossipEcho
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const GossipEcho &) const = default;
+};
+
+// Echoes by stableDigest() of the peer's name.
+using GossipEchoes = std::map<std::uint64_t, GossipEcho>;
+
+std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes);
+
+struct DecodedGossip
+{
+    GossipReport report;
+    GossipEchoes echoes;
+
+    bool operator==(const DecodedGossip &) const = default;
+};
 
 // Nothing if the datagram is not a report.
-std::optional<GossipReport> decodeGossip(const std::string &datagram);
+std::optional<DecodedGossip> decodeGossip(const std::string &datagram);
 
 // Gateways that are heard and that may be alive.
 struct GossipView
@@ -54,7 +77,10 @@
 {
 public:
     using Compose = std::function<GossipReport()>;
-    using Received = std::function<void(const GossipReport &)>;
+    // echoedSentAt: when the last report that the peer had from here was sent, since boot; nothing
+    // if it had none of this incarnation.
+    using Received =
+            std::function<void(const GossipReport &, std::optional<Duration> echoedSentAt)>;
 
     PeerGossip(boost::asio::io_context &context, GatewayRecord self, Compose compose,
                Received received);
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -15,6 +15,8 @@
 // Part of an allowance's burst, and of what is lent, that may be taken at once; the rest adds to
 // the sustained rate.
 constexpr double burstShare = 0.3;
+// Part of the tolerance that a bucket holds at the start, so that a restarted daemon serves at once.
+constexpr double startShare = 0.1;
 
 double secondsOf(Duration duration)
 {
@@ -37,6 +39,11 @@
     }
     account.allowance = allowance;
     resize(account);
+    if (added) {
+        const double tolerance =
+                account.strict.perWindow * m_tolerance.share + m_tolerance.constant;
+        account.strict.level = account.tolerant.level = startShare * tolerance;
+    }
     add(account, 0);
     return changed;
 }
--- a/src/tokenallowance.h
+++ b/src/tokenallowance.h
@@ -45,7 +45,7 @@
     { }
 
     // Sets or changes the allowance of an organisation; returns true if it changed. The bucket of a
-    // new organisation is empty.
+    // new organisation is nearly empty.
     bool configure(const std::string &organisation, const Allowance &allowance, Instant now);
 
     // Daemons that are heard, this one included, of those that may be alive.
