Admission agents beside the backend servers

Ruled out: faster reports (bytes grow with the square of the gateways). Change: an agent beside each backend server grants its slots in order of rank over all gateways, by lease; requests still go straight to the backend server. Without an answer of the agent a gateway schedules as before.

--- a/cmake/runtime.cmake
+++ b/cmake/runtime.cmake
@@ -1,6 +1,7 @@
 # Runtime: the shells around the decision library, and the programs that ship.
 add_library(cornelshed_wire STATIC ${CMAKE_SOURCE_DIR}/schema/wire.capnp.c++
-  ${CMAKE_SOURCE_DIR}/schema/peer.capnp.c++ ${CMAKE_SOURCE_DIR}/schema/gossip.capnp.c++)
+  ${CMAKE_SOURCE_DIR}/schema/peer.capnp.c++ ${CMAKE_SOURCE_DIR}/schema/gossip.capnp.c++
+  ${CMAKE_SOURCE_DIR}/schema/admission.capnp.c++)
 target_include_directories(cornelshed_wire SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/schema)
 target_link_libraries(cornelshed_wire PUBLIC CapnProto::capnp CapnProto::capnp-rpc)
 target_compile_options(cornelshed_wire PRIVATE -w)
@@ -27,6 +28,7 @@
 
 cornelshed_program(cornelshed-entryd src/entryd_main.cpp cornelshed_runtime)
 cornelshed_program(cornelshed-agentd src/agentd_main.cpp cornelshed_runtime)
+cornelshed_program(cornelshed-admitd src/admitd_main.cpp cornelshed_runtime)
 cornelshed_program(cornelshed src/operator_main.cpp cornelshed_runtime)
 
 # The adapter to the users' platform. Nothing else knows its names.
--- /dev/null
+++ b/src/admissionagent.cpp
@@ -0,0 +1,182 @@
+// Receives asks, grants slots, and frees them by lease.
+
+#include "admissionagent.h"
+
+#include "adminserver.h"
+#include "admissionsocket.h"
+#include "configurationsections.h"
+#include "daemonsignals.h"
+#include "eventlog.h"
+#include "metrics.h"
+#include "monotonicclock.h"
+#include "settingsvalues.h"
+#include "slotledger.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+
+namespace cornelshed {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// How often leases and cold rates are looked at while something waits.
+constexpr Duration tickInterval = 20ms;
+// Gateways that were not heard for this time are forgotten.
+constexpr Duration gatewayTime = 60s;
+
+} // namespace
+
+Result<AdmissionAgentSettings, TomlProblems> parseAdmissionAgentSettings(std::string_view text,
+                                                                         const std::string &file)
+{
+    TomlProblems problems;
+    TomlDocument document = TomlDocument::parse(text, file, problems);
+    if (!problems.empty())
+        return problems;
+    AdmissionAgentSettings settings;
+    TomlSection section = document.root().table("agent");
+    settings.name = detail::readName(section, "name");
+    settings.address = detail::readAddress(section, "address");
+    settings.port = detail::readPort(section, "port", 1);
+    settings.metricsPort = static_cast<std::uint16_t>(section.integer("metrics_port", 0, 65535, 0));
+    document.reportUnknownKeys();
+    if (!problems.empty())
+        return problems;
+    return settings;
+}
+
+class AdmissionAgent::Private
+{
+public:
+    using Endpoint = detail::AdmissionSocket::Endpoint;
+
+    struct Gateway
+    {
+        Endpoint endpoint;
+        Instant heardAt {};
+    };
+
+    explicit Private(const AdmissionAgentSettings &given)
+        : settings(given), ledger(monotonicNow()),
+          socket(std::make_shared<detail::AdmissionSocket>(
+                  context,
+                  [this](const AdmissionMessage &message, const Endpoint &sender) {
+                      handle(message, sender);
+                  })),
+          admin(context, {[this] { return metrics.text(); }, [] { return true; }}),
+          signals(context, [this] { context.stop(); }), timer(context),
+          grants(metrics.counter("cornelshed_admission_grants_total", "Slots granted")),
+          asks(metrics.counter("cornelshed_admission_asks_total", "Asks for a slot received"))
+    {
+        metrics.gauge("cornelshed_admission_held", "Slots held",
+                      [this] { return static_cast<double>(ledger.held()); });
+        metrics.gauge("cornelshed_admission_waiting", "Asks that wait",
+                      [this] { return static_cast<double>(ledger.waiting()); });
+    }
+
+    void handle(const AdmissionMessage &message, const Endpoint &sender)
+    {
+        const Instant now = monotonicNow();
+        if (const auto *ask = std::get_if<SlotAsk>(&message)) {
+            asks.add();
+            remember(ask->key.gateway, sender, now);
+            ledger.ask(*ask, now);
+            advance(now);
+            if (ledger.waits(ask->key))
+                socket->send(SlotQueued {ask->key, ledger.ahead(ask->key)}, sender);
+            return;
+        }
+        if (const auto *release = std::get_if<SlotRelease>(&message)) {
+            ledger.release(release->key);
+        } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
+            remember(renewal->gateway, sender, now);
+            ledger.renew(renewal->gateway, renewal->sequences, now);
+            socket->send(AgentPresent {renewal->gateway}, sender);
+        }
+        advance(now);
+    }
+
+    void remember(std::uint64_t gateway, const Endpoint &sender, Instant now)
+    {
+        const auto [it, added] = gateways.try_emplace(gateway);
+        it->second = {sender, now};
+        if (!added)
+            return;
+        EventLog("gateway_heard").field("address", sender.address().to_string());
+        std::erase_if(gateways,
+                      [&](const auto &other) { return other.second.heardAt + gatewayTime <= now; });
+    }
+
+    void advance(Instant now)
+    {
+        for (const SlotKey &key : ledger.advance(now)) {
+            const auto gateway = gateways.find(key.gateway);
+            if (gateway == gateways.end())
+                continue;
+            grants.add();
+            socket->send(SlotGranted {key}, gateway->second.endpoint);
+        }
+        if (ledger.waiting() > 0 && !ticking)
+            tick();
+    }
+
+    void tick()
+    {
+        ticking = true;
+        timer.expires_after(tickInterval);
+        timer.async_wait([this](auto ec) {
+            ticking = false;
+            if (!ec)
+                advance(monotonicNow());
+        });
+    }
+
+    AdmissionAgentSettings settings;
+    asio::io_context context;
+    Metrics metrics;
+    SlotLedger ledger;
+    std::shared_ptr<detail::AdmissionSocket> socket;
+    AdminServer admin;
+    DaemonSignals signals;
+    asio::steady_timer timer;
+    Counter &grants;
+    Counter &asks;
+    std::map<std::uint64_t, Gateway> gateways; // by incarnation
+    bool ticking = false;
+};
+
+AdmissionAgent::AdmissionAgent(const AdmissionAgentSettings &settings)
+    : d(std::make_unique<Private>(settings))
+{ }
+
+AdmissionAgent::~AdmissionAgent() = default;
+
+std::optional<std::string> AdmissionAgent::start()
+{
+    if (auto problem = d->socket->open(d->settings.address, d->settings.port))
+        return problem;
+    if (d->settings.metricsPort != 0) {
+        if (auto problem = d->admin.listen(d->settings.address, d->settings.metricsPort))
+            return problem;
+    }
+    EventLog("started")
+            .field("agent", d->settings.name)
+            .field("address", d->settings.address)
+            .field("port", d->settings.port);
+    return std::nullopt;
+}
+
+DaemonStatus AdmissionAgent::run()
+{
+    d->context.run();
+    d->socket->close();
+    EventLog("stopped");
+    return DaemonStatus::Success;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/admissionmessages.cpp
@@ -0,0 +1,115 @@
+// Encoding of admission messages.
+
+#include "admissionmessages.h"
+
+#include "datagramcodec.h"
+
+#include "admission.capnp.h"
+
+namespace cornelshed {
+
+namespace {
+
+using Builder = wire::AdmissionMessage::Builder;
+
+void write(const SlotAsk &ask, Builder root)
+{
+    root.setGateway(ask.key.gateway);
+    auto out = root.initAsk();
+    out.setSequence(ask.key.sequence);
+    out.setOrder(ask.order);
+    out.setLeaveFree(ask.leaveFree);
+    out.setSlots(ask.slots);
+    out.setColdRate(ask.coldRate);
+    out.setWaitMicros(ask.wait.count());
+}
+
+void write(const SlotRelease &release, Builder root)
+{
+    root.setGateway(release.key.gateway);
+    root.setRelease(release.key.sequence);
+}
+
+void write(const SlotRenewal &renewal, Builder root)
+{
+    root.setGateway(renewal.gateway);
+    auto out = root.initRunning(static_cast<unsigned>(renewal.sequences.size()));
+    for (unsigned i = 0; i < out.size(); ++i)
+        out.set(i, renewal.sequences[i]);
+}
+
+void write(const SlotGranted &granted, Builder root)
+{
+    root.setGateway(granted.key.gateway);
+    root.setGranted(granted.key.sequence);
+}
+
+void write(const SlotQueued &queued, Builder root)
+{
+    root.setGateway(queued.key.gateway);
+    auto out = root.initQueued();
+    out.setSequence(queued.key.sequence);
+    out.setAhead(queued.ahead);
+}
+
+void write(const AgentPresent &present, Builder root)
+{
+    root.setGateway(present.gateway);
+    root.setPresent();
+}
+
+SlotAsk readAsk(std::uint64_t gateway, wire::AdmissionAsk::Reader in)
+{
+    return {{gateway, in.getSequence()},
+            in.getOrder(),
+            in.getLeaveFree(),
+            in.getSlots(),
+            in.getColdRate(),
+            Duration(in.getWaitMicros())};
+}
+
+std::optional<AdmissionMessage> read(wire::AdmissionMessage::Reader root)
+{
+    const std::uint64_t gateway = root.getGateway();
+    switch (root.which()) {
+    case wire::AdmissionMessage::ASK:
+        return readAsk(gateway, root.getAsk());
+    case wire::AdmissionMessage::RELEASE:
+        return SlotRelease {{gateway, root.getRelease()}};
+    case wire::AdmissionMessage::RUNNING: {
+        const auto list = root.getRunning();
+        SlotRenewal renewal {gateway, {}};
+        for (const std::uint64_t it : list)
+            renewal.sequences.push_back(it);
+        return renewal;
+    }
+    case wire::AdmissionMessage::GRANTED:
+        return SlotGranted {{gateway, root.getGranted()}};
+    case wire::AdmissionMessage::QUEUED:
+        return SlotQueued {{gateway, root.getQueued().getSequence()}, root.getQueued().getAhead()};
+    case wire::AdmissionMessage::PRESENT:
+        return AgentPresent {gateway};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeAdmission(const AdmissionMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    std::visit([&](const auto &it) { write(it, builder.initRoot<wire::AdmissionMessage>()); },
+               message);
+    return detail::packDatagram(builder);
+}
+
+std::optional<AdmissionMessage> decodeAdmission(const std::string &datagram)
+{
+    std::optional<AdmissionMessage> message;
+    const bool proper = detail::unpackDatagram(datagram, [&](capnp::MessageReader &reader) {
+        message = read(reader.getRoot<wire::AdmissionMessage>());
+    });
+    return proper ? message : std::nullopt;
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/admissionsocket.cpp
@@ -0,0 +1,56 @@
+// Datagram socket of the admission protocol.
+
+#include "admissionsocket.h"
+
+namespace cornelshed::detail {
+
+namespace asio = boost::asio;
+
+AdmissionSocket::AdmissionSocket(asio::io_context &context, Received received)
+    : m_socket(context), m_received(std::move(received))
+{ }
+
+std::optional<std::string> AdmissionSocket::open(const std::string &address, std::uint16_t port)
+{
+    boost::system::error_code ec;
+    const Endpoint endpoint(asio::ip::make_address(address, ec), port);
+    if (!ec)
+        m_socket.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_socket.bind(endpoint, ec);
+    if (!ec)
+        m_socket.non_blocking(true, ec);
+    if (ec)
+        return "cannot receive admission messages on port " + std::to_string(port) + ": "
+                + ec.message();
+    receive();
+    return std::nullopt;
+}
+
+void AdmissionSocket::close()
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void AdmissionSocket::send(const AdmissionMessage &message, const Endpoint &to)
+{
+    boost::system::error_code ignored;
+    m_socket.send_to(asio::buffer(encodeAdmission(message)), to, 0, ignored);
+}
+
+void AdmissionSocket::receive()
+{
+    m_socket.async_receive_from(
+            asio::buffer(m_buf), m_sender, [self = shared_from_this()](auto ec, std::size_t n) {
+                if (ec == asio::error::operation_aborted)
+                    return;
+                if (!ec) {
+                    if (const auto message = decodeAdmission(std::string(self->m_buf.data(), n)))
+                        self->m_received(*message, self->m_sender);
+                }
+                self->receive();
+            });
+}
+
+} // namespace cornelshed::detail
--- /dev/null
+++ b/src/admitd_main.cpp
@@ -0,0 +1,38 @@
+// Program cornelshed-admitd.
+
+#include "admissionagent.h"
+#include "eventlog.h"
+
+#include <iostream>
+
+using namespace cornelshed;
+
+int main(int argc, char **argv)
+{
+    const auto parsed = parseDaemonOptions(
+            argc, argv, "cornelshed-admitd",
+            "admission agent; grants the slots of one backend server to gateways.");
+    if (const auto *status = std::get_if<DaemonStatus>(&parsed))
+        return static_cast<int>(*status);
+    const auto &options = std::get<DaemonOptions>(parsed);
+    const auto text = readTextFile(options.settingsFile);
+    if (!text) {
+        std::cerr << options.settingsFile << ": cannot be read\n";
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    const auto settings = parseAdmissionAgentSettings(*text, options.settingsFile);
+    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
+        for (const TomlProblem &it : *problems)
+            std::cerr << it.toString() << '\n';
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
+    if (options.checkOnly)
+        return static_cast<int>(DaemonStatus::Success);
+    EventLog::initialize(argv[0]);
+    AdmissionAgent agent(std::get<AdmissionAgentSettings>(settings));
+    if (const auto problem = agent.start()) {
+        EventLog("start_failed", EventLevel::Error).field("reason", *problem);
+        return static_cast<int>(DaemonStatus::RuntimeFailure);
+    }
+    return static_cast<int>(agent.run());
+}
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -24,6 +24,7 @@
 constexpr Duration lapseGrace = 2200ms;
 // Without an answer for this time the store counts as lost.
 constexpr Duration lostAfter = 1500ms;
+constexpr std::size_t tableCount = 3; // of RowTable
 
 const char *nameOf(RowStoreError error)
 {
@@ -224,6 +225,7 @@
     {
         bool changed = whole;
         if (whole) {
+            loadedTables.insert(RowTable::Orders);
             withdrawals.clear();
             rollouts.clear();
         }
@@ -302,6 +304,7 @@
                 records.push_back(std::move(*record));
         }
         registry.replaceAll(records, monotonicNow());
+        loadedTables.insert(RowTable::Backends);
         publish();
     }
 
@@ -333,7 +336,7 @@
 
     void handleGateways(const std::vector<StoredRow> &rows)
     {
-        bool changed = false;
+        bool changed = loadedTables.insert(RowTable::Gateways).second;
         for (const StoredRow &row : rows) {
             auto record = codec.decodeGateway(row.key, row.value);
             if (row.removed) {
@@ -395,8 +398,12 @@
                 .field("silent_ms", silent / 1ms);
     }
 
+    // Told only once every table was read: without the other gateways, this one would take the
+    // whole of what they share.
     void publish()
     {
+        if (loadedTables.size() < tableCount)
+            return;
         auto state = std::make_shared<DeploymentState>();
         state->routes = routes;
         for (const auto &[key, zone] : withdrawals)
@@ -415,6 +422,7 @@
     WatcherSettings settings;
     WatcherEvents events;
     GatewayRecord self;
+    std::set<RowTable> loadedTables; // read as a whole at least once
     std::shared_ptr<const RouteTable> routes;
     std::map<std::string, std::string> withdrawals; // zone by row
     std::map<std::string, RolloutOrder> rollouts;   // by row
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -33,6 +33,16 @@
 constexpr double slownessLimit = 10;
 // At most this part of the slots of a backend server is left free for higher ranks.
 constexpr std::uint32_t reserveDivisor = 3;
+// An agent is there if it was heard within this time; it is asked for signs of life more often.
+constexpr Duration agentTime = 10s;
+// An ask without an answer is repeated once after this time; then the agent counts as silent and
+// its backend server is used without it.
+constexpr Duration askAnswerTime = 25ms;
+constexpr Duration agentSilence = 1s;
+// Backend servers asked at once, in all, and the time after which one more is asked.
+constexpr std::size_t firstAsks = 3;
+constexpr std::size_t askLimit = 8;
+constexpr Duration askInterval = 20ms;
 constexpr double firstServiceSeconds = 0.3;
 
 double secondsOf(Duration duration)
@@ -74,12 +84,27 @@
         Instant coldUntil {};
         Instant fullUntil {};
         std::deque<Instant> starts; // own, of the last second
+        Instant agentHeardAt = Instant::min();
+        Instant agentSilentUntil = Instant::min(); // asks were not answered
+    };
+    // An ask for a slot under way.
+    struct Ask
+    {
+        Instant askedAt {};
+        bool repeated = false;
+        std::optional<std::uint32_t> ahead; // set once the agent answered
+    };
+    struct Waiting
+    {
+        DirectRequest request;
+        std::map<std::string, Ask> asks; // by backend server
+        Instant askedAt {};              // last
     };
     struct Service
     {
         OutlierGroup group = 0;
-        std::map<std::pair<std::uint64_t, std::uint64_t>, DirectRequest> queue; // by order, arrival
-        std::vector<Backend *> backends;                                        // listed ones
+        std::map<std::pair<std::uint64_t, std::uint64_t>, Waiting> queue; // by order, arrival
+        std::vector<Backend *> backends;                                  // listed ones
         double coldRate = 0;
         double serviceSeconds = firstServiceSeconds; // mean time of a request on a backend server
         double eventSeconds = 0;                     // mean time between events; 0: unknown
@@ -170,14 +195,31 @@
     {
         const std::uint32_t slots = backend.record.slots;
         const std::uint32_t reserve = std::min(request.leaveFree, slots / reserveDivisor);
-        if (!mayUse(backend) || backend.running + backend.peerRunning + reserve >= slots
-            || backend.fullUntil > now || request.excluded.contains(backend.record.id))
+        if (!mayUse(backend) || hasAgent(backend, now)
+            || backend.running + backend.peerRunning + reserve >= slots || backend.fullUntil > now
+            || request.excluded.contains(backend.record.id))
             return false;
         const OutlierState state = outliers.state(backend.slot);
         return (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
                 && bearsOneMore(backend, service, now);
     }
 
+    static bool hasAgent(const Backend &backend, Instant now)
+    {
+        return backend.agentHeardAt != Instant::min() && now - backend.agentHeardAt < agentTime
+                && backend.agentSilentUntil <= now;
+    }
+
+    // Whether the agent of the backend server is to be asked for the request.
+    bool mayAsk(const Backend &backend, const Waiting &waiting, Instant now) const
+    {
+        const OutlierState state = outliers.state(backend.slot);
+        return mayUse(backend) && hasAgent(backend, now) && backend.fullUntil <= now
+                && (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
+                && !waiting.request.excluded.contains(backend.record.id)
+                && !waiting.asks.contains(backend.record.id);
+    }
+
     // Expected seconds to the first event, with what the placement costs others.
     double cost(const Backend &backend, const DirectRequest &request, const Backend *home) const
     {
@@ -269,20 +311,23 @@
         // Requests that leave at least this many slots free come after one that found no place.
         std::uint32_t blockedFrom = UINT32_MAX;
         for (auto it = service.queue.begin(); it != service.queue.end();) {
-            DirectRequest &request = it->second;
+            Waiting &waiting = it->second;
+            const DirectRequest &request = waiting.request;
             Backend *backend =
                     request.leaveFree < blockedFrom ? place(service, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
-                it = erase(service, it);
+                it = erase(service, it, {});
                 continue;
             }
-            if (const auto refusal = refuse(service, request, ahead, now)) {
+            if (const auto refusal = refuse(service, waiting, ahead, now)) {
                 actions.emplace_back(*refusal);
-                it = erase(service, it);
+                it = erase(service, it, {});
                 continue;
             }
+            checkAsks(waiting, now, actions);
+            askMore(service, waiting, now, actions);
             // A request that is kept from some backend servers does not hold up the others.
             if (request.excluded.empty())
                 blockedFrom = std::min(blockedFrom, request.leaveFree);
@@ -291,28 +336,99 @@
         }
     }
 
-    std::optional<RefuseAction> refuse(const Service &service, const DirectRequest &request,
+    // Repeats asks that were not answered, and gives up on agents that do not answer.
+    void checkAsks(Waiting &waiting, Instant now, std::vector<DirectAction> &actions)
+    {
+        for (auto it = waiting.asks.begin(); it != waiting.asks.end();) {
+            Ask &ask = it->second;
+            const auto backend = backends.find(it->first);
+            if (backend == backends.end()) {
+                it = waiting.asks.erase(it);
+                continue;
+            }
+            if (!ask.ahead && now >= ask.askedAt + askAnswerTime) {
+                if (ask.repeated) {
+                    backend->second.agentSilentUntil = now + agentSilence;
+                    it = waiting.asks.erase(it);
+                    continue;
+                }
+                ask.repeated = true;
+                ask.askedAt = now;
+                actions.emplace_back(askAction(waiting.request, backend->second, now));
+            }
+            ++it;
+        }
+    }
+
+    AskAction askAction(const DirectRequest &request, const Backend &backend, Instant now) const
+    {
+        const auto service = services.find(request.service);
+        const bool cold = service != services.end() && backend.coldUntil > now;
+        return {request, backend.record, cold ? service->second.coldRate : 0};
+    }
+
+    // Asks at the best backend servers that were not asked: a few at once, and one more each time
+    // that none of them granted for a while.
+    void askMore(Service &service, Waiting &waiting, Instant now,
+                 std::vector<DirectAction> &actions)
+    {
+        const std::size_t wanted = waiting.asks.empty() ? firstAsks : 1;
+        if (!waiting.asks.empty()
+            && (waiting.asks.size() >= askLimit || now < waiting.askedAt + askInterval))
+            return;
+        const Backend *home = homeOf(service, waiting.request);
+        std::vector<std::pair<double, Backend *>> candidates;
+        for (Backend *it : service.backends) {
+            if (mayAsk(*it, waiting, now))
+                candidates.emplace_back(cost(*it, waiting.request, home), it);
+        }
+        const std::size_t n = std::min(wanted, candidates.size());
+        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
+                          candidates.end());
+        for (std::size_t i = 0; i < n; ++i) {
+            Backend &backend = *candidates[i].second;
+            waiting.asks[backend.record.id] = {now, false, std::nullopt};
+            waiting.askedAt = now;
+            actions.emplace_back(askAction(waiting.request, backend, now));
+        }
+    }
+
+    std::optional<RefuseAction> refuse(const Service &service, const Waiting &waiting,
                                        std::size_t ahead, Instant now) const
     {
+        const DirectRequest &request = waiting.request;
         const Duration wait = expectedWait(service, ahead);
         RefuseAction action {request.id, RefusalReason::WaitedTooLong, wait,
                              static_cast<std::uint32_t>(ahead)};
         if (request.waitUntil <= now)
             return action;
-        // The rest of the queue is judged when it arrives, and not again while it waits.
+        // The rest of the queue is judged when it arrives, and not again while it waits. Agents
+        // know their queues better.
         const bool arrived = request.arrivedAt == now && !request.repeat;
-        if (arrived && ahead > 0 && now + wait > request.waitUntil) {
+        if (arrived && ahead > 0 && !anyAgent(service, now) && now + wait > request.waitUntil) {
             action.reason = RefusalReason::QueueTooLong;
             return action;
         }
         return std::nullopt;
     }
 
-    using Queue = std::map<std::pair<std::uint64_t, std::uint64_t>, DirectRequest>;
+    static bool anyAgent(const Service &service, Instant now)
+    {
+        return std::any_of(service.backends.begin(), service.backends.end(),
+                           [&](const Backend *it) { return hasAgent(*it, now); });
+    }
+
+    using Queue = std::map<std::pair<std::uint64_t, std::uint64_t>, Waiting>;
 
-    Queue::iterator erase(Service &service, Queue::iterator it)
+    // Takes a request out of the queue; asks at others than the given backend server are void.
+    Queue::iterator erase(Service &service, Queue::iterator it, const std::string &takenAt)
     {
-        queued.erase(it->second.id);
+        const RequestId id = it->second.request.id;
+        for (const auto &[backend, ask] : it->second.asks) {
+            if (backend != takenAt)
+                pending.emplace_back(ReleaseAction {id, backend});
+        }
+        queued.erase(id);
         return service.queue.erase(it);
     }
 
@@ -343,6 +459,7 @@
     std::set<std::string> withdrawnZones;
     std::unordered_map<RequestId, Started> startedRequests;
     std::unordered_map<RequestId, std::pair<std::string, Queue::key_type>> queued;
+    std::vector<DirectAction> pending; // to be returned by the next advance()
     std::vector<ServerSlot> freeSlots;
     ServerSlot slotCount = 0;
     std::uint64_t arrivals = 0;
@@ -439,7 +556,10 @@
 {
     const Private::Queue::key_type key {request.order, d->arrivals++};
     d->queued[request.id] = {request.service, key};
-    d->serviceOf(request.service).queue.emplace(key, std::move(request));
+    Private::Waiting waiting;
+    waiting.request = std::move(request);
+    const std::string service = waiting.request.service;
+    d->serviceOf(service).queue.emplace(key, std::move(waiting));
 }
 
 void DirectScheduler::remove(const RequestId &id)
@@ -447,8 +567,65 @@
     const auto it = d->queued.find(id);
     if (it == d->queued.end())
         return;
-    d->services[it->second.first].queue.erase(it->second.second);
-    d->queued.erase(it);
+    Private::Service &service = d->services[it->second.first];
+    d->erase(service, service.queue.find(it->second.second), {});
+}
+
+void DirectScheduler::agentHeard(const std::string &backend, Instant now)
+{
+    const auto it = d->backends.find(backend);
+    if (it == d->backends.end())
+        return;
+    it->second.agentHeardAt = now;
+    it->second.agentSilentUntil = Instant::min();
+}
+
+void DirectScheduler::granted(const RequestId &id, const std::string &backend, Instant now)
+{
+    agentHeard(backend, now);
+    const auto it = d->queued.find(id);
+    const auto target = d->backends.find(backend);
+    if (it == d->queued.end() || target == d->backends.end()) {
+        // Started elsewhere, refused, or granted twice while it runs there.
+        const auto started = d->startedRequests.find(id);
+        if (started == d->startedRequests.end() || started->second.backend != backend)
+            d->pending.emplace_back(ReleaseAction {id, backend});
+        return;
+    }
+    Private::Service &service = d->services[it->second.first];
+    const auto entry = service.queue.find(it->second.second);
+    const DirectRequest request = entry->second.request;
+    if (!entry->second.asks.contains(backend) || !d->mayUse(target->second)) {
+        d->pending.emplace_back(ReleaseAction {id, backend});
+        entry->second.asks.erase(backend);
+        return;
+    }
+    d->erase(service, entry, backend);
+    d->start(target->second, request, now);
+    d->pending.emplace_back(StartAction {id, backend});
+}
+
+void DirectScheduler::queuedAt(const RequestId &id, const std::string &backend, std::uint32_t ahead,
+                               Instant now)
+{
+    agentHeard(backend, now);
+    const auto it = d->queued.find(id);
+    if (it == d->queued.end()) {
+        d->pending.emplace_back(ReleaseAction {id, backend});
+        return;
+    }
+    auto &asks = d->services[it->second.first].queue.at(it->second.second).asks;
+    const auto ask = asks.find(backend);
+    if (ask != asks.end())
+        ask->second.ahead = ahead;
+}
+
+std::map<std::string, std::vector<RequestId>> DirectScheduler::runningByBackend() const
+{
+    std::map<std::string, std::vector<RequestId>> running;
+    for (const auto &[id, started] : d->startedRequests)
+        running[started.backend].push_back(id);
+    return running;
 }
 
 std::vector<DirectAction> DirectScheduler::advance(Instant now)
@@ -457,10 +634,13 @@
     d->outliers.expire(now, changed);
     d->dropSilentPeers(now);
     std::vector<DirectAction> actions;
+    std::swap(actions, d->pending);
     for (auto &[name, service] : d->services) {
         if (!service.queue.empty())
             d->advanceService(service, now, actions);
     }
+    actions.insert(actions.end(), d->pending.begin(), d->pending.end());
+    d->pending.clear();
     return actions;
 }
 
@@ -468,8 +648,8 @@
 {
     Instant due = instantNever;
     for (const auto &[name, service] : d->services) {
-        for (const auto &[key, request] : service.queue)
-            due = std::min(due, request.waitUntil);
+        for (const auto &[key, waiting] : service.queue)
+            due = std::min(due, waiting.request.waitUntil);
     }
     return due;
 }
@@ -493,6 +673,8 @@
     d->startedRequests.erase(it);
     Private::Backend &backend = d->backends[started.backend];
     --backend.running;
+    if (backend.agentHeardAt != Instant::min())
+        d->pending.emplace_back(ReleaseAction {id, started.backend});
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullPause;
     if (report.outcome == AttemptOutcome::Broken)
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -3,6 +3,9 @@
 // periodic reports, so that a backend server is rarely handed more than it runs at once: it would
 // queue them in order of arrival, and a request of a higher rank could not overtake there.
 //
+// Where an admission agent stands beside a backend server (see slotledger.h), the scheduler asks it
+// for a slot instead: at a few backend servers at once, and takes the first that grants.
+//
 // Requests wait in order of rank, then of arrival. One that cannot be placed within its limit is
 // refused: at once if the queue ahead of it is too long, else when the limit has passed.
 
@@ -91,7 +94,26 @@
     bool operator==(const RefuseAction &) const = default;
 };
 
-using DirectAction = std::variant<StartAction, RefuseAction>;
+// Ask the agent of the backend server for a slot.
+struct AskAction
+{
+    DirectRequest request;
+    BackendRecord backend;
+    double coldRate = 0; // requests a second that it bears while cold; 0: not cold
+
+    bool operator==(const AskAction &) const = default;
+};
+
+// Tell the agent that the slot, or the ask for it, is no longer needed.
+struct ReleaseAction
+{
+    RequestId request;
+    std::string backend; // id
+
+    bool operator==(const ReleaseAction &) const = default;
+};
+
+using DirectAction = std::variant<StartAction, RefuseAction, AskAction, ReleaseAction>;
 
 struct DirectSettings
 {
@@ -127,6 +149,17 @@
     void add(DirectRequest request);
     void remove(const RequestId &id); // the caller left
 
+    // The agent beside a backend server gave a sign of life.
+    void agentHeard(const std::string &backend, Instant now);
+
+    // The agent grants a slot, or tells how many asks are before the request's.
+    void granted(const RequestId &id, const std::string &backend, Instant now);
+    void queuedAt(const RequestId &id, const std::string &backend, std::uint32_t ahead,
+                  Instant now);
+
+    // Requests that run on each backend server.
+    std::map<std::string, std::vector<RequestId>> runningByBackend() const;
+
     // Starts and refuses what is due.
     std::vector<DirectAction> advance(Instant now);
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -39,6 +39,7 @@
     AllowanceTolerance allowanceTolerance;
     // Not ready for new connections when the proof is older than this.
     Duration readyProofLimit = std::chrono::milliseconds(2500);
+    std::uint16_t agentPort = 0; // of admission agents on backend servers' hosts; 0: there are none
     // Every so many answered requests one is logged; failed and refused ones always are.
     std::uint32_t answeredLogInterval = 20;
 
@@ -57,6 +58,9 @@
     // Accepts callers. Returns what went wrong, if anything.
     std::optional<std::string> listen(const std::string &address, std::uint16_t port);
 
+    // Receives admission messages. Returns what went wrong, if anything.
+    std::optional<std::string> openAdmission(const std::string &address, std::uint16_t port);
+
     // Changes what may change while running: bounds and intervals.
     void reload(const GatewayTraffic &settings);
 
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -55,6 +55,7 @@
     const Duration revocation = std::chrono::milliseconds(settings.keyRevocationMs);
     traffic.keyProofLimit = std::max<Duration>(revocation - keyMargin, revocation / 2);
     traffic.readyProofLimit = revocation / readyShare;
+    traffic.agentPort = settings.agentPort;
     traffic.answeredLogInterval = settings.answeredLogInterval;
     return traffic;
 }
@@ -97,6 +98,10 @@
             return problem;
         if (auto problem = gateway.listen(settings.listen.address, settings.listen.port))
             return problem;
+        if (settings.admissionPort != 0) {
+            if (auto problem = gateway.openAdmission(settings.peer.address, settings.admissionPort))
+                return problem;
+        }
         if (auto problem = readiness.listen(settings.readiness.address, settings.readiness.port))
             return problem;
         if (settings.metricsPort != 0) {
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -44,6 +44,9 @@
     settings.readinessPath = section.text("readiness_path", settings.readinessPath);
     settings.peer.address = readAddress(section, "peer_address");
     settings.peer.port = readPort(section, "peer_port", 1);
+    settings.admissionPort =
+            static_cast<std::uint16_t>(section.integer("admission_port", 0, 65535, 0));
+    settings.agentPort = static_cast<std::uint16_t>(section.integer("agent_port", 0, 65535, 0));
     settings.metricsPort = static_cast<std::uint16_t>(section.integer("metrics_port", 0, 65535, 0));
     settings.answeredLogInterval =
             readCount(section, "answered_log_interval", 1, 1000000, settings.answeredLogInterval);
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -28,8 +28,10 @@
     SocketAddress listen;    // callers
     SocketAddress readiness; // the platform's balancer
     std::string readinessPath = "/ready";
-    SocketAddress peer;            // reports of other gateways, UDP
-    std::uint16_t metricsPort = 0; // 0: none
+    SocketAddress peer;              // reports of other gateways, UDP
+    std::uint16_t admissionPort = 0; // of this gateway, for answers of agents; 0: no agents
+    std::uint16_t agentPort = 0;     // of admission agents on backend servers' hosts
+    std::uint16_t metricsPort = 0;   // 0: none
     SocketAddress platform;
 
     // Bounds that the deployment promises; the daemons keep a margin below each.
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -2,6 +2,7 @@
 
 #include "peergossip.h"
 
+#include "datagramcodec.h"
 #include "eventlog.h"
 #include "monotonicclock.h"
 #include "stabledigest.h"
@@ -12,13 +13,8 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <kj/exception.h>
-
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 namespace cornelshed {
 
@@ -77,23 +73,14 @@
         sentEchoes[n].setSequence(echo.sequence);
         ++n;
     }
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+    return detail::packDatagram(message);
 }
 
 std::optional<DecodedGossip> decodeGossip(const std::string &datagram)
 {
-    if (datagram.empty() || datagram.size() % sizeof(capnp::word) != 0)
-        return std::nullopt;
-    // Copied, because the reader needs aligned words.
-    kj::Array<capnp::word> words =
-            kj::heapArray<capnp::word>(datagram.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), datagram.data(), datagram.size());
     DecodedGossip decoded;
     GossipReport &report = decoded.report;
-    const auto problem = kj::runCatchingExceptions([&] {
-        capnp::FlatArrayMessageReader message(words);
+    const bool proper = detail::unpackDatagram(datagram, [&](capnp::MessageReader &message) {
         const auto root = message.getRoot<wire::GossipReport>();
         report.name = root.getName().cStr();
         report.incarnation = root.getIncarnation();
@@ -112,7 +99,7 @@
                         SharedProof {proofs[i].getLastChange(), Duration(proofs[i].getAgeMicros())};
         }
     });
-    if (problem != nullptr || report.name.empty())
+    if (!proper || report.name.empty())
         return std::nullopt;
     return decoded;
 }
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -15,7 +15,8 @@
 // Part of an allowance's burst, and of what is lent, that may be taken at once; the rest adds to
 // the sustained rate.
 constexpr double burstShare = 0.3;
-// Part of the tolerance that a bucket holds at the start, so that a restarted daemon serves at once.
+// Part of the tolerance that a bucket holds at the start, so that a restarted daemon serves at
+// once.
 constexpr double startShare = 0.1;
 
 double secondsOf(Duration duration)
