Registry: the latest of several rows with one address; misdirected servers are left alone

Change: the row of the server that started last counts; a server that answers 421 is not used until its record changes.

--- a/src/backendregistry.cpp
+++ b/src/backendregistry.cpp
@@ -14,11 +14,14 @@
     m_graceUntil = now + m_lapseGrace;
 }
 
-bool BackendRegistry::put(const BackendRecord &record)
+bool BackendRegistry::put(const BackendRecord &record, std::uint64_t version)
 {
     const auto [it, added] = m_entries.try_emplace(record.id);
     const bool changed = added || it->second.record != record || it->second.dropAt;
-    it->second = {record, std::nullopt};
+    it->second.record = record;
+    it->second.dropAt = std::nullopt;
+    if (added)
+        it->second.firstVersion = version;
     return changed;
 }
 
@@ -37,12 +40,13 @@
     return false;
 }
 
-void BackendRegistry::replaceAll(const std::vector<BackendRecord> &records, Instant now)
+void BackendRegistry::replaceAll(
+        const std::vector<std::pair<BackendRecord, std::uint64_t>> &records, Instant now)
 {
     std::set<std::string> present;
-    for (const BackendRecord &it : records) {
-        put(it);
-        present.insert(it.id);
+    for (const auto &[record, version] : records) {
+        put(record, version);
+        present.insert(record.id);
     }
     std::vector<std::string> gone;
     for (const auto &[id, entry] : m_entries) {
@@ -63,10 +67,21 @@
 
 std::vector<BackendRecord> BackendRegistry::list() const
 {
+    using Address = std::pair<std::string, std::uint16_t>;
+    const auto startedAfter = [](const Entry &a, const Entry &b) {
+        return std::pair(a.record.startedAtMs, a.firstVersion)
+                > std::pair(b.record.startedAtMs, b.firstVersion);
+    };
+    std::map<Address, const Entry *> latest;
+    for (const auto &[id, entry] : m_entries) {
+        const Entry *&present = latest[{entry.record.address, entry.record.port}];
+        if (present == nullptr || startedAfter(entry, *present))
+            present = &entry;
+    }
     std::vector<BackendRecord> records;
-    records.reserve(m_entries.size());
-    for (const auto &[id, entry] : m_entries)
-        records.push_back(entry.record);
+    records.reserve(latest.size());
+    for (const auto &[address, entry] : latest)
+        records.push_back(entry->record);
     return records;
 }
 
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -298,10 +298,10 @@
 
     void handleAllBackends(const std::vector<StoredRow> &rows)
     {
-        std::vector<BackendRecord> records;
+        std::vector<std::pair<BackendRecord, std::uint64_t>> records;
         for (const StoredRow &row : rows) {
             if (auto record = decodeBackend(row))
-                records.push_back(std::move(*record));
+                records.emplace_back(std::move(*record), row.version);
         }
         registry.replaceAll(records, monotonicNow());
         loadedTables.insert(RowTable::Backends);
@@ -327,7 +327,7 @@
     bool applyBackend(const StoredRow &row, Instant now)
     {
         const auto record = row.removed ? std::nullopt : decodeBackend(row);
-        return record ? registry.put(*record) : registry.removed(row.key, now);
+        return record ? registry.put(*record, row.version) : registry.removed(row.key, now);
     }
 
     TableReader &readerOf(RowTable table) { return *readers.at(static_cast<std::size_t>(table)); }
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -83,6 +83,7 @@
         double slowness = 1; // time over the service's mean
         Instant coldUntil {};
         Instant fullUntil {};
+        bool misdirected = false;   // its address is another's; until its record changes
         std::deque<Instant> starts; // own, of the last second
         Instant agentHeardAt = Instant::min();
         Instant agentSilentUntil = Instant::min(); // asks were not answered
@@ -186,7 +187,7 @@
 
     bool mayUse(const Backend &backend) const
     {
-        return backend.listed && !backend.record.draining
+        return backend.listed && !backend.record.draining && !backend.misdirected
                 && !withdrawnZones.contains(backend.record.availabilityZone);
     }
 
@@ -503,8 +504,10 @@
             d->outliers.add(backend.slot, d->serviceOf(record.service).group);
             backend.slowness = 1;
         }
-        if (added || reborn || backend.record != record)
+        if (added || reborn || backend.record != record) {
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
+            backend.misdirected = false;
+        }
         backend.record = record;
         backend.listed = true;
         d->serviceOf(record.service).backends.push_back(&backend);
@@ -677,9 +680,12 @@
         d->pending.emplace_back(ReleaseAction {id, started.backend});
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullPause;
+    if (report.outcome == AttemptOutcome::Misdirected)
+        backend.misdirected = true;
     if (report.outcome == AttemptOutcome::Broken)
         backend.coldUntil = std::max(backend.coldUntil, now + suspectTime);
-    if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Abandoned) {
+    if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Misdirected
+        || report.outcome == AttemptOutcome::Abandoned) {
         if (started.probe)
             d->outliers.probeReleased(backend.slot);
         return;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -54,11 +54,12 @@
 };
 
 enum class AttemptOutcome : std::uint8_t {
-    Answered, // with success
-    Failed,   // an answer that tells a fault of the backend server
-    Broken,   // no connection, or it broke off
-    NotRun,   // refused by the backend server
-    Abandoned // ended by this daemon; tells nothing about the backend server
+    Answered,    // with success
+    Failed,      // an answer that tells a fault of the backend server
+    Broken,      // no connection, or it broke off
+    NotRun,      // refused by the backend server
+    Misdirected, // another backend server has the address
+    Abandoned    // ended by this daemon; tells nothing about the backend server
 };
 
 struct AttemptReport
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -280,7 +280,7 @@
     AttemptOutcome outcome = AttemptOutcome::Answered;
     if (end == AttemptEnd::NotRun) {
         m_problem = m_reply.misdirected ? "misdirected" : "backend_full";
-        outcome = AttemptOutcome::NotRun;
+        outcome = m_reply.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::NotRun;
     } else if (end != AttemptEnd::Success) {
         m_problem = end == AttemptEnd::RanAndFailed ? "backend_error" : "answer_not_authentic";
         outcome = AttemptOutcome::Failed;
