--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -41,7 +41,7 @@
 constexpr Duration backendUnacknowledgedLimit = 1s;
 // A waiting request is refused after this share of its objective: an answer that is begun later
 // would be late, and the caller can still try elsewhere.
-constexpr double waitObjectives = 0.9;
+constexpr double waitObjectives = 0.75;
 // A caller without a limit of its own and on a route without one.
 constexpr Duration usualTimeLimit = 30s;
 constexpr Duration unconfiguredRetryAfter = 500ms;
