--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -693,6 +693,11 @@
     });
 }
 
+std::uint16_t Gateway::port() const
+{
+    return d->listener->port();
+}
+
 std::optional<std::string> Gateway::openAdmission(const std::string &address, std::uint16_t port)
 {
     const std::weak_ptr<Private> weak = d;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -58,6 +58,8 @@
     // Accepts callers. Returns what went wrong, if anything.
     std::optional<std::string> listen(const std::string &address, std::uint16_t port);
 
+    std::uint16_t port() const; // of the callers
+
     // Receives admission messages. Returns what went wrong, if anything.
     std::optional<std::string> openAdmission(const std::string &address, std::uint16_t port);
 
--- /dev/null
+++ b/test/support/gatewayrunner.h
@@ -0,0 +1,136 @@
+// Runs a Gateway with the platform's headers on a thread of its own, with a deployment that the
+// test gives it directly in place of a store.
+
+#ifndef CORNELSHED_TEST_GATEWAYRUNNER_H
+#define CORNELSHED_TEST_GATEWAYRUNNER_H
+
+#include "gateway.h"
+#include "loopback.h"
+#include "metrics.h"
+#include "monotonicclock.h"
+#include "platformheaders.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cornelshed::testing {
+
+class GatewayRunner
+{
+public:
+    GatewayRunner()
+    {
+        GatewayTraffic traffic;
+        traffic.name = "gateway";
+        traffic.incarnation = 9;
+        traffic.scheduling.availabilityZone = "a";
+        traffic.repeats = {0.2, 100, std::chrono::seconds(10)};
+        m_gateway = std::make_unique<Gateway>(m_context, m_headers, traffic, m_metrics);
+        m_problem = m_gateway->listen("127.0.0.1", 0);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~GatewayRunner()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    GatewayRunner(const GatewayRunner &) = delete;
+    GatewayRunner &operator=(const GatewayRunner &) = delete;
+
+    std::uint16_t port() const { return m_gateway->port(); }
+    Gateway &gateway() { return *m_gateway; }
+
+    // Runs on the traffic thread and waits for it.
+    template<typename Call> void onTraffic(Call call)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_context, [&] {
+            call();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    // Applies the deployment and proves it fresh.
+    void configure(const RouteTableContent &content, const std::vector<BackendRecord> &backends)
+    {
+        auto state = std::make_shared<DeploymentState>();
+        state->routes = std::make_shared<const RouteTable>(content);
+        state->backends = backends;
+        onTraffic([&] {
+            m_gateway->applyState(state);
+            m_gateway->tableRead(RowTable::Orders, {timeSinceBoot(), 1, 1});
+        });
+    }
+
+    // As if the store could not be read for this time.
+    void proveOnlyAt(Duration sinceBoot)
+    {
+        onTraffic([&] { m_gateway->tableRead(RowTable::Orders, {sinceBoot, 1, 1}); });
+    }
+
+private:
+    boost::asio::io_context m_context;
+    PlatformHeaders m_headers;
+    Metrics m_metrics;
+    std::unique_ptr<Gateway> m_gateway;
+    std::optional<std::string> m_problem;
+    std::thread m_thread;
+};
+
+// A small deployment: one host with a route of each kind, one organisation with a key.
+inline DirectRoute gatewayRoute(const std::string &prefix, RequestKind kind, bool resumable,
+                                std::uint32_t attempts)
+{
+    DirectRoute route;
+    route.name = prefix;
+    route.host = "shop.example";
+    route.prefix = prefix;
+    route.kind = kind;
+    route.resumable = resumable;
+    route.timeout = std::chrono::seconds(3);
+    route.objective = std::chrono::milliseconds(600);
+    route.gapObjective = std::chrono::milliseconds(250);
+    route.attemptLimit = attempts;
+    route.services = {{"writer", 1}};
+    return route;
+}
+
+inline RouteTableContent gatewayContent()
+{
+    RouteTableContent content;
+    content.version = 4;
+    content.routes = {gatewayRoute("/order/", RequestKind::NonIdempotent, false, 1),
+                      gatewayRoute("/look/", RequestKind::Idempotent, false, 2),
+                      gatewayRoute("/quote/", RequestKind::Stream, true, 2),
+                      gatewayRoute("/query/", RequestKind::Stream, false, 1)};
+    content.services = {{"writer", 0}};
+    content.organisations = {{"acme", {"key-1"}, 0, 1e6, 1e6, false, 100}};
+    content.limits = {2048, 4096, std::chrono::milliseconds(400), std::chrono::seconds(2)};
+    return content;
+}
+
+inline BackendRecord gatewayBackend(const std::string &id, std::uint16_t port)
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = "writer";
+    record.address = "127.0.0.1";
+    record.port = port;
+    record.availabilityZone = "a";
+    record.version = "v1";
+    record.slots = 4;
+    return record;
+}
+
+} // namespace cornelshed::testing
+
+#endif // CORNELSHED_TEST_GATEWAYRUNNER_H
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -294,8 +294,12 @@
     http::read(d->m_socket, d->m_buffer, message, ec);
     if (ec)
         return {};
-    return {static_cast<int>(message.result_int()), std::string(message["Cornelshed-Outcome"]),
-            message.body(), message.keep_alive()};
+    CallerAnswer answer {static_cast<int>(message.result_int()),
+                         std::string(message["Cornelshed-Outcome"]), message.body(),
+                         message.keep_alive()};
+    for (const auto &it : message)
+        answer.headers.emplace_back(it.name_string(), it.value());
+    return answer;
 }
 
 void Caller::close()
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -101,6 +101,7 @@
     std::string outcome;
     std::string body;
     bool keepAlive = false;
+    Headers headers {};
 
     // The code in a typed error body; empty if there is none.
     std::string code() const;
