--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -2,10 +2,17 @@
 // streams with gaps, forged headers that reach a backend server, bad input that reaches one, and
 // shutdowns that cut answers. A gateway serves over loopback before scripted backend servers.
 
+#include "callerchannel.h"
 #include "gatewayrunner.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -406,16 +413,34 @@
     CHECK(ended.wait_for(2s) == std::future_status::ready);
 }
 
-TEST_CASE("a shutdown whose announcement ends with an answer does not cut that answer")
+TEST_CASE("idle connections are closed only when their last answer is written")
 {
-    Fixture fixture([](const StubRequest &request, StubReply &reply) {
-        std::this_thread::sleep_for(50ms);
-        reply.send(answerText(idOf(request), 200, std::string(largeBytes, 'x')));
-    });
-    Caller caller(fixture.runner.port());
-    caller.send(requestText("POST", "/order/a", "r-1"));
-    fixture.runner.onTraffic([&] { fixture.runner.gateway().drain(200ms, 3s, [] {}); });
-    // Reading starts after the idle connections were closed.
-    std::this_thread::sleep_for(400ms);
-    CHECK(caller.receive().body.size() == largeBytes);
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    asio::ip::tcp::socket caller(context);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect(acceptor.local_endpoint());
+    asio::ip::tcp::socket accepted = acceptor.accept();
+    accepted.set_option(asio::socket_base::send_buffer_size(4096));
+    auto channel = detail::CallerChannel::create(
+            std::move(accepted),
+            [](detail::IngressRequest, const std::shared_ptr<detail::CallerChannel> &answering) {
+                answering->announceClose();
+                answering->respond(200, {}, std::string(largeBytes, 'x'));
+                answering->closeWhenIdle();
+                return nullptr;
+            },
+            [] { return CallerLimits {}; });
+    channel->start();
+    channel = nullptr;
+    asio::write(caller, asio::buffer(requestText("GET", "/look/", "r-1")));
+    std::thread thread([&] { context.run_for(3s); });
+    std::string received;
+    boost::system::error_code ec;
+    asio::read(caller, asio::dynamic_buffer(received), ec);
+    context.stop();
+    thread.join();
+    CHECK(received.size() > largeBytes);
 }
