--- /dev/null
+++ b/test/correctness/platformrows.cpp
@@ -0,0 +1,129 @@
+// Guards against rows of other writers that name a server to use or crash a gateway, and against
+// fields that are taken for what their name suggests.
+
+#include "platformrows.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cornelshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string goodServer =
+        R"({"service":"w","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":6,)"
+        R"("state":"ready","cold_left_ms":1500,"born":1700000000123,"seq":4})";
+
+const std::string goodConfiguration =
+        R"({"version":7,"routes":[)"
+        R"({"name":"r1","host":"h.example","prefix":"/a/","kind":"streaming","timeout_ms":3000,)"
+        R"("target_latency_ms":600,"priority":2,"service":"w","max_attempts":2,)"
+        R"("auth_exempt":true,"resumable":true,"gap_aim_ms":250},)"
+        R"({"name":"r2","host":"h.example","prefix":"/b/","kind":"non_idempotent",)"
+        R"("traffic_split":[{"service":"w","weight":90},{"service":"x","weight":10}]},)"
+        R"({"name":"r3","host":"h.example","prefix":"/c/","kind":"idempotent","service":"x"}],)"
+        R"("services":[{"name":"w","cold_per_s":11.0}],)"
+        R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+        R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"token_usage",)"
+        R"("plain_tokens":200,"rate_per_s":1000,"burst":2000}]})";
+
+bool unreadable(const std::string &value)
+{
+    return std::holds_alternative<UnreadableRow>(PlatformRows().decodeBackend("i-1", value));
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a server's row")
+{
+    const auto decoded = PlatformRows().decodeBackend("i-1", goodServer);
+    REQUIRE(std::holds_alternative<BackendRecord>(decoded));
+    const auto &record = std::get<BackendRecord>(decoded);
+    CHECK(record.id == "i-1");
+    CHECK(record.address == "10.0.0.9");
+    CHECK(record.port == 8080);
+    CHECK(record.slots == 6);
+    CHECK_FALSE(record.draining);
+    CHECK(record.coldRemaining == 1500ms);
+    CHECK(record.startedAtMs == 1700000000123);
+}
+
+TEST_CASE("rows with missing, wrong or unknown fields name no server")
+{
+    CHECK_FALSE(unreadable(goodServer));
+    for (const char *value : {"", "{", "[]", "null", "7", "\"x\"", "{}"})
+        CHECK(unreadable(value));
+    CHECK(unreadable(replaced(goodServer, "\"ready\"", "\"idle\"")));
+    CHECK(unreadable(replaced(goodServer, "\"ready\"", "3")));
+    CHECK(unreadable(replaced(goodServer, "\"service\"", "\"servise\"")));
+    CHECK(unreadable(replaced(goodServer, ":8080", "")));
+    CHECK(unreadable(replaced(goodServer, ":8080", ":0")));
+    CHECK(unreadable(replaced(goodServer, ":8080", ":99999")));
+    CHECK(unreadable(replaced(goodServer, "\"slots\":6", "\"slots\":\"6\"")));
+    CHECK(unreadable(replaced(goodServer, "\"slots\":6", "\"slots\":-6")));
+    CHECK(unreadable(replaced(goodServer, "\"slots\":6", "\"slots\":1e300")));
+}
+
+TEST_CASE("property: no bytes crash the decoder")
+{
+    CHECK(rc::check([] {
+        std::string value = *rc::gen::element(goodServer, goodConfiguration);
+        const int n = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < n; ++i)
+            value[*rc::gen::inRange<std::size_t>(0, value.size())] = *rc::gen::arbitrary<char>();
+        PlatformRows().decodeBackend("i-1", value);
+        PlatformRows().decodeOrder("config", value);
+        PlatformRows().decodeOrder("rollout/w", value);
+        PlatformRows().decodeGateway("g", value);
+    }));
+}
+
+TEST_CASE("the configuration in the product's terms")
+{
+    const auto decoded = PlatformRows().decodeOrder("config", goodConfiguration);
+    REQUIRE(std::holds_alternative<RouteTableContent>(decoded));
+    const auto &content = std::get<RouteTableContent>(decoded);
+    CHECK(content.version == 7);
+    REQUIRE(content.routes.size() == 3);
+    const DirectRoute &stream = content.routes[0];
+    CHECK(stream.kind == RequestKind::Stream);
+    CHECK(stream.repeatable());
+    CHECK(stream.rank == 2);
+    CHECK(stream.attemptLimit == 2);
+    CHECK(stream.keyExempt);
+    CHECK(stream.objective == 600ms);
+    CHECK(stream.gapObjective == 250ms);
+    CHECK(content.routes[1].services == std::vector<WeightedService> {{"w", 90}, {"x", 10}});
+    CHECK_FALSE(content.routes[1].repeatable());
+    CHECK(content.routes[2].repeatable());
+    CHECK(content.services[0].coldRequestsPerSecond == 11);
+    REQUIRE(content.organisations.size() == 1);
+    CHECK(content.organisations[0].keys.size() == 2);
+    CHECK(content.organisations[0].tokensPerSecond == 1000);
+    CHECK_FALSE(content.organisations[0].countsRequests);
+    CHECK(content.limits.idleTimeout == 15s);
+}
+
+TEST_CASE("orders and gateways")
+{
+    const PlatformRows rows;
+    const auto zone = rows.decodeOrder("evacuate/zone-a", "{}");
+    REQUIRE(std::holds_alternative<ZoneWithdrawal>(zone));
+    CHECK(std::get<ZoneWithdrawal>(zone).availabilityZone == "zone-a");
+    const auto rollout =
+            rows.decodeOrder("rollout/w", R"({"service":"w","to":"v2","duration_s":12})");
+    REQUIRE(std::holds_alternative<RolloutOrder>(rollout));
+    CHECK(std::get<RolloutOrder>(rollout) == RolloutOrder {"w", "v2", 12s});
+    CHECK(std::holds_alternative<UnreadableRow>(rows.decodeOrder("unknown/x", "{}")));
+    const GatewayRecord gateway {"g-1", "10.0.0.1", 7600};
+    CHECK(rows.decodeGateway("g-1", rows.encodeGateway(gateway))
+          == Result<GatewayRecord, UnreadableRow>(gateway));
+}
--- /dev/null
+++ b/test/error/deploymentwatcher.cpp
@@ -0,0 +1,228 @@
+// Guards against a configuration that reverts, is taken from an unreadable row or is told before
+// the other gateways are known, and against changes that are missed when history is lost.
+
+#include "deploymentwatcher.h"
+#include "monotonicclock.h"
+#include "platformrows.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace cornelshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::string server(const std::string &state)
+{
+    return R"({"service":"w","address":"10.0.0.9:80","zone":"a","version":"v1","slots":6,"state":")"
+            + state + "\"}";
+}
+
+// A store in memory; calls are answered later on the same context.
+class MemoryRows final : public RowStore
+{
+public:
+    explicit MemoryRows(boost::asio::io_context &context) : m_context(context) { }
+
+    void set(RowTable table, const std::string &key, const std::string &value)
+    {
+        m_tables[table][key] = {key, value, ++m_version, false};
+    }
+    void erase(RowTable table, const std::string &key)
+    {
+        m_tables[table][key] = {key, "", ++m_version, true};
+    }
+
+    void scan(RowTable table, const std::string & /*from*/, RowsCallback callback) override
+    {
+        RowsPage page;
+        page.version = m_version;
+        for (const auto &[key, row] : m_tables[table]) {
+            if (!row.removed)
+                page.rows.push_back(row);
+        }
+        answer(table, page, callback);
+    }
+
+    void changes(RowTable table, std::uint64_t after, Duration /*wait*/,
+                 RowsCallback callback) override
+    {
+        ++changeReads[table];
+        if (after < historyFrom) {
+            boost::asio::post(m_context, [callback] { callback(RowStoreError::HistoryLost); });
+            return;
+        }
+        RowsPage page;
+        page.version = m_version;
+        for (const auto &[key, row] : m_tables[table]) {
+            if (row.version > after)
+                page.rows.push_back(row);
+        }
+        answer(table, page, callback);
+    }
+
+    void put(RowTable table, const std::string &key, const std::string &value,
+             std::optional<std::uint64_t> /*expected*/, WriteCallback callback) override
+    {
+        set(table, key, value);
+        boost::asio::post(m_context, [callback] { callback(std::nullopt); });
+    }
+
+    std::uint64_t version() const { return m_version; }
+
+    std::uint64_t historyFrom = 0;
+    std::map<RowTable, int> changeReads;
+    std::set<RowTable> failing;
+
+private:
+    void answer(RowTable table, const RowsPage &page, const RowsCallback &callback)
+    {
+        const bool fails = failing.contains(table);
+        boost::asio::post(m_context, [page, callback, fails] {
+            if (fails)
+                callback(RowStoreError::Unavailable);
+            else
+                callback(page);
+        });
+    }
+
+    boost::asio::io_context &m_context;
+    std::map<RowTable, std::map<std::string, StoredRow>> m_tables;
+    std::uint64_t m_version = 0;
+};
+
+class Fixture
+{
+public:
+    Fixture()
+        : rows(context),
+          watcher(context, rows, codec, {20ms, 20ms, 20ms, 5ms},
+                  {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
+                   [this](RowTable table, const ReadProof &proof) { proofs[table] = proof; },
+                   [this](RowTable table) { return proofs[table].sentAt; }})
+    {
+        rows.set(RowTable::Orders, "config", configuration(3));
+        rows.set(RowTable::Backends, "i-1", server("ready"));
+    }
+
+    void run(Duration duration)
+    {
+        context.restart();
+        context.run_for(duration);
+    }
+
+    std::uint64_t version() const
+    {
+        return state && state->routes ? state->routes->content().version : 0;
+    }
+
+    boost::asio::io_context context;
+    MemoryRows rows;
+    PlatformRows codec;
+    std::shared_ptr<const DeploymentState> state;
+    std::map<RowTable, ReadProof> proofs;
+    DeploymentWatcher watcher;
+};
+
+} // namespace
+
+TEST_CASE("nothing is told before the other gateways are known")
+{
+    Fixture fixture;
+    fixture.rows.failing = {RowTable::Gateways};
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    CHECK(fixture.state == nullptr);
+    fixture.rows.failing.clear();
+    fixture.run(60ms);
+    REQUIRE(fixture.state != nullptr);
+    CHECK(fixture.version() == 3);
+    CHECK(fixture.state->backends.size() == 1);
+    CHECK(fixture.state->gateways.size() == 1);
+}
+
+TEST_CASE("a configuration never reverts, and unreadable rows change nothing")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    fixture.rows.set(RowTable::Orders, "config", configuration(9));
+    fixture.run(60ms);
+    CHECK(fixture.version() == 9);
+    fixture.rows.set(RowTable::Orders, "config", configuration(5));
+    fixture.rows.set(RowTable::Backends, "i-2", "{\"service\":7}");
+    fixture.run(60ms);
+    fixture.rows.set(RowTable::Orders, "config", "garbage");
+    fixture.run(60ms);
+    CHECK(fixture.version() == 9);
+    CHECK(fixture.state->backends.size() == 1);
+}
+
+TEST_CASE("zones are withdrawn and given back by their rows")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.rows.set(RowTable::Orders, "evacuate/zone-a", "{}");
+    fixture.run(60ms);
+    CHECK(fixture.state->withdrawnZones == std::set<std::string> {"zone-a"});
+    fixture.rows.erase(RowTable::Orders, "evacuate/zone-a");
+    fixture.run(60ms);
+    CHECK(fixture.state->withdrawnZones.empty());
+}
+
+TEST_CASE("changes are found again when the history is lost")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    fixture.rows.set(RowTable::Backends, "i-1", server("draining"));
+    fixture.rows.set(RowTable::Orders, "config", configuration(4));
+    fixture.rows.historyFrom = fixture.rows.version() + 1;
+    fixture.run(60ms);
+    CHECK(fixture.version() == 4);
+    REQUIRE(fixture.state->backends.size() == 1);
+    CHECK(fixture.state->backends[0].draining);
+}
+
+TEST_CASE("a proof of a peer saves the read, and its news brings one at once")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    const int before = fixture.rows.changeReads[RowTable::Orders];
+    for (int i = 0; i < 10; ++i) {
+        fixture.proofs[RowTable::Orders].sentAt = timeSinceBoot(); // as told by peers
+        fixture.run(8ms);
+    }
+    CHECK(fixture.rows.changeReads[RowTable::Orders] <= before + 2);
+    fixture.rows.set(RowTable::Orders, "config", configuration(8));
+    fixture.proofs[RowTable::Orders].sentAt = timeSinceBoot() + 1h;
+    fixture.watcher.readNow(RowTable::Orders);
+    fixture.run(5ms);
+    CHECK(fixture.version() == 8);
+}
+
+TEST_CASE("beats of servers are no changes, so that peers need not read them")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    const std::uint64_t change = fixture.proofs[RowTable::Backends].lastChange;
+    fixture.rows.set(RowTable::Backends, "i-1", server("ready"));
+    fixture.run(60ms);
+    CHECK(fixture.proofs[RowTable::Backends].lastChange == change);
+    CHECK(fixture.proofs[RowTable::Backends].appliedUpTo == fixture.rows.version());
+    fixture.rows.set(RowTable::Backends, "i-1", server("draining"));
+    fixture.run(60ms);
+    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+}
