Logs of the gateway and the agent: bounded lines on standard output that never block

Cause: glog writes each line to standard error and blocks on a full pipe. Change: a writer with a budget of lines, important ones last to go, whose drops are told.

--- a/src/admitd_main.cpp
+++ b/src/admitd_main.cpp
@@ -2,6 +2,7 @@
 
 #include "admissionagent.h"
 #include "eventlog.h"
+#include "logwriter.h"
 
 #include <iostream>
 
@@ -28,7 +29,8 @@
     }
     if (options.checkOnly)
         return static_cast<int>(DaemonStatus::Success);
-    EventLog::initialize(argv[0]);
+    LogWriter log;
+    log.install();
     AdmissionAgent agent(std::get<AdmissionAgentSettings>(settings));
     if (const auto problem = agent.start()) {
         EventLog("start_failed", EventLevel::Error).field("reason", *problem);
--- a/src/eventlog.cpp
+++ b/src/eventlog.cpp
@@ -37,6 +37,13 @@
     return buf + '"';
 }
 
+// Empty: glog.
+EventLog::Sink &sinkInUse()
+{
+    static EventLog::Sink sink;
+    return sink;
+}
+
 } // namespace
 
 EventLog::EventLog(std::string_view event, EventLevel level) : m_level(level)
@@ -47,6 +54,10 @@
 
 EventLog::~EventLog()
 {
+    if (sinkInUse()) {
+        sinkInUse()(m_level, m_line);
+        return;
+    }
     switch (m_level) {
     case EventLevel::Info:
         LOG(INFO) << m_line;
@@ -74,6 +85,11 @@
     return *this;
 }
 
+void EventLog::setSink(Sink sink)
+{
+    sinkInUse() = std::move(sink);
+}
+
 void EventLog::initialize(const char *program)
 {
     FLAGS_logtostderr = true;
--- a/src/eventlog.h
+++ b/src/eventlog.h
@@ -7,6 +7,7 @@
 #ifndef CORNELSHED_EVENTLOG_H
 #define CORNELSHED_EVENTLOG_H
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -33,6 +34,11 @@
         return raw(key, std::to_string(value));
     }
 
+    using Sink = std::function<void(EventLevel, std::string_view line)>;
+
+    // Lines go to the sink instead of glog. Call once, before other threads log.
+    static void setSink(Sink sink);
+
     // Prepares glog to write to standard error; call once at the start of a program.
     static void initialize(const char *program);
 
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -7,6 +7,7 @@
 #include "deploymentwatcher.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "logwriter.h"
 #include "metrics.h"
 #include "peergossip.h"
 
@@ -260,7 +261,8 @@
     }
     if (options.checkOnly)
         return static_cast<int>(DaemonStatus::Success);
-    EventLog::initialize(argv[0]);
+    LogWriter log;
+    log.install();
     GatewayDaemon daemon(std::get<GatewaySettings>(settings), options.settingsFile, platform);
     if (const auto problem = daemon.start()) {
         EventLog("start_failed", EventLevel::Error).field("reason", *problem);
