Hosts that freeze with their agent are tried by one request at a time

Change: a backend server with a silent agent gets one request at a time until it is answered; one that was silent gets none for 1.5 s or until it or its agent is heard.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -21,6 +21,9 @@
 // A backend server that broke a connection may have restarted; until its record tells, it is held
 // to the rate of a cold one.
 constexpr Duration suspectTime = 3s;
+// A backend server from which nothing was heard is left alone for this time, or until its agent or
+// one of its answers is heard.
+constexpr Duration silentPause = 1500ms;
 // After a refusal for lack of room, when the next request is tried.
 constexpr Duration fullPause = 40ms;
 // Share of the prompt that a backend server reads although it ran the session's last request.
@@ -87,8 +90,10 @@
         double slowness = 1; // time over the service's mean
         Instant coldUntil {};
         Instant fullUntil {};
-        bool misdirected = false;   // its address is another's; until its record changes
-        std::deque<Instant> starts; // own, of the last second
+        Instant avoidUntil {};        // nothing was heard from it
+        std::uint32_t unanswered = 0; // own requests without a first event or an end
+        bool misdirected = false;     // its address is another's; until its record changes
+        std::deque<Instant> starts;   // own, of the last second
         Instant agentHeardAt = Instant::min();
         Instant agentSilentUntil = Instant::min(); // asks were not answered
     };
@@ -202,7 +207,7 @@
     {
         const std::uint32_t slots = backend.record.slots;
         const std::uint32_t reserve = std::min(request.leaveFree, slots / reserveDivisor);
-        if (!mayUse(backend) || hasAgent(backend, now)
+        if (!mayUse(backend) || hasAgent(backend, now) || mayBeSilent(backend, now)
             || backend.running + backend.peerRunning + reserve >= slots || backend.fullUntil > now
             || request.excluded.contains(backend.record.id))
             return false;
@@ -217,6 +222,15 @@
                 && backend.agentSilentUntil <= now;
     }
 
+    // A backend server whose agent has fallen silent may be frozen or cut off with it: it gets one
+    // request at a time until that one is answered. One that was silent itself gets none for a
+    // while.
+    static bool mayBeSilent(const Backend &backend, Instant now)
+    {
+        const bool agentLost = backend.agentHeardAt != Instant::min() && !hasAgent(backend, now);
+        return backend.avoidUntil > now || (agentLost && backend.unanswered > 0);
+    }
+
     // Whether the agent of the backend server is to be asked for the request.
     bool mayAsk(const Backend &backend, const Waiting &waiting, Instant now) const
     {
@@ -281,6 +295,7 @@
     void start(Backend &backend, const DirectRequest &request, Instant now)
     {
         ++backend.running;
+        ++backend.unanswered;
         backend.unreadPromptTokens += request.promptTokens;
         backend.starts.push_back(now);
         while (backend.starts.front() + 1s <= now)
@@ -587,6 +602,7 @@
         return;
     it->second.agentHeardAt = now;
     it->second.agentSilentUntil = Instant::min();
+    it->second.avoidUntil = {};
 }
 
 void DirectScheduler::granted(const RequestId &id, const std::string &backend, Instant now)
@@ -669,15 +685,18 @@
     if (it == d->startedRequests.end() || it->second.firstEventSeen)
         return;
     it->second.firstEventSeen = true;
-    d->backends[it->second.backend].unreadPromptTokens -= it->second.promptTokens;
+    Private::Backend &backend = d->backends[it->second.backend];
+    backend.unreadPromptTokens -= it->second.promptTokens;
+    --backend.unanswered;
+    backend.avoidUntil = {};
 }
 
 void DirectScheduler::ended(const RequestId &id, const AttemptReport &report, Instant now)
 {
-    firstEvent(id);
     const auto it = d->startedRequests.find(id);
     if (it == d->startedRequests.end())
         return;
+    firstEvent(id);
     const Private::Started started = it->second;
     d->startedRequests.erase(it);
     Private::Backend &backend = d->backends[started.backend];
@@ -686,6 +705,8 @@
         d->pending.emplace_back(ReleaseAction {id, started.backend});
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullPause;
+    if (report.outcome == AttemptOutcome::Silent)
+        backend.avoidUntil = now + silentPause;
     if (report.outcome == AttemptOutcome::Misdirected)
         backend.misdirected = true;
     if (report.outcome == AttemptOutcome::Broken)
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -57,6 +57,7 @@
     Answered,    // with success
     Failed,      // an answer that tells a fault of the backend server
     Broken,      // no connection, or it broke off
+    Silent,      // taken back because nothing was heard
     NotRun,      // refused by the backend server
     Misdirected, // another backend server has the address
     Abandoned    // ended by this daemon; tells nothing about the backend server
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -205,7 +205,7 @@
     m_answer->detach();
     m_call->abandon();
     m_call = nullptr;
-    m_services.attemptEnded(m_admitted.id, report(AttemptOutcome::Failed));
+    m_services.attemptEnded(m_admitted.id, report(AttemptOutcome::Silent));
     m_services.offerAgain(*this);
 }
 
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -267,6 +267,45 @@
     FAIL("the request was not started without the agents");
 }
 
+TEST_CASE("hosts that freeze with their agent are tried by one request at a time")
+{
+    Harness harness({server("a")});
+    harness.scheduler.agentHeard("a", start);
+    harness.scheduler.add(request(1, 0, start));
+    harness.scheduler.add(request(2, 0, start));
+    Sequences started;
+    for (Duration at = 0ms; at <= 200ms; at += 10ms) {
+        for (const std::uint64_t it : harness.started(start + at))
+            started.push_back(it);
+    }
+    CHECK(started == Sequences {1});
+    // Nothing is heard from the request either: the backend server is left alone for a while.
+    harness.scheduler.ended({1, 1}, {AttemptOutcome::Silent, 200ms, {}}, start + 200ms);
+    CHECK(harness.started(start + 300ms).empty());
+    CHECK(harness.started(start + 450ms).empty());
+    // Its agent is heard again, and is asked.
+    harness.scheduler.agentHeard("a", start + 460ms);
+    CHECK(harness.advance<AskAction>(start + 460ms).size() == 1);
+}
+
+TEST_CASE("a lost agent alone does not take its backend server away")
+{
+    Harness harness({server("a")});
+    harness.scheduler.agentHeard("a", start);
+    std::size_t started = 0;
+    for (std::uint64_t n = 1; n <= 20; ++n) {
+        const Instant now = start + n * 50ms;
+        harness.scheduler.add(request(n, 0, now));
+        for (const std::uint64_t it : harness.started(now)) {
+            ++started;
+            harness.scheduler.firstEvent({1, it});
+        }
+        if (n >= 4)
+            harness.scheduler.ended({1, n - 3}, {AttemptOutcome::Answered, 150ms, {}}, now);
+    }
+    CHECK(started >= 15);
+}
+
 TEST_CASE("a caller that leaves while agents are asked gives every ask back")
 {
     Harness harness({server("a"), server("b")});
