--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -368,6 +368,7 @@
 
     void answered(Duration sentAt)
     {
+        events.called("answered");
         answeredAt = std::max(answeredAt, sentAt);
         if (!storeLost)
             return;
@@ -383,6 +384,7 @@
 
     void failed(const char *table, RowStoreError error)
     {
+        events.called(nameOf(error));
         const Duration silent = timeSinceBoot() - answeredAt;
         if (error == RowStoreError::HistoryLost) {
             EventLog("store_history_lost", EventLevel::Warning).field("table", table);
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -40,6 +40,9 @@
     // When the copy of the table was last proven fresh, by own reads or others, since boot; called
     // to decide whether a read is due.
     std::function<Duration(RowTable table)> provenAt;
+
+    // A call of the store ended: "answered" or what it failed with.
+    std::function<void(const char *outcome)> called;
 };
 
 class DeploymentWatcher
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -92,7 +92,24 @@
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
                                       "From a request's arrival to the end of its answer")),
           allowances(settings.allowanceWindow, settings.allowanceTolerance), renewTimer(given)
-    { }
+    {
+        // The metrics' text is made on the traffic thread.
+        metrics.gauge("cornelshed_gateway_waiting", "Requests that wait for a backend server",
+                      [this] { return static_cast<double>(scheduler.waiting()); });
+        metrics.gauge("cornelshed_gateway_running", "Requests at backend servers",
+                      [this] { return static_cast<double>(scheduler.running()); });
+        metrics.gauge("cornelshed_gateway_backends", "Backend servers listed",
+                      [this] { return static_cast<double>(backends.size()); });
+        metrics.gauge("cornelshed_gateway_configuration_version", "Version in force; 0: none",
+                      [this] { return static_cast<double>(versionInForce()); });
+        metrics.gauge("cornelshed_gateway_configuration_age_seconds",
+                      "Age of the proof that it is the newest; -1: never proven", [this] {
+                          const Duration age = proofAge();
+                          return age == Duration::max()
+                                  ? -1
+                                  : std::chrono::duration<double>(age).count();
+                      });
+    }
 
     Counter &counter(const std::string &name, const char *help)
     {
@@ -257,8 +274,7 @@
                 .field("request", facts.requestId)
                 .field("status", error.status)
                 .field("reason", error.code)
-                .field("configuration",
-                       state && state->routes ? state->routes->content().version : 0)
+                .field("configuration", versionInForce())
                 .field("proof_age_ms", proofAge() == Duration::max() ? -1 : proofAge() / 1ms)
                 .field("retry_after_ms", retryAfter ? *retryAfter / 1ms : -1);
         Headers answer {{"Content-Type", "text/plain"}};
@@ -493,6 +509,11 @@
 
     // --- state ---
 
+    std::uint64_t versionInForce() const
+    {
+        return state && state->routes ? state->routes->content().version : 0;
+    }
+
     Duration proofAge() const
     {
         const Duration at = provenAt(RowTable::Orders);
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -67,7 +67,8 @@
 class GatewayDaemon::Private
 {
 public:
-    Private(const GatewaySettings &given, std::string file, const GatewayPlatform &adapter)
+    Private(const GatewaySettings &given, std::string file, const GatewayPlatform &adapter,
+            const LogWriter &log)
         : settings(given), settingsFile(std::move(file)), platform(adapter),
           gateway(traffic, platform.protocol, trafficSettings(settings, incarnation), metrics),
           gossip(
@@ -78,7 +79,12 @@
           admin(traffic, adminHandlers("/ready")),
           readiness(traffic, adminHandlers(settings.readinessPath)),
           signals(traffic, [this] { shutDown(); }), viewTimer(traffic), fileTimer(traffic)
-    { }
+    {
+        metrics.gauge("cornelshed_gateway_log_lines_dropped", "Log lines dropped since the start",
+                      [&log] { return static_cast<double>(log.dropped()); });
+        metrics.gauge("cornelshed_gateway_peers_heard", "Gateways heard, this one included",
+                      [this] { return static_cast<double>(gossip.view().heard); });
+    }
 
     GatewayRecord self() const
     {
@@ -133,7 +139,13 @@
                 [this](RowTable table, const ReadProof &proof) {
                     asio::post(traffic, [this, table, proof] { gateway.tableRead(table, proof); });
                 },
-                [this](RowTable table) { return gateway.provenAt(table); }};
+                [this](RowTable table) { return gateway.provenAt(table); },
+                [this](const char *outcome) {
+                    metrics.counter(std::string("cornelshed_gateway_store_reads_total{outcome=\"")
+                                            + outcome + "\"}",
+                                    "Calls of the store by their outcome")
+                            .add();
+                }};
     }
 
     // Changes that peers know and that are not applied here.
@@ -225,8 +237,8 @@
 };
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
-                             const GatewayPlatform &platform)
-    : d(std::make_unique<Private>(settings, settingsFile, platform))
+                             const GatewayPlatform &platform, const LogWriter &log)
+    : d(std::make_unique<Private>(settings, settingsFile, platform, log))
 { }
 
 GatewayDaemon::~GatewayDaemon() = default;
@@ -264,7 +276,7 @@
         return static_cast<int>(DaemonStatus::Success);
     LogWriter log;
     log.install();
-    GatewayDaemon daemon(std::get<GatewaySettings>(settings), options.settingsFile, platform);
+    GatewayDaemon daemon(std::get<GatewaySettings>(settings), options.settingsFile, platform, log);
     if (const auto problem = daemon.start()) {
         EventLog("start_failed", EventLevel::Error).field("reason", *problem);
         return static_cast<int>(DaemonStatus::RuntimeFailure);
--- a/src/gatewaydaemon.h
+++ b/src/gatewaydaemon.h
@@ -30,12 +30,14 @@
             openStore;
 };
 
+class LogWriter;
+
 class GatewayDaemon
 {
 public:
-    // settingsFile is read again on SIGHUP and when it changes.
+    // settingsFile is read again when it changes. log must outlive the daemon.
     GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
-                  const GatewayPlatform &platform);
+                  const GatewayPlatform &platform, const LogWriter &log);
     ~GatewayDaemon();
     GatewayDaemon(const GatewayDaemon &) = delete;
     GatewayDaemon &operator=(const GatewayDaemon &) = delete;
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -109,7 +109,8 @@
           watcher(context, rows, codec, {20ms, 20ms, 20ms, 5ms},
                   {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
                    [this](RowTable table, const ReadProof &proof) { proofs[table] = proof; },
-                   [this](RowTable table) { return proofs[table].sentAt; }})
+                   [this](RowTable table) { return proofs[table].sentAt; },
+                   [](const char * /*outcome*/) {}})
     {
         rows.set(RowTable::Orders, "config", configuration(3));
         rows.set(RowTable::Backends, "i-1", server("ready"));
