--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -25,6 +25,8 @@
 // Without an answer for this time the store counts as lost.
 constexpr Duration lostAfter = 1500ms;
 constexpr std::size_t tableCount = 3; // of RowTable
+// A regained store is noticed within the longest delay, which is a small part of every bound.
+constexpr int retryDoublings = 2;
 
 const char *nameOf(RowStoreError error)
 {
@@ -65,7 +67,8 @@
 
     void readNow()
     {
-        if (!m_calling && m_loaded)
+        // A store that refuses is not pressed, however many peers know of a change.
+        if (!m_calling && m_loaded && m_failures == 0)
             readChanges();
     }
 
@@ -104,7 +107,7 @@
         if (const auto *error = std::get_if<RowStoreError>(&result)) {
             m_calling = false;
             m_events.failed(*error);
-            later(m_retry, &TableReader::readWhole);
+            later(retryDelay(), &TableReader::readWhole);
             return;
         }
         auto &page = std::get<RowsPage>(result);
@@ -121,6 +124,7 @@
         }
         m_calling = false;
         m_loaded = true;
+        m_failures = 0;
         m_version = m_startVersion;
         for (const StoredRow &it : m_rows)
             changed(it.version);
@@ -163,9 +167,10 @@
             if (*error == RowStoreError::HistoryLost)
                 readWhole();
             else
-                later(m_retry, &TableReader::readChanges);
+                later(retryDelay(), &TableReader::readChanges);
             return;
         }
+        m_failures = 0;
         auto &page = std::get<RowsPage>(result);
         m_version = std::max(m_version, page.version);
         m_events.answered(sentAt);
@@ -175,6 +180,13 @@
         later(m_interval + m_delay, &TableReader::awaitDue);
     }
 
+    // Doubles with each failure in a row, up to a few times the first.
+    Duration retryDelay()
+    {
+        const int doublings = std::min(m_failures++, retryDoublings);
+        return m_retry * (1 << doublings);
+    }
+
     void later(Duration delay, void (TableReader::*step)())
     {
         m_timer.expires_after(delay);
@@ -196,6 +208,7 @@
     std::uint64_t m_lastChange = 0;
     Duration m_sentAt {};
     Duration m_delay {}; // left to other gateways to read first
+    int m_failures = 0;  // in a row
     bool m_calling = false;
     bool m_loaded = false;
     bool m_stopped = false;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "httpheaders.h"
 #include "listener.h"
 #include "monotonicclock.h"
+#include "returntime.h"
 #include "stabledigest.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,7 +47,6 @@
 constexpr Duration usualTimeLimit = 30s;
 constexpr Duration unconfiguredRetryAfter = 500ms;
 constexpr Duration staleRetryAfter = 100ms;
-constexpr Duration leastAllowanceRetryAfter = 200ms;
 // At the end of a shutdown, connections are closed this long before the process must have ended.
 constexpr Duration shutdownMargin = 300ms;
 // How often a shutdown checks whether the last answers are written.
@@ -185,8 +185,9 @@
                                     scheduler.waiting() == 0, now)) {
                 const Duration wait =
                         allowances.timeUntil(organisation->name, admitted.allowanceCost, now);
+                const Duration remaining = admitted.facts.remaining.value_or(usualTimeLimit);
                 return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
-                              std::max<Duration>(wait, leastAllowanceRetryAfter));
+                              returnTime(wait, remaining, admitted.facts.requestId));
             }
         }
         admitted.id = {settings.incarnation, ++sequence};
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -111,6 +111,7 @@
     void takeStep(NextStep step);
     void abandonAttempt();
     void deliver();
+    Duration returnAfter(Duration expected) const; // time to tell a refused caller
     void fail(std::uint32_t status, const char *reason, std::optional<Duration> retryAfter);
     void breakOff();
     void finish(std::uint32_t status);
--- /dev/null
+++ b/src/returntime.cpp
@@ -0,0 +1,32 @@
+// Spread of return times.
+
+#include "returntime.h"
+
+#include "stabledigest.h"
+
+#include <algorithm>
+
+namespace cornelshed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration leastReturnTime = 50ms;
+// Range of the remaining time over which callers return; the rest is for the attempt itself.
+constexpr double earliestShare = 0.15;
+constexpr double latestShare = 0.3;
+
+} // namespace
+
+Duration returnTime(Duration expected, Duration remaining, std::string_view requestId)
+{
+    constexpr std::uint64_t steps = 1024;
+    const double place = static_cast<double>(stableDigest(requestId) % steps) / steps;
+    const double share = earliestShare + place * (latestShare - earliestShare);
+    const auto spread = std::chrono::duration_cast<Duration>(remaining * share);
+    const auto latest = std::chrono::duration_cast<Duration>(remaining * latestShare);
+    return std::max(std::min(std::max(expected, spread), latest), leastReturnTime);
+}
+
+} // namespace cornelshed
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -213,6 +213,26 @@
     CHECK(fixture.version() == 8);
 }
 
+TEST_CASE("a store that refuses is not pressed by what peers know")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    fixture.rows.failing = {RowTable::Orders};
+    fixture.run(60ms);
+    const int before = fixture.rows.changeReads[RowTable::Orders];
+    for (int i = 0; i < 100; ++i) {
+        fixture.watcher.readNow(RowTable::Orders);
+        fixture.run(1ms);
+    }
+    // The retry interval of this fixture is 5 ms, and doubles twice.
+    CHECK(fixture.rows.changeReads[RowTable::Orders] <= before + 8);
+    fixture.rows.failing.clear();
+    fixture.rows.set(RowTable::Orders, "config", configuration(12));
+    fixture.run(60ms);
+    CHECK(fixture.version() == 12);
+}
+
 TEST_CASE("beats of servers are no changes, so that peers need not read them")
 {
     Fixture fixture;
