--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,7 +9,6 @@
 #include "httpheaders.h"
 #include "listener.h"
 #include "monotonicclock.h"
-#include "returntime.h"
 #include "stabledigest.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +45,8 @@
 // A caller without a limit of its own and on a route without one.
 constexpr Duration usualTimeLimit = 30s;
 constexpr Duration unconfiguredRetryAfter = 500ms;
+// Early enough for an answer within the objective of most routes.
+constexpr Duration leastAllowanceRetryAfter = 200ms;
 constexpr Duration staleRetryAfter = 100ms;
 // At the end of a shutdown, connections are closed this long before the process must have ended.
 constexpr Duration shutdownMargin = 300ms;
@@ -185,9 +186,8 @@
                                     scheduler.waiting() == 0, now)) {
                 const Duration wait =
                         allowances.timeUntil(organisation->name, admitted.allowanceCost, now);
-                const Duration remaining = admitted.facts.remaining.value_or(usualTimeLimit);
                 return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
-                              returnTime(wait, remaining, admitted.facts.requestId));
+                              std::max<Duration>(wait, leastAllowanceRetryAfter));
             }
         }
         admitted.id = {settings.incarnation, ++sequence};
