Allowances: what young peers took before their first report counts

Ruled out: the lag of reports alone; with less lent the window was as full. Change: reports carry the sender's uptime; all that a peer younger than a window has taken counts.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -36,4 +36,5 @@
   allowances @5 :List(GossipAllowance);
   proofs @6 :List(GossipProof);    # by table, in the order of src/freshness.h
   echoes @7 :List(GossipEcho);
+  uptimeMicros @8 :Int64;          # since the sender started
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -96,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -477,6 +477,8 @@
   inline bool hasEchoes() const;
   inline  ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>::Reader getEchoes() const;
 
+  inline  ::int64_t getUptimeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -549,6 +551,9 @@
   inline void adoptEchoes(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEcho,  ::capnp::Kind::STRUCT>> disownEchoes();
 
+  inline  ::int64_t getUptimeMicros();
+  inline void setUptimeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -929,6 +934,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t GossipReport::Reader::getUptimeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipReport::Builder::getUptimeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GossipReport::Builder::setUptimeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -685,6 +685,7 @@
     std::atomic<bool> draining {false};
     Instant dueAt = instantNever;
     std::function<void()> drained;
+    const Instant startedAt = monotonicNow();
     std::uint64_t sequence = 0;
     mutable std::uint64_t reports = 0;
     std::uint64_t answeredCount = 0;
@@ -775,6 +776,7 @@
             d->settings.incarnation,
             ++d->reports,
             d->draining,
+            monotonicNow() - d->startedAt,
             d->scheduler.ownLoads(),
             d->allowances.ownTotals(),
             {d->freshness.share(RowTable::Orders, sinceBoot),
@@ -798,7 +800,7 @@
     const Instant now = monotonicNow();
     d->scheduler.peerReport(stableDigest(report.name), report.loads, now);
     for (const auto &[organisation, taken] : report.taken)
-        d->allowances.peerTotal(report.incarnation, organisation, taken, now);
+        d->allowances.peerTotal(report.incarnation, report.uptime, organisation, taken, now);
     if (d->scheduler.waiting() > 0)
         d->advance(now);
     return behind;
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -46,6 +46,7 @@
     root.setIncarnation(report.incarnation);
     root.setSequence(report.sequence);
     root.setLeaving(report.leaving);
+    root.setUptimeMicros(report.uptime.count());
     auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
         loads[i].setBackend(report.loads[i].backendDigest);
@@ -86,6 +87,7 @@
         report.incarnation = root.getIncarnation();
         report.sequence = root.getSequence();
         report.leaving = root.getLeaving();
+        report.uptime = Duration(root.getUptimeMicros());
         for (const auto it : root.getLoads())
             report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens()});
         for (const auto it : root.getAllowances())
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -31,6 +31,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool leaving = false;
+    Duration uptime {}; // since the start
     std::vector<PeerLoad> loads;
     std::map<std::uint64_t, double> taken; // tokens since the start, by organisation digest
     std::array<std::optional<SharedProof>, sharedTables.size()> proofs; // by table
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -106,16 +106,14 @@
     add(it->second, cost);
 }
 
-void TokenAllowances::peerTotal(std::uint64_t peerIncarnation, std::uint64_t organisationDigest,
-                                double total, Instant now)
+void TokenAllowances::peerTotal(std::uint64_t peerIncarnation, Duration peerUptime,
+                                std::uint64_t organisationDigest, double total, Instant now)
 {
     const auto name = m_organisationOfDigest.find(organisationDigest);
     if (name == m_organisationOfDigest.end())
         return;
-    const auto [known, first] =
-            m_peerTotals.try_emplace({peerIncarnation, organisationDigest}, total);
-    if (first)
-        return;
+    const double base = peerUptime < m_window ? 0 : total;
+    const auto known = m_peerTotals.try_emplace({peerIncarnation, organisationDigest}, base).first;
     const double growth = total - known->second;
     known->second = total;
     Account &account = m_accounts[name->second];
--- a/src/tokenallowance.h
+++ b/src/tokenallowance.h
@@ -65,9 +65,10 @@
     void giveBack(const std::string &organisation, double cost);
 
     // Total that a peer has taken since it started, by organisation digest. The first report of a
-    // peer is the base for the next ones.
-    void peerTotal(std::uint64_t peerIncarnation, std::uint64_t organisationDigest, double total,
-                   Instant now);
+    // peer that has run for longer than a window is the base for the next ones; all that a younger
+    // one has taken counts.
+    void peerTotal(std::uint64_t peerIncarnation, Duration peerUptime,
+                   std::uint64_t organisationDigest, double total, Instant now);
 
     // Own totals since the start, by stableDigest() of the organisation.
     std::map<std::uint64_t, double> ownTotals() const;
--- a/test/correctness/tokenallowance.cpp
+++ b/test/correctness/tokenallowance.cpp
@@ -136,7 +136,7 @@
             for (std::size_t to = 0; to < daemons; ++to) {
                 if (from != to)
                     for (const auto &[digest, total] : all[from].ownTotals())
-                        all[to].peerTotal(from, digest, total, now);
+                        all[to].peerTotal(from, now - start, digest, total, now);
             }
         }
     }
@@ -144,6 +144,17 @@
     CHECK(most >= 0.8 * bound);
 }
 
+TEST_CASE("what peers took before their first report counts if they started lately")
+{
+    TokenAllowances allowances = fresh(start);
+    const auto taken = [&](Duration uptime, std::uint64_t peer) {
+        TokenAllowances copy = allowances;
+        copy.peerTotal(peer, uptime, stableDigest("acme"), 400, start + 1s);
+        return copy.timeUntil("acme", 300, start + 1s);
+    };
+    CHECK(taken(200ms, 1) > taken(1h, 2));
+}
+
 TEST_CASE("property: daemons that hear each other late, or not at all, keep the sum")
 {
     CHECK(rc::check([] {
@@ -165,7 +176,7 @@
                 for (std::size_t to = 0; to < all.size(); ++to) {
                     if (from != to)
                         for (const auto &[digest, total] : all[from].ownTotals())
-                            all[to].peerTotal(from, digest, total, now);
+                            all[to].peerTotal(from, now - start, digest, total, now);
                 }
             }
             RC_ASSERT(sum.sum() <= bound + 20);
