--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -175,7 +175,7 @@
 {
     d->context.run();
     d->socket->close();
-    EventLog("stopped");
+    EventLog("stopped").field("agent", d->settings.name);
     return DaemonStatus::Success;
 }
 
--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -338,7 +338,7 @@
         std::string text = "HTTP/1.1 " + std::to_string(status) + ' '
                 + std::string(http::obsolete_reason(http::int_to_status(status))) + "\r\n";
         for (const auto &[name, value] : headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         if (m_announceClose || m_closeAfterAnswer)
             text += "Connection: close\r\n";
         return text;
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -386,7 +386,7 @@
         if (!storeLost)
             return;
         storeLost = false;
-        EventLog("store_regained");
+        EventLog("store_regained").field("lapse_grace_ms", lapseGrace / 1ms);
         registry.storeRegained(monotonicNow());
         expiryTimer.expires_after(lapseGrace + 10ms);
         expiryTimer.async_wait([d = shared_from_this()](auto ec) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -635,8 +635,8 @@
         const std::weak_ptr<Private> weak = weak_from_this();
         auto channel = CallerChannel::create(
                 std::move(socket),
-                [weak](IngressRequest request,
-                       std::shared_ptr<CallerChannel> caller) -> std::shared_ptr<IngressExchange> {
+                [weak](IngressRequest request, const std::shared_ptr<CallerChannel> &caller)
+                        -> std::shared_ptr<IngressExchange> {
                     const auto self = weak.lock();
                     return self ? self->admit(std::move(request), caller) : nullptr;
                 },
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -213,7 +213,7 @@
         control.stop();
         controlThread.join();
         watcher = nullptr;
-        EventLog("stopped");
+        EventLog("stopped").field("gateway", settings.name);
         return DaemonStatus::Success;
     }
 
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -73,7 +73,7 @@
     void body(std::string data) override
     {
         if (const auto exchange = m_exchange)
-            exchange->handleBody(std::move(data));
+            exchange->handleBody(data);
     }
     void finished() override
     {
@@ -229,7 +229,7 @@
             && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun;
 }
 
-void GatewayExchange::handleBody(std::string data)
+void GatewayExchange::handleBody(const std::string &data)
 {
     m_lastProgress = monotonicNow();
     if (m_events)
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -100,7 +100,7 @@
     Duration silenceLimit() const;
 
     void handleHead(std::uint32_t status, Headers headers);
-    void handleBody(std::string data);
+    void handleBody(const std::string &data);
     void handleFinished();
     void handleFailed(BackendError error);
     bool streamsAnswer() const;
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -50,7 +50,7 @@
 class Harness
 {
 public:
-    explicit Harness(std::vector<BackendRecord> records) : scheduler({"a", 38000, 1.5, 5})
+    explicit Harness(const std::vector<BackendRecord> &records) : scheduler({"a", 38000, 1.5, 5})
     {
         scheduler.setBackends(records, {{"writer", 0}}, start);
     }
--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -426,7 +426,8 @@
     accepted.set_option(asio::socket_base::send_buffer_size(4096));
     auto channel = detail::CallerChannel::create(
             std::move(accepted),
-            [](detail::IngressRequest, const std::shared_ptr<detail::CallerChannel> &answering) {
+            [](const detail::IngressRequest &,
+               const std::shared_ptr<detail::CallerChannel> &answering) {
                 answering->announceClose();
                 answering->respond(200, {}, std::string(largeBytes, 'x'));
                 answering->closeWhenIdle();
