Randomized fault soak of gateways and agents as real processes

Kills, pauses, stops and restarts by signals, and delays, resets and silences by loopback proxies before the backend servers and the store; callers use open connections until they are gone.

--- a/cmake/apps.cmake
+++ b/cmake/apps.cmake
@@ -31,7 +31,7 @@
   cornelshed_program(cornelshed-demo apps/demo/demo_main.cpp cornelshed_demo)
   if(TARGET cornelshed-demo)
     # The programs that it starts.
-    foreach(program cornelshed cornelshed-agentd cornelshed-entryd standin-engine
+    foreach(program cornelshed cornelshed-gatewayd cornelshed-admitd cornelshed-agentd cornelshed-entryd standin-engine
         standin-service standin-platform)
       if(TARGET ${program})
         add_dependencies(cornelshed_demo ${program})
--- /dev/null
+++ b/test/error/gatewaysoak.cpp
@@ -0,0 +1,428 @@
+// Guards against requests that run twice, false "not run", answers of other requests and incomplete
+// streams when processes are killed, paused and stopped and connections harmed, several at a time.
+// Real gateways and admission agents run as processes before scripted backend servers and a store;
+// all faults come from outside, by signals and loopback proxies.
+//
+// CORNELSHED_SOAK_SEED sets the first seed (1), CORNELSHED_SOAK_SEEDS the number of them (1):
+//     CORNELSHED_SOAK_SEEDS=50 build/test_error_gatewaysoak
+
+#include "childprocess.h"
+#include "faultproxy.h"
+#include "loopback.h"
+#include "temporaryfolder.h"
+#include "types.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int serverCount = 3;
+constexpr int gatewayCount = 2;
+constexpr int callerCount = 8;
+constexpr auto faultTime = 5s; // faults come and go
+constexpr auto calmTime = 2s;  // then all must work again
+
+std::uint64_t parameter(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+std::string base64(const std::string &bytes)
+{
+    using namespace boost::archive::iterators;
+    using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+    return text.append((3 - bytes.size() % 3) % 3, '=');
+}
+
+std::string header(const StubRequest &request, const std::string &name)
+{
+    for (const auto &[key, text] : request.headers) {
+        if (key == name)
+            return text;
+    }
+    return {};
+}
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 16> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+// Events of a stream name their request, so that joined streams show.
+std::string eventText(int id, const std::string &request)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+}
+
+constexpr int streamEvents = 6;
+
+class Runs
+{
+public:
+    void add(const std::string &id)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_runs[id];
+    }
+    int of(const std::string &id) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_runs.find(id);
+        return it == m_runs.end() ? 0 : it->second;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_runs; // by request id
+};
+
+BackendStub::Handler serverScript(Runs &runs)
+{
+    return [&runs](const StubRequest &request, StubReply &reply) {
+        const std::string id = header(request, "X-Request-Id");
+        runs.add(id);
+        const std::string seal = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
+        std::this_thread::sleep_for(10ms);
+        if (!request.target.starts_with("/quote/")) {
+            reply.send("HTTP/1.1 200 OK\r\n" + seal + "Content-Length: " + std::to_string(id.size())
+                       + "\r\n\r\n" + id);
+            return;
+        }
+        const std::string last = header(request, "Last-Event-Id");
+        reply.send("HTTP/1.1 200 OK\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n");
+        for (int n = last.empty() ? 1 : std::stoi(last) + 1; n <= streamEvents; ++n) {
+            reply.send(chunk(eventText(n, id)));
+            std::this_thread::sleep_for(5ms);
+        }
+        reply.send("0\r\n\r\n");
+    };
+}
+
+std::string route(const char *prefix, const char *kind, bool resumable)
+{
+    return std::string(R"({"name":"r","host":"shop.example","prefix":")") + prefix + R"(","kind":")"
+            + kind
+            + R"(","timeout_ms":1500,"target_latency_ms":400,"service":"w","max_attempts":2,)"
+            + R"("gap_aim_ms":200,"resumable":)" + (resumable ? "true" : "false") + "}";
+}
+
+// A store with rows that do not change.
+class Store
+{
+public:
+    explicit Store(const std::vector<std::uint16_t> &serverPorts)
+    {
+        add("op", "config",
+            R"({"version":3,"services":[{"name":"w","cold_per_s":0}],"routes":[)"
+                    + route("/order/", "non_idempotent", false) + ","
+                    + route("/look/", "idempotent", false) + ","
+                    + route("/quote/", "streaming", true)
+                    + R"(],"tenants":[{"name":"acme","api_keys":["key-1"]}]})");
+        for (std::size_t n = 0; n < serverPorts.size(); ++n) {
+            add("servers", "i-" + std::to_string(n),
+                R"({"service":"w","address":"127.0.0.)" + std::to_string(n + 2) + ":"
+                        + std::to_string(serverPorts[n])
+                        + R"(","zone":"a","version":"v1","slots":4,"state":"ready"})");
+        }
+    }
+
+    BackendStub::Handler script()
+    {
+        return [this](const StubRequest &request, StubReply &reply) {
+            if (request.method == "POST") {
+                reply.whole(200, R"({"ver":9})");
+                return;
+            }
+            const bool feed = request.target.find("rows-feed") != std::string::npos;
+            std::string rows;
+            for (const char *table : {"op", "servers"}) {
+                if (!feed
+                    && request.target.find(std::string("table=") + table + "&")
+                            != std::string::npos)
+                    rows = m_rows[table];
+            }
+            reply.whole(200, R"({"rows":[)" + rows + R"(],"has_more":false,"ver":9,"now_ms":1})");
+        };
+    }
+
+private:
+    void add(const std::string &table, const std::string &key, const std::string &value)
+    {
+        std::string &rows = m_rows[table];
+        rows += (rows.empty() ? "" : ",") + std::string(R"({"key":")") + key + R"(","value":")"
+                + base64(value) + R"(","ver":5})";
+    }
+
+    std::map<std::string, std::string> m_rows; // JSON, by table
+};
+
+// A program that can be ended and started again.
+class Program
+{
+public:
+    Program(std::string program, std::string settings, std::string log)
+        : m_program(std::move(program)), m_settings(std::move(settings)), m_log(std::move(log))
+    {
+        start();
+    }
+
+    void start()
+    {
+        m_process.emplace(m_program, std::vector<std::string> {"--settings", m_settings}, m_log);
+    }
+    void signal(int number) { m_process->sendSignal(number); }
+    void restart(int number)
+    {
+        m_process->sendSignal(number);
+        m_process->waitForExit(4s);
+        m_process.reset();
+        start();
+    }
+
+private:
+    std::string m_program;
+    std::string m_settings;
+    std::string m_log;
+    std::optional<demo::ChildProcess> m_process;
+};
+
+class Soak
+{
+public:
+    explicit Soak(std::uint64_t seed) : m_seed(seed), m_random(seed)
+    {
+        std::vector<std::uint16_t> ports;
+        for (int n = 0; n < serverCount; ++n) {
+            m_servers.push_back(std::make_unique<BackendStub>(serverScript(m_runs)));
+            m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0." + std::to_string(n + 2),
+                                                             m_servers.back()->port()));
+            ports.push_back(m_proxies.back()->port());
+        }
+        m_store = std::make_unique<Store>(ports);
+        m_storeServer = std::make_unique<BackendStub>(m_store->script());
+        m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0.1", m_storeServer->port()));
+        // Ports differ from run to run, so that tests beside each other do not meet.
+        m_base = static_cast<std::uint16_t>(21000 + (::getpid() * 16 + seed * 8) % 10000);
+        for (int n = 0; n < serverCount; ++n)
+            startAgent(n);
+        for (int n = 0; n < gatewayCount; ++n)
+            startGateway(n);
+    }
+
+    void run()
+    {
+        std::vector<std::thread> callers;
+        for (int n = 0; n < callerCount; ++n)
+            callers.emplace_back([this, n] { call(n); });
+        std::this_thread::sleep_for(1s);
+        const auto until = std::chrono::steady_clock::now() + faultTime;
+        while (std::chrono::steady_clock::now() < until)
+            injectFault();
+        for (const auto &it : m_proxies)
+            it->set(ProxyFault::None);
+        for (const auto &it : m_programs)
+            it->signal(SIGCONT);
+        std::this_thread::sleep_for(calmTime);
+        const int before = m_answered;
+        std::this_thread::sleep_for(1s);
+        m_recovered = m_answered > before + 10;
+        m_stopped = true;
+        for (std::thread &it : callers)
+            it.join();
+        checkRefusals();
+    }
+
+    int answered() const { return m_answered; }
+    bool recovered() const { return m_recovered; }
+    std::vector<std::string> problems() const { return m_problems; }
+    void keepLogs() { m_folder.keep(); }
+
+private:
+    std::string settingsFile(const std::string &name, const std::string &text)
+    {
+        m_folder.write(name + ".toml", text);
+        return m_folder.file(name + ".toml");
+    }
+
+    void startAgent(int n)
+    {
+        const std::string name = "agent-" + std::to_string(n);
+        const std::string text = "[agent]\nname = \"" + name + "\"\naddress = \"127.0.0."
+                + std::to_string(n + 2) + "\"\nport = " + std::to_string(m_base + 1) + "\n";
+        m_programs.push_back(std::make_unique<Program>(CORNELSHED_BINARY_DIR "/cornelshed-admitd",
+                                                       settingsFile(name, text),
+                                                       m_folder.file(name + ".log")));
+    }
+
+    std::string gatewayAddress(int n) const { return "127.0.0." + std::to_string(n + 20); }
+
+    void startGateway(int n)
+    {
+        const std::string name = "gateway-" + std::to_string(n);
+        const std::string at = gatewayAddress(n);
+        const std::string text = "[gateway]\nname = \"" + name
+                + "\"\navailability_zone = \"a\"\nlisten = \"" + at + ":"
+                + std::to_string(m_base + 2) + "\"\nreadiness = \"" + at + ":"
+                + std::to_string(m_base + 3) + "\"\npeer_address = \"" + at + "\"\npeer_port = "
+                + std::to_string(m_base) + "\nadmission_port = " + std::to_string(m_base + 1)
+                + "\nagent_port = " + std::to_string(m_base + 1)
+                + "\n[platform]\naddress = \"127.0.0.1:" + std::to_string(m_proxies.back()->port())
+                + "\"\n[bounds]\nkey_revocation_ms = 5000\nshutdown_timeout_ms = 3000\n";
+        m_programs.push_back(std::make_unique<Program>(CORNELSHED_BINARY_DIR "/cornelshed-gatewayd",
+                                                       settingsFile(name, text),
+                                                       m_folder.file(name + ".log")));
+    }
+
+    void injectFault()
+    {
+        Program &program = *m_programs[m_random.below(m_programs.size())];
+        FaultProxy &proxy = *m_proxies[m_random.below(m_proxies.size())];
+        const auto pause = std::chrono::milliseconds(50 + m_random.below(500));
+        switch (m_random.below(8)) {
+        case 0:
+            program.restart(SIGKILL);
+            break;
+        case 1:
+            program.restart(SIGTERM);
+            break;
+        case 2:
+        case 3:
+            program.signal(SIGSTOP);
+            std::this_thread::sleep_for(pause);
+            program.signal(SIGCONT);
+            break;
+        default:
+            // Overlaps with what comes next.
+            proxy.set(static_cast<ProxyFault>(1 + m_random.below(4)));
+            std::this_thread::sleep_for(pause / 2);
+            if (m_random.below(2) == 0)
+                proxy.set(ProxyFault::None);
+            break;
+        }
+        if (m_random.below(3) == 0) {
+            for (const auto &it : m_proxies)
+                it->set(ProxyFault::None);
+        }
+    }
+
+    // One caller; uses its connection until it is gone.
+    void call(int n)
+    {
+        std::unique_ptr<Caller> caller;
+        const char *const paths[] = {"/order/", "/look/", "/quote/"};
+        for (int i = 0; !m_stopped; ++i) {
+            const std::string id =
+                    std::to_string(m_seed) + "-" + std::to_string(n) + "-" + std::to_string(i);
+            const std::string path = paths[i % 3];
+            try {
+                if (!caller)
+                    caller = std::make_unique<Caller>(static_cast<std::uint16_t>(m_base + 2),
+                                                      gatewayAddress((n + i) % gatewayCount));
+                caller->send("POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: "
+                             + id + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
+                             + "Content-Length: 2\r\n\r\nab");
+                const CallerAnswer answer = caller->receive();
+                check(id, path, answer);
+                if (answer.status == 0 || !answer.keepAlive)
+                    caller = nullptr;
+            } catch (const std::exception &) {
+                caller = nullptr; // the gateway is down
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+    }
+
+    void check(const std::string &id, const std::string &path, const CallerAnswer &answer)
+    {
+        const int runs = m_runs.of(id);
+        if (path == "/order/" && runs > 1)
+            report(id + " ran " + std::to_string(runs) + " times");
+        if (answer.status == 503 || answer.status == 429) {
+            const std::lock_guard lock(m_mutex);
+            m_refused.emplace_back(id, path);
+        }
+        if (answer.status != 200)
+            return;
+        ++m_answered;
+        std::string expected = id;
+        if (path == "/quote/") {
+            expected.clear();
+            for (int n = 1; n <= streamEvents; ++n)
+                expected += eventText(n, id);
+        }
+        if (answer.body != expected)
+            report(id + " got another or an incomplete answer: " + answer.body);
+    }
+
+    // Not run, and never later.
+    void checkRefusals()
+    {
+        for (const auto &[id, path] : m_refused) {
+            if (path == "/order/" && m_runs.of(id) > 0)
+                report(id + " was refused as not run, and ran");
+        }
+    }
+
+    void report(const std::string &problem)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_problems.push_back(problem);
+    }
+
+    std::uint64_t m_seed;
+    SeededRandom m_random;
+    demo::TemporaryFolder m_folder;
+    Runs m_runs;
+    std::vector<std::unique_ptr<BackendStub>> m_servers;
+    std::unique_ptr<Store> m_store;
+    std::unique_ptr<BackendStub> m_storeServer;
+    std::vector<std::unique_ptr<FaultProxy>> m_proxies; // of the servers, then of the store
+    std::vector<std::unique_ptr<Program>> m_programs;
+    std::uint16_t m_base = 0;
+    std::atomic<bool> m_stopped {false};
+    std::atomic<int> m_answered {0};
+    bool m_recovered = false;
+    std::mutex m_mutex; // guards the following
+    std::vector<std::pair<std::string, std::string>> m_refused;
+    std::vector<std::string> m_problems;
+};
+
+} // namespace
+
+TEST_CASE("faults of processes and connections break no promise to callers")
+{
+    const std::uint64_t first = parameter("CORNELSHED_SOAK_SEED", 1);
+    const std::uint64_t count = parameter("CORNELSHED_SOAK_SEEDS", 1);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("seed " << seed);
+        Soak soak(seed);
+        soak.run();
+        for (const std::string &it : soak.problems())
+            FAIL_CHECK(it);
+        if (!soak.problems().empty() || !soak.recovered())
+            soak.keepLogs();
+        CHECK(soak.answered() > 50);
+        CHECK(soak.recovered());
+    }
+}
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -38,9 +38,10 @@
     ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
 }
 
-void connectLoopback(Tcp::socket &socket, std::uint16_t port)
+void connectLoopback(Tcp::socket &socket, std::uint16_t port,
+                     const std::string &address = "127.0.0.1")
 {
-    socket.connect({asio::ip::address_v4::loopback(), port});
+    socket.connect({asio::ip::make_address(address), port});
     socket.set_option(Tcp::no_delay(true));
     limitReceiving(socket);
 }
@@ -275,9 +276,9 @@
     boost::beast::flat_buffer m_buffer;
 };
 
-Caller::Caller(std::uint16_t port) : d(std::make_unique<Private>())
+Caller::Caller(std::uint16_t port, const std::string &address) : d(std::make_unique<Private>())
 {
-    connectLoopback(d->m_socket, port);
+    connectLoopback(d->m_socket, port, address);
 }
 
 Caller::~Caller() = default;
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -111,7 +111,7 @@
 class Caller
 {
 public:
-    explicit Caller(std::uint16_t port);
+    explicit Caller(std::uint16_t port, const std::string &address = "127.0.0.1");
     ~Caller();
 
     void send(std::string_view bytes);
