--- a/src/daemonoptions.h
+++ b/src/daemonoptions.h
@@ -3,10 +3,13 @@
 #ifndef CORNELSHED_DAEMONOPTIONS_H
 #define CORNELSHED_DAEMONOPTIONS_H
 
+#include "tomlreader.h"
 #include "types.h"
 
+#include <iostream>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornelshed {
@@ -38,6 +41,27 @@
 // Reads a whole file; nothing if it cannot be read.
 std::optional<std::string> readTextFile(const std::string &path);
 
+// Reads and parses the settings file; problems are printed, and the status to exit with is
+// returned.
+template<typename Settings>
+Result<Settings, DaemonStatus>
+loadSettings(const DaemonOptions &options,
+             Result<Settings, TomlProblems> (*parse)(std::string_view, const std::string &))
+{
+    const auto text = readTextFile(options.settingsFile);
+    if (!text) {
+        std::cerr << options.settingsFile << ": cannot be read\n";
+        return DaemonStatus::SettingsError;
+    }
+    auto settings = parse(*text, options.settingsFile);
+    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
+        for (const TomlProblem &it : *problems)
+            std::cerr << it.toString() << '\n';
+        return DaemonStatus::SettingsError;
+    }
+    return std::get<Settings>(std::move(settings));
+}
+
 // Reads and checks the state charts that daemons interpret; returns the problems.
 std::vector<std::string> checkStateCharts(const std::string &directory);
 
--- a/src/entryd_main.cpp
+++ b/src/entryd_main.cpp
@@ -40,17 +40,9 @@
     if (const auto *status = std::get_if<DaemonStatus>(&parsed))
         return static_cast<int>(*status);
     const auto &options = std::get<DaemonOptions>(parsed);
-    const auto text = readTextFile(options.settingsFile);
-    if (!text) {
-        std::cerr << options.settingsFile << ": cannot be read\n";
-        return static_cast<int>(DaemonStatus::SettingsError);
-    }
-    const auto settings = parseEntrySettings(*text, options.settingsFile);
-    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
-        for (const TomlProblem &it : *problems)
-            std::cerr << it.toString() << '\n';
-        return static_cast<int>(DaemonStatus::SettingsError);
-    }
+    const auto settings = loadSettings(options, parseEntrySettings);
+    if (const auto *failure = std::get_if<DaemonStatus>(&settings))
+        return static_cast<int>(*failure);
     const int status = check(std::get<EntrySettings>(settings));
     if (status != 0 || options.checkOnly)
         return status;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway.h"
 
-#include "admissionsocket.h"
+#include "agentlink.h"
 #include "callerchannel.h"
 #include "eventlog.h"
 #include "gatewayexchange.h"
@@ -52,10 +52,6 @@
 constexpr Duration shutdownMargin = 300ms;
 // How often a shutdown checks whether the last answers are written.
 constexpr Duration drainCheckInterval = 20ms;
-// Slots held at agents are renewed this often, a few times in a lease; every so many renewals, all
-// hosts of backend servers are asked whether an agent is there.
-constexpr Duration renewInterval = 150ms;
-constexpr std::uint64_t helloRenewals = 7;
 // Organisations' ranks go before routes'.
 constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
 
@@ -92,7 +88,9 @@
                                           "From a request's arrival to its first event")),
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
                                       "From a request's arrival to the end of its answer")),
-          allowances(settings.allowanceWindow, settings.allowanceTolerance), renewTimer(given)
+          allowances(settings.allowanceWindow, settings.allowanceTolerance),
+          agents(given, scheduler, settings.incarnation, settings.agentPort,
+                 [this] { advance(monotonicNow()); })
     {
         // The metrics' text is made on the traffic thread.
         metrics.gauge("cornelshed_gateway_waiting", "Requests that wait for a backend server",
@@ -302,8 +300,10 @@
                     startRequest(*start);
                 else if (const auto *refusal = std::get_if<RefuseAction>(&action))
                     refuseRequest(*refusal);
+                else if (const auto *ask = std::get_if<AskAction>(&action))
+                    agents.ask(*ask, now);
                 else
-                    sendAdmission(action, now);
+                    agents.release(std::get<ReleaseAction>(action));
             }
         } while (advanceAgain);
         advancing = false;
@@ -333,81 +333,6 @@
         kept->refused(action);
     }
 
-    // --- admission agents ---
-
-    void sendAdmission(const DirectAction &action, Instant now)
-    {
-        if (const auto *ask = std::get_if<AskAction>(&action)) {
-            const Duration wait = ask->request.waitUntil - now;
-            sendToAgent(ask->backend.id,
-                        SlotAsk {{settings.incarnation, ask->request.id.sequence},
-                                 ask->request.order,
-                                 ask->request.leaveFree,
-                                 ask->backend.slots,
-                                 ask->coldRate,
-                                 wait});
-        } else if (const auto *release = std::get_if<ReleaseAction>(&action)) {
-            sendToAgent(release->backend,
-                        SlotRelease {{settings.incarnation, release->request.sequence}});
-        }
-    }
-
-    void sendToAgent(const std::string &backend, const AdmissionMessage &message)
-    {
-        const auto entry = backends.find(backend);
-        if (entry == backends.end() || settings.agentPort == 0)
-            return;
-        boost::system::error_code ec;
-        const auto address = asio::ip::make_address(entry->second.address, ec);
-        if (!ec)
-            admission->send(message, {address, settings.agentPort});
-    }
-
-    void receiveAdmission(const AdmissionMessage &message,
-                          const detail::AdmissionSocket::Endpoint &sender)
-    {
-        const auto backend = backendOfHost.find(sender.address().to_string());
-        if (backend == backendOfHost.end())
-            return;
-        const Instant now = monotonicNow();
-        if (const auto *granted = std::get_if<SlotGranted>(&message)) {
-            if (granted->key.gateway != settings.incarnation)
-                return;
-            scheduler.granted({settings.incarnation, granted->key.sequence}, backend->second, now);
-            advance(now);
-        } else if (const auto *queued = std::get_if<SlotQueued>(&message)) {
-            if (queued->key.gateway == settings.incarnation)
-                scheduler.queuedAt({settings.incarnation, queued->key.sequence}, backend->second,
-                                   queued->ahead, now);
-        } else if (std::holds_alternative<AgentPresent>(message)) {
-            scheduler.agentHeard(backend->second, now);
-        }
-    }
-
-    // Renews what runs, and finds out about agents.
-    void renewSlots()
-    {
-        const auto running = scheduler.runningByBackend();
-        const bool all = ++renewals % helloRenewals == 0;
-        for (const auto &[id, entry] : backends) {
-            const auto it = running.find(id);
-            if (it == running.end() && !all)
-                continue;
-            SlotRenewal renewal {settings.incarnation, {}};
-            if (it != running.end()) {
-                for (const RequestId &request : it->second)
-                    renewal.sequences.push_back(request.sequence);
-            }
-            sendToAgent(id, renewal);
-        }
-        renewTimer.expires_after(renewInterval);
-        renewTimer.async_wait([weak = weak_from_this()](auto ec) {
-            const auto self = weak.lock();
-            if (!ec && self)
-                self->renewSlots();
-        });
-    }
-
     void armDueTimer(Instant now)
     {
         const Instant due = scheduler.nextDue();
@@ -556,9 +481,7 @@
             entry = {std::make_unique<BackendClient>(ioContext, it.address, it.port, client),
                      it.address, it.port, it.startedAtMs};
         }
-        backendOfHost.clear();
-        for (const BackendRecord &it : state->backends)
-            backendOfHost[it.address] = it.id;
+        agents.setBackends(state->backends);
         std::erase_if(backends, [&](const auto &it) {
             const bool gone = !listed.contains(it.first);
             if (gone)
@@ -671,11 +594,8 @@
     std::unordered_map<std::string, WindowedBudget> repeatBudgets; // by service
     std::unordered_map<std::string, std::set<TierRank>> ranksOfService;
     std::shared_ptr<const DeploymentState> state;
-    std::unordered_map<std::string, BackendEntry> backends;     // by id
-    std::unordered_map<std::string, std::string> backendOfHost; // id by IP address
-    std::shared_ptr<detail::AdmissionSocket> admission;
-    asio::steady_timer renewTimer;
-    std::uint64_t renewals = 0;
+    std::unordered_map<std::string, BackendEntry> backends; // by id
+    AgentLink agents;
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges;
     std::vector<std::weak_ptr<CallerChannel>> channels;
     GossipView view;
@@ -703,9 +623,6 @@
 Gateway::~Gateway()
 {
     d->dueTimer.cancel();
-    d->renewTimer.cancel();
-    if (d->admission)
-        d->admission->close();
     d->drainTimer.cancel();
     d->limitTimer.cancel();
     d->listener->stop();
@@ -726,18 +643,7 @@
 
 std::optional<std::string> Gateway::openAdmission(const std::string &address, std::uint16_t port)
 {
-    const std::weak_ptr<Private> weak = d;
-    d->admission = std::make_shared<detail::AdmissionSocket>(
-            d->ioContext,
-            [weak](const AdmissionMessage &message,
-                   const detail::AdmissionSocket::Endpoint &sender) {
-                if (const auto self = weak.lock())
-                    self->receiveAdmission(message, sender);
-            });
-    if (auto problem = d->admission->open(address, port))
-        return problem;
-    d->renewSlots();
-    return std::nullopt;
+    return d->agents.open(address, port);
 }
 
 void Gateway::reload(const GatewayTraffic &settings)
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -261,17 +261,9 @@
     if (const auto *status = std::get_if<DaemonStatus>(&parsed))
         return static_cast<int>(*status);
     const auto &options = std::get<DaemonOptions>(parsed);
-    const auto text = readTextFile(options.settingsFile);
-    if (!text) {
-        std::cerr << options.settingsFile << ": cannot be read\n";
-        return static_cast<int>(DaemonStatus::SettingsError);
-    }
-    const auto settings = parseGatewaySettings(*text, options.settingsFile);
-    if (const auto *problems = std::get_if<TomlProblems>(&settings)) {
-        for (const TomlProblem &it : *problems)
-            std::cerr << it.toString() << '\n';
-        return static_cast<int>(DaemonStatus::SettingsError);
-    }
+    const auto settings = loadSettings(options, parseGatewaySettings);
+    if (const auto *failure = std::get_if<DaemonStatus>(&settings))
+        return static_cast<int>(*failure);
     if (options.checkOnly)
         return static_cast<int>(DaemonStatus::Success);
     LogWriter log;
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -164,11 +164,12 @@
     add(account, 0);
 }
 
-// The debt of what several daemons took at once is bounded, so that it is paid back.
+// What several daemons took at once before they heard of each other is paid back; the debt is
+// bounded by a window's worth, which no rule looks beyond.
 void TokenAllowances::add(Account &account, double amount) const
 {
     for (Bucket *it : {&account.strict, &account.tolerant})
-        it->level = std::clamp(it->level + amount, -it->size, m_share * it->size);
+        it->level = std::clamp(it->level + amount, -it->perWindow, m_share * it->size);
 }
 
 } // namespace cornelshed
--- a/src/tokenallowance.h
+++ b/src/tokenallowance.h
@@ -78,7 +78,7 @@
     {
         double perWindow = 0; // what any window may take
         double size = 0;
-        double level = 0; // invariant: in [-size, size]
+        double level = 0; // invariant: in [-perWindow, size]
     };
     struct Account
     {
--- a/test/correctness/tokenallowance.cpp
+++ b/test/correctness/tokenallowance.cpp
@@ -127,10 +127,10 @@
     double most = 0;
     for (int i = 0; i < 6000; ++i) {
         const Instant now = start + i * 5ms;
-        // Three times the rate, spread evenly.
+        // Six times the rate, spread evenly.
         auto &taker = all[static_cast<std::size_t>(i) % daemons];
-        if (taker.tryTake("acme", 15, true, now))
-            sum.add(now, 15);
+        if (taker.tryTake("acme", 30, true, now))
+            sum.add(now, 30);
         most = std::max(most, sum.sum());
         for (std::size_t from = 0; i % 46 == 0 && from < daemons; ++from) {
             for (std::size_t to = 0; to < daemons; ++to) {
