--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -223,7 +223,8 @@
         m_storeServer = std::make_unique<BackendStub>(m_store->script());
         m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0.1", m_storeServer->port()));
         // Ports differ from run to run, so that tests beside each other do not meet.
-        m_base = static_cast<std::uint16_t>(21000 + (::getpid() * 16 + seed * 8) % 10000);
+        m_base = static_cast<std::uint16_t>(
+                21000 + (static_cast<std::uint64_t>(::getpid()) * 16 + seed * 8) % 10000);
         for (int n = 0; n < serverCount; ++n)
             startAgent(n);
         for (int n = 0; n < gatewayCount; ++n)
@@ -233,6 +234,7 @@
     void run()
     {
         std::vector<std::thread> callers;
+        callers.reserve(callerCount);
         for (int n = 0; n < callerCount; ++n)
             callers.emplace_back([this, n] { call(n); });
         std::this_thread::sleep_for(1s);
@@ -332,16 +334,18 @@
         std::unique_ptr<Caller> caller;
         const char *const paths[] = {"/order/", "/look/", "/quote/"};
         for (int i = 0; !m_stopped; ++i) {
-            const std::string id =
-                    std::to_string(m_seed) + "-" + std::to_string(n) + "-" + std::to_string(i);
+            std::string id = std::to_string(m_seed);
+            id.append("-").append(std::to_string(n)).append("-").append(std::to_string(i));
             const std::string path = paths[i % 3];
             try {
                 if (!caller)
                     caller = std::make_unique<Caller>(static_cast<std::uint16_t>(m_base + 2),
                                                       gatewayAddress((n + i) % gatewayCount));
-                caller->send("POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: "
-                             + id + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
-                             + "Content-Length: 2\r\n\r\nab");
+                std::string text = "POST ";
+                text.append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ");
+                text.append(id).append("\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
+                                       "Content-Length: 2\r\n\r\nab");
+                caller->send(text);
                 const CallerAnswer answer = caller->receive();
                 check(id, path, answer);
                 if (answer.status == 0 || !answer.keepAlive)
