Hosts that freeze with their agents: trials in turn over all gateways

Besides, a caller that left counted as a sign of life, so that the next request was tried at once.

Ruled out: fewer asks or a longer pause at each gateway; the number of trials still grows with the gateways.

Change: the signs of life of a backend server and its agent are a part of their own (signsoflife). Gateways take turns to try a silent host and report in the gossip whether it is silent or answers without its agent.

With turns, reports and the abandoned case off two of the three new tests fail; the third guards the other side, hosts that answer without an agent.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -9,6 +9,7 @@
   backend @0 :UInt64;       # digest of the backend server's id
   running @1 :UInt32;       # requests of the sender on it
   promptTokens @2 :UInt64;  # of those without a first event
+  sign @3 :UInt8;           # 0: none, 1: answers without its agent, 2: silent (src/signsoflife.h)
 }
 
 struct GossipAllowance {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -128,6 +128,8 @@
 
   inline  ::uint64_t getPromptTokens() const;
 
+  inline  ::uint8_t getSign() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -165,6 +167,9 @@
   inline  ::uint64_t getPromptTokens();
   inline void setPromptTokens( ::uint64_t value);
 
+  inline  ::uint8_t getSign();
+  inline void setSign( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -624,6 +629,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t GossipLoad::Reader::getSign() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t GossipLoad::Builder::getSign() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void GossipLoad::Builder::setSign( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipAllowance::Reader::getOrganisation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -21,9 +21,9 @@
 // A backend server that broke a connection may have restarted; until its record tells, it is held
 // to the rate of a cold one.
 constexpr Duration suspectTime = 3s;
-// A backend server from which nothing was heard is left alone for this time, or until its agent or
-// one of its answers is heard.
-constexpr Duration silentPause = 1500ms;
+// Between the turns of two daemons to try a backend server whose agent is silent, for each daemon:
+// reports of peers come once in up to 10 ms for each of them (see peergossip.cpp).
+constexpr Duration trialTurnPerDaemon = 15ms;
 // After a refusal for lack of room, when the next request is tried.
 constexpr Duration fullPause = 40ms;
 // Share of the prompt that a backend server reads although it ran the session's last request.
@@ -36,12 +36,9 @@
 constexpr double slownessLimit = 10;
 // At most this part of the slots of a backend server is left free for higher ranks.
 constexpr std::uint32_t reserveDivisor = 3;
-// An agent is there if it was heard within this time; it is asked for signs of life more often.
-constexpr Duration agentTime = 10s;
 // An ask without an answer is repeated once after this time; then the agent counts as silent and
 // its backend server is used without it.
 constexpr Duration askAnswerTime = 25ms;
-constexpr Duration agentSilence = 1s;
 // Backend servers asked at once, in all, and the time after which one more is asked.
 constexpr std::size_t firstAsks = 3;
 constexpr std::size_t askLimit = 8;
@@ -87,15 +84,13 @@
         std::uint64_t unreadPromptTokens = 0; // own, of requests without a first event
         std::uint32_t peerRunning = 0;
         std::uint64_t peerPromptTokens = 0;
-        double slowness = 1; // time over the service's mean
+        std::uint32_t peersSilent = 0; // peers whose last report says Silent
+        double slowness = 1;           // time over the service's mean
         Instant coldUntil {};
         Instant fullUntil {};
-        Instant avoidUntil {};        // nothing was heard from it
-        std::uint32_t unanswered = 0; // own requests without a first event or an end
-        bool misdirected = false;     // its address is another's; until its record changes
-        std::deque<Instant> starts;   // own, of the last second
-        Instant agentHeardAt = Instant::min();
-        Instant agentSilentUntil = Instant::min(); // asks were not answered
+        bool misdirected = false;   // its address is another's; until its record changes
+        std::deque<Instant> starts; // own, of the last second
+        SignsOfLife signs;
     };
     // An ask for a slot under way.
     struct Ask
@@ -152,6 +147,7 @@
                 continue;
             it->second->peerRunning += sign * load.running;
             it->second->peerPromptTokens += sign * load.promptTokens;
+            it->second->peersSilent += load.sign == BackendSign::Silent ? sign : 0;
         }
     }
 
@@ -160,6 +156,7 @@
         for (auto &[id, backend] : backends) {
             backend.peerRunning = 0;
             backend.peerPromptTokens = 0;
+            backend.peersSilent = 0;
         }
         for (const auto &[id, peer] : peers)
             applyPeer(peer, 1);
@@ -207,7 +204,8 @@
     {
         const std::uint32_t slots = backend.record.slots;
         const std::uint32_t reserve = std::min(request.leaveFree, slots / reserveDivisor);
-        if (!mayUse(backend) || hasAgent(backend, now) || mayBeSilent(backend, now)
+        if (!mayUse(backend) || backend.signs.hasAgent(now)
+            || backend.signs.mayBeSilent(turnDelay(backend), backend.peersSilent, now)
             || backend.running + backend.peerRunning + reserve >= slots || backend.fullUntil > now
             || request.excluded.contains(backend.record.id))
             return false;
@@ -216,26 +214,18 @@
                 && bearsOneMore(backend, service, now);
     }
 
-    static bool hasAgent(const Backend &backend, Instant now)
+    // How long after a sign of silence this daemon's turn to try the backend server comes.
+    Duration turnDelay(const Backend &backend) const
     {
-        return backend.agentHeardAt != Instant::min() && now - backend.agentHeardAt < agentTime
-                && backend.agentSilentUntil <= now;
-    }
-
-    // A backend server whose agent has fallen silent may be frozen or cut off with it: it gets one
-    // request at a time until that one is answered. One that was silent itself gets none for a
-    // while.
-    static bool mayBeSilent(const Backend &backend, Instant now)
-    {
-        const bool agentLost = backend.agentHeardAt != Instant::min() && !hasAgent(backend, now);
-        return backend.avoidUntil > now || (agentLost && backend.unanswered > 0);
+        const auto turn = static_cast<std::int64_t>((daemonPlace + backend.digest) % daemonCount);
+        return turn * trialTurnPerDaemon * static_cast<std::int64_t>(daemonCount);
     }
 
     // Whether the agent of the backend server is to be asked for the request.
     bool mayAsk(const Backend &backend, const Waiting &waiting, Instant now) const
     {
         const OutlierState state = outliers.state(backend.slot);
-        return mayUse(backend) && hasAgent(backend, now) && backend.fullUntil <= now
+        return mayUse(backend) && backend.signs.hasAgent(now) && backend.fullUntil <= now
                 && (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
                 && !waiting.request.excluded.contains(backend.record.id)
                 && !waiting.asks.contains(backend.record.id);
@@ -295,7 +285,7 @@
     void start(Backend &backend, const DirectRequest &request, Instant now)
     {
         ++backend.running;
-        ++backend.unanswered;
+        backend.signs.requestStarted();
         backend.unreadPromptTokens += request.promptTokens;
         backend.starts.push_back(now);
         while (backend.starts.front() + 1s <= now)
@@ -370,7 +360,7 @@
             }
             if (!ask.ahead && now >= ask.askedAt + askAnswerTime) {
                 if (ask.repeated) {
-                    backend->second.agentSilentUntil = now + agentSilence;
+                    backend->second.signs.agentUnanswered(now);
                     it = waiting.asks.erase(it);
                     continue;
                 }
@@ -437,7 +427,7 @@
     static bool anyAgent(const Service &service, Instant now)
     {
         return std::any_of(service.backends.begin(), service.backends.end(),
-                           [&](const Backend *it) { return hasAgent(*it, now); });
+                           [&](const Backend *it) { return it->signs.hasAgent(now); });
     }
 
     using Queue = std::map<std::pair<std::uint64_t, std::uint64_t>, Waiting>;
@@ -564,14 +554,20 @@
     d->applyPeer(state, -1);
     state = {loads, now};
     d->applyPeer(state, 1);
+    for (const PeerLoad &load : loads) {
+        const auto it = d->backendOfDigest.find(load.backendDigest);
+        if (it != d->backendOfDigest.end())
+            it->second->signs.peerReported(load.sign, now);
+    }
 }
 
-std::vector<PeerLoad> DirectScheduler::ownLoads() const
+std::vector<PeerLoad> DirectScheduler::ownLoads(Instant now) const
 {
     std::vector<PeerLoad> loads;
     for (const auto &[id, backend] : d->backends) {
-        if (backend.running > 0)
-            loads.push_back({backend.digest, backend.running, backend.unreadPromptTokens});
+        const BackendSign sign = backend.signs.ownSign(now);
+        if (backend.running > 0 || sign != BackendSign::None)
+            loads.push_back({backend.digest, backend.running, backend.unreadPromptTokens, sign});
     }
     return loads;
 }
@@ -600,9 +596,7 @@
     const auto it = d->backends.find(backend);
     if (it == d->backends.end())
         return;
-    it->second.agentHeardAt = now;
-    it->second.agentSilentUntil = Instant::min();
-    it->second.avoidUntil = {};
+    it->second.signs.agentHeard(now);
 }
 
 void DirectScheduler::granted(const RequestId &id, const std::string &backend, Instant now)
@@ -679,7 +673,7 @@
     return due;
 }
 
-void DirectScheduler::firstEvent(const RequestId &id)
+void DirectScheduler::firstEvent(const RequestId &id, Instant now)
 {
     const auto it = d->startedRequests.find(id);
     if (it == d->startedRequests.end() || it->second.firstEventSeen)
@@ -687,8 +681,7 @@
     it->second.firstEventSeen = true;
     Private::Backend &backend = d->backends[it->second.backend];
     backend.unreadPromptTokens -= it->second.promptTokens;
-    --backend.unanswered;
-    backend.avoidUntil = {};
+    backend.signs.requestHeard(now);
 }
 
 void DirectScheduler::ended(const RequestId &id, const AttemptReport &report, Instant now)
@@ -696,17 +689,25 @@
     const auto it = d->startedRequests.find(id);
     if (it == d->startedRequests.end())
         return;
-    firstEvent(id);
     const Private::Started started = it->second;
     d->startedRequests.erase(it);
     Private::Backend &backend = d->backends[started.backend];
     --backend.running;
-    if (backend.agentHeardAt != Instant::min())
+    const bool silent = report.outcome == AttemptOutcome::Silent;
+    if (!started.firstEventSeen) {
+        backend.unreadPromptTokens -= started.promptTokens;
+        if (silent || report.outcome == AttemptOutcome::Abandoned
+            || report.outcome == AttemptOutcome::Broken)
+            backend.signs.requestUnheard(silent, now);
+        else
+            backend.signs.requestHeard(now);
+    } else if (silent) {
+        backend.signs.streamSilent(now);
+    }
+    if (backend.signs.hadAgent())
         d->pending.emplace_back(ReleaseAction {id, started.backend});
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullPause;
-    if (report.outcome == AttemptOutcome::Silent)
-        backend.avoidUntil = now + silentPause;
     if (report.outcome == AttemptOutcome::Misdirected)
         backend.misdirected = true;
     if (report.outcome == AttemptOutcome::Broken)
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -13,6 +13,7 @@
 #define CORNELSHED_DIRECTSCHEDULER_H
 
 #include "backendrecord.h"
+#include "signsoflife.h"
 #include "types.h"
 
 #include <cstdint>
@@ -49,6 +50,7 @@
     std::uint64_t backendDigest = 0; // stableDigest() of its id
     std::uint32_t running = 0;
     std::uint64_t promptTokens = 0; // of requests without a first event
+    BackendSign sign = BackendSign::None;
 
     auto operator<=>(const PeerLoad &) const = default;
 };
@@ -146,7 +148,7 @@
     void setDaemons(std::uint32_t count, std::uint32_t place);
 
     void peerReport(std::uint64_t peer, const std::vector<PeerLoad> &loads, Instant now);
-    std::vector<PeerLoad> ownLoads() const;
+    std::vector<PeerLoad> ownLoads(Instant now) const;
 
     // Queues the request; advance() places it.
     void add(DirectRequest request);
@@ -170,7 +172,7 @@
     Instant nextDue() const;
 
     // A started request: its first event or answer arrived; it ended.
-    void firstEvent(const RequestId &id);
+    void firstEvent(const RequestId &id, Instant now);
     void ended(const RequestId &id, const AttemptReport &report, Instant now);
 
     std::optional<BackendRecord> backend(const std::string &id) const;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -376,7 +376,7 @@
         advance(now);
     }
 
-    void firstEvent(const RequestId &id) override { scheduler.firstEvent(id); }
+    void firstEvent(const RequestId &id) override { scheduler.firstEvent(id, monotonicNow()); }
 
     void attemptEnded(const RequestId &id, const AttemptReport &report) override
     {
@@ -683,7 +683,7 @@
             ++d->reports,
             d->draining,
             monotonicNow() - d->startedAt,
-            d->scheduler.ownLoads(),
+            d->scheduler.ownLoads(monotonicNow()),
             d->allowances.ownTotals(),
             {d->freshness.share(RowTable::Orders, sinceBoot),
              d->freshness.share(RowTable::Backends, sinceBoot)}};
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -36,6 +36,13 @@
 // Own reports whose sending times are kept for echoes; older ones would prove little.
 constexpr std::size_t sentTimesKept = 64;
 
+// Values of later releases tell nothing.
+BackendSign signOf(std::uint8_t value)
+{
+    return value <= static_cast<std::uint8_t>(BackendSign::Silent) ? BackendSign(value)
+                                                                   : BackendSign::None;
+}
+
 } // namespace
 
 std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes)
@@ -52,6 +59,7 @@
         loads[i].setBackend(report.loads[i].backendDigest);
         loads[i].setRunning(report.loads[i].running);
         loads[i].setPromptTokens(report.loads[i].promptTokens);
+        loads[i].setSign(static_cast<std::uint8_t>(report.loads[i].sign));
     }
     auto allowances = root.initAllowances(static_cast<unsigned>(report.taken.size()));
     unsigned n = 0;
@@ -89,7 +97,8 @@
         report.leaving = root.getLeaving();
         report.uptime = Duration(root.getUptimeMicros());
         for (const auto it : root.getLoads())
-            report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens()});
+            report.loads.push_back(
+                    {it.getBackend(), it.getRunning(), it.getPromptTokens(), signOf(it.getSign())});
         for (const auto it : root.getAllowances())
             report.taken[it.getOrganisation()] = it.getTaken();
         for (const auto it : root.getEchoes())
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -288,6 +288,129 @@
     CHECK(harness.advance<AskAction>(start + 460ms).size() == 1);
 }
 
+namespace {
+
+// Daemons that share a few backend servers whose agents fall silent at the start, and tell each
+// other by reports; each daemon has a new request every 20 ms.
+class SilentAgents
+{
+public:
+    static constexpr std::uint32_t daemonCount = 24;
+    static constexpr Duration reportInterval = 240ms;
+
+    SilentAgents()
+    {
+        for (std::uint32_t i = 0; i < daemonCount; ++i) {
+            daemons.push_back(std::make_unique<Harness>(records()));
+            daemons.back()->scheduler.setDaemons(daemonCount, i);
+            for (const BackendRecord &it : records())
+                daemons.back()->scheduler.agentHeard(it.id, start);
+        }
+    }
+
+    static std::vector<BackendRecord> records() { return {server("a"), server("b"), server("c")}; }
+
+    // Plays the time; firstEventAfter: of a request, if the hosts answer. Returns the requests that
+    // were started.
+    std::size_t play(Duration length, std::optional<Duration> firstEventAfter)
+    {
+        std::size_t started = 0;
+        std::uint64_t sequence = 0;
+        for (Duration at = 0ms; at < length; at += 10ms) {
+            const Instant now = start + at;
+            for (std::uint32_t i = 0; i < daemonCount; ++i) {
+                DirectScheduler &scheduler = daemons[i]->scheduler;
+                if (at % 20ms == Duration::zero())
+                    scheduler.add(request(++sequence, 0, now));
+                for (const StartAction &it : daemons[i]->advance<StartAction>(now)) {
+                    running.push_back({i, it.request, now, false});
+                    ++started;
+                }
+                const Duration phase = reportInterval * i / daemonCount / 10ms * 10ms;
+                if (at % reportInterval == phase)
+                    report(i, now);
+            }
+            finish(now, firstEventAfter);
+        }
+        return started;
+    }
+
+private:
+    struct Running
+    {
+        std::uint32_t daemon = 0;
+        RequestId id;
+        Instant startedAt {};
+        bool heard = false;
+    };
+
+    void report(std::uint32_t sender, Instant now)
+    {
+        const auto loads = daemons[sender]->scheduler.ownLoads(now);
+        for (std::uint32_t i = 0; i < daemonCount; ++i) {
+            if (i != sender)
+                daemons[i]->scheduler.peerReport(sender, loads, now);
+        }
+    }
+
+    void finish(Instant now, std::optional<Duration> firstEventAfter)
+    {
+        std::erase_if(running, [&](Running &it) {
+            DirectScheduler &scheduler = daemons[it.daemon]->scheduler;
+            const Duration age = now - it.startedAt;
+            if (firstEventAfter && !it.heard && age >= *firstEventAfter) {
+                scheduler.firstEvent(it.id, now);
+                it.heard = true;
+            }
+            const bool answered = it.heard && age >= *firstEventAfter + 150ms;
+            const bool takenBack = !it.heard && age >= 750ms;
+            if (answered)
+                scheduler.ended(it.id, {AttemptOutcome::Answered, age, {}}, now);
+            else if (takenBack)
+                scheduler.ended(it.id, {AttemptOutcome::Silent, age, {}}, now);
+            return answered || takenBack;
+        });
+    }
+
+    std::vector<std::unique_ptr<Harness>> daemons;
+    std::vector<Running> running;
+};
+
+} // namespace
+
+TEST_CASE("many daemons: a host that freezes with its agent gets few requests from all of them")
+{
+    SilentAgents fleet;
+    // In 4 s a host is tried once in the time of a trial and the pause after it (750 ms + 1.5 s),
+    // by up to two daemons whose turns come within one report.
+    CHECK(fleet.play(4s, std::nullopt) <= 3 * 2 * 2);
+}
+
+TEST_CASE("many daemons: hosts that answer without their agents are used by all of them")
+{
+    SilentAgents fleet;
+    // 18 slots of 250 ms each bear 72 requests a second; half of that within the first 4 s, in
+    // which the first answers spread.
+    CHECK(fleet.play(4s, 100ms) >= 4 * 36);
+}
+
+TEST_CASE("a caller that leaves a silent host does not make it be tried again at once")
+{
+    Harness harness({server("a")});
+    harness.scheduler.agentHeard("a", start);
+    std::size_t started = 0;
+    for (Duration at = 0ms; at < 1s; at += 10ms) {
+        const Instant now = start + at;
+        if (at % 100ms == Duration::zero())
+            harness.scheduler.add(request(1 + at / 100ms, 0, now));
+        for (const std::uint64_t it : harness.started(now)) {
+            ++started;
+            harness.scheduler.ended({1, it}, {AttemptOutcome::Abandoned, 0ms, {}}, now);
+        }
+    }
+    CHECK(started == 1);
+}
+
 TEST_CASE("a lost agent alone does not take its backend server away")
 {
     Harness harness({server("a")});
@@ -298,7 +421,7 @@
         harness.scheduler.add(request(n, 0, now));
         for (const std::uint64_t it : harness.started(now)) {
             ++started;
-            harness.scheduler.firstEvent({1, it});
+            harness.scheduler.firstEvent({1, it}, now);
         }
         if (n >= 4)
             harness.scheduler.ended({1, n - 3}, {AttemptOutcome::Answered, 150ms, {}}, now);
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -20,7 +20,7 @@
     report.sequence = 5;
     report.leaving = true;
     report.uptime = Duration(12345);
-    report.loads = {{11, 2, 300}, {12, 1, 0}};
+    report.loads = {{11, 2, 300, BackendSign::Silent}, {12, 1, 0, BackendSign::Heard}, {13, 1, 0}};
     report.taken = {{21, 1000.5}};
     report.proofs[0] = SharedProof {9, Duration(1500)};
     return report;
