Allowances: what the tolerance lends is given always, after all other requests

Since agents grant slots, nearly every request waits for a moment, so the tolerance was hardly ever lent, although the backend servers had room.

Ruled out: the allowance's own size (organisations with a negative level had only taken what was lent before); reports of peers.

Change: a request beyond its organisation's allowance, but within what the tolerance lends, is admitted and ordered after all requests within theirs. The time told with 429 is when that would admit it. allowance_exceeded logs organisation, cost and level.

The new gateway test fails with the order off.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -54,6 +54,8 @@
 constexpr Duration drainCheckInterval = 20ms;
 // Organisations' ranks go before routes'.
 constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
+// Requests beyond their organisation's allowance go after all others.
+constexpr std::uint64_t lentOrder = std::uint64_t {1} << 62U;
 
 std::string retryAfterText(Duration duration)
 {
@@ -180,17 +182,25 @@
             admitted.organisation = organisation->name;
             admitted.allowanceCost = costOf(*organisation, admitted.facts);
             organisationRank = organisation->rank;
-            if (!allowances.tryTake(organisation->name, admitted.allowanceCost,
-                                    scheduler.waiting() == 0, now)) {
-                const Duration wait =
-                        allowances.timeUntil(organisation->name, admitted.allowanceCost, now);
+            const std::string &name = organisation->name;
+            const double cost = admitted.allowanceCost;
+            const bool within = allowances.tryTake(name, cost, false, now);
+            if (!within)
+                admitted.order += lentOrder;
+            if (!within && !allowances.tryTake(name, cost, true, now)) {
+                const Duration wait = allowances.timeUntil(name, cost, now);
+                EventLog("allowance_exceeded", EventLevel::Warning)
+                        .field("request", admitted.facts.requestId)
+                        .field("organisation", name)
+                        .field("cost", cost)
+                        .field("level", allowances.level(name, true, now));
                 return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
                               std::max<Duration>(wait, leastAllowanceRetryAfter));
             }
         }
         admitted.id = {settings.incarnation, ++sequence};
         admitted.service = chooseService(route, admitted.facts.requestId);
-        admitted.order = organisationRank * organisationRankWeight + route.rank;
+        admitted.order += organisationRank * organisationRankWeight + route.rank;
         admitted.leaveFree = std::min(higherRanks(admitted.service, route.rank), 1U);
         const Duration caller = admitted.facts.remaining.value_or(usualTimeLimit);
         const Duration limit =
--- a/src/tokenallowance.cpp
+++ b/src/tokenallowance.cpp
@@ -67,7 +67,7 @@
         resize(account);
 }
 
-bool TokenAllowances::tryTake(const std::string &organisation, double cost, bool spare, Instant now)
+bool TokenAllowances::tryTake(const std::string &organisation, double cost, bool lend, Instant now)
 {
     const auto it = m_accounts.find(organisation);
     if (it == m_accounts.end())
@@ -75,7 +75,7 @@
     Account &account = it->second;
     if (account.allowance.perSecond > 0) {
         refill(account, now);
-        const Bucket &bucket = spare ? account.tolerant : account.strict;
+        const Bucket &bucket = lend ? account.tolerant : account.strict;
         if (bucket.level < needed(bucket, cost))
             return false;
         add(account, -cost);
@@ -91,12 +91,21 @@
         return {};
     Account &account = it->second;
     refill(account, now);
-    const Bucket &bucket = account.strict;
+    const Bucket &bucket = account.tolerant;
     const double missing = std::max(needed(bucket, cost) - bucket.level, 0.0);
     return std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(missing / refillRate(bucket)));
 }
 
+double TokenAllowances::level(const std::string &organisation, bool lend, Instant now)
+{
+    const auto it = m_accounts.find(organisation);
+    if (it == m_accounts.end())
+        return 0;
+    refill(it->second, now);
+    return lend ? it->second.tolerant.level : it->second.strict.level;
+}
+
 void TokenAllowances::giveBack(const std::string &organisation, double cost)
 {
     const auto it = m_accounts.find(organisation);
--- a/src/tokenallowance.h
+++ b/src/tokenallowance.h
@@ -19,8 +19,7 @@
 namespace cornelshed {
 
 // What may pass beyond the allowances in a window, over all daemons, before a deployment counts it
-// as a violation. It absorbs the lag of reports; what is left of it is lent while nothing else
-// waits.
+// as a violation. It absorbs the lag of reports; what is left of it is lent.
 struct AllowanceTolerance
 {
     double share = 0;    // of the allowance
@@ -55,12 +54,16 @@
     void setReportLag(Duration lag);
 
     // Takes the cost if the bucket holds it; a cost above the bucket's size passes on a full one.
-    // spare: nothing else waits, so that part of the tolerance may be lent.
-    bool tryTake(const std::string &organisation, double cost, bool spare, Instant now);
+    // lend: whether part of the tolerance may be used, for a request that goes after those of
+    // organisations within their allowance.
+    bool tryTake(const std::string &organisation, double cost, bool lend, Instant now);
 
-    // Time until tryTake() of the cost may succeed; 0 if it would now.
+    // Time until tryTake() of the cost, with lending, may succeed; 0 if it would now.
     Duration timeUntil(const std::string &organisation, double cost, Instant now);
 
+    // Tokens that may be taken now; negative: a debt. 0 for an unknown organisation.
+    double level(const std::string &organisation, bool lend, Instant now);
+
     // Returns what tryTake() took, for a request that was not sent to a backend server.
     void giveBack(const std::string &organisation, double cost);
 
--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -253,6 +253,52 @@
     CHECK(std::stod(value(answer.headers, "Retry-After")) > 0);
 }
 
+TEST_CASE("beyond its allowance an organisation is served after the others, then refused in time")
+{
+    std::atomic<bool> release = false;
+    BackendStub stub([&](const StubRequest &request, StubReply &reply) {
+        while (!release && request.target == "/order/held")
+            std::this_thread::sleep_for(1ms);
+        answerWhole(request, reply);
+    });
+    GatewayRunner runner;
+    RouteTableContent content = gatewayContent();
+    content.routes[0].objective = 5s; // so that none of these is refused for its wait
+    // One token a second; a request costs 40, and 100 tokens are lent at the start.
+    content.organisations = {{"acme", {"key-1"}, 0, 1, 0, false, 40},
+                             {"bolt", {"key-2"}, 0, 1e6, 1e6, false, 100}};
+    BackendRecord record = gatewayBackend("i-1", stub.port());
+    record.slots = 1;
+    runner.configure(content, {record});
+
+    std::vector<std::unique_ptr<Caller>> callers;
+    const auto ask = [&](const std::string &target, const std::string &id, const std::string &key) {
+        std::string text = requestText("POST", target, id);
+        text.replace(text.find("key-1"), 5, key);
+        callers.push_back(std::make_unique<Caller>(runner.port()));
+        callers.back()->send(text);
+        std::this_thread::sleep_for(20ms);
+    };
+    ask("/order/held", "r-1", "key-2");
+    REQUIRE(stub.waitForRequest("/order/held"));
+    ask("/order/within", "r-2", "key-1");
+    ask("/order/lent", "r-3", "key-1");
+    ask("/order/other", "r-4", "key-2");
+    ask("/order/over", "r-5", "key-1");
+    const CallerAnswer over = callers.back()->receive();
+    CHECK(over.status == 429);
+    CHECK(std::stod(value(over.headers, "Retry-After")) > 0);
+    release = true;
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(callers[i]->receive().status == 200);
+    std::vector<std::string> targets;
+    for (const StubRequest &it : stub.requests())
+        targets.push_back(it.target);
+    CHECK(targets
+          == std::vector<std::string> {"/order/held", "/order/within", "/order/other",
+                                       "/order/lent"});
+}
+
 TEST_CASE("an error of an idempotent request is repeated once at another backend server")
 {
     std::atomic<int> arrivals = 0;
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -31,6 +31,7 @@
         traffic.incarnation = 9;
         traffic.scheduling.availabilityZone = "a";
         traffic.repeats = {0.2, 100, std::chrono::seconds(10)};
+        traffic.allowanceTolerance = {0, 1000};
         m_gateway = std::make_unique<Gateway>(m_context, m_headers, traffic, m_metrics);
         m_problem = m_gateway->listen("127.0.0.1", 0);
         m_thread = std::thread([this] { m_context.run(); });
