Freshness: a whole read vouches only for those that have read up to its version

Cause: a gateway that started just after a server's row was removed did not see that row, so the newest change that it told its peers was older than the removal. The same held for a removal in the grace after an outage, which was told as no change.

Ruled out: the grace itself (it had ended 1.9 s before), stale answers of the store (they are linearizable), the runner's row arriving late (the restarted gateway did not list it 100 ms later).

Change: after a whole read the newest change that matters is the read's own version; any removal is a change.

Both new tests failed before the change.

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -126,8 +126,9 @@
         m_loaded = true;
         m_failures = 0;
         m_version = m_startVersion;
-        for (const StoredRow &it : m_rows)
-            changed(it.version);
+        // Rows that were removed before are not among those read, so that any version up to this
+        // one may be of a change that matters.
+        changed(m_startVersion);
         m_events.answered(m_sentAt);
         m_events.whole(std::exchange(m_rows, {}));
         m_events.applied({m_sentAt, m_lastChange, m_version});
@@ -326,10 +327,11 @@
         const Instant now = monotonicNow();
         bool changed = registry.expire(now);
         for (const StoredRow &row : rows) {
-            if (!applyBackend(row, now))
-                continue;
-            readerOf(RowTable::Backends).changed(row.version);
-            changed = true;
+            const bool applied = applyBackend(row, now);
+            // A removal matters also while the server is kept for a grace time.
+            if (applied || row.removed)
+                readerOf(RowTable::Backends).changed(row.version);
+            changed = changed || applied;
         }
         if (changed)
             publish();
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -213,6 +213,40 @@
     CHECK(fixture.version() == 8);
 }
 
+TEST_CASE("a daemon that starts after a removal does not vouch for those that have not read it")
+{
+    Fixture early;
+    early.rows.set(RowTable::Backends, "i-2", server("ready"));
+    early.watcher.start({"g", "10.0.0.1", 7600});
+    early.run(60ms);
+    const std::uint64_t appliedBefore = early.proofs[RowTable::Backends].appliedUpTo;
+
+    Fixture late;
+    late.rows.set(RowTable::Backends, "i-2", server("ready"));
+    for (const RowTable it : {RowTable::Backends, RowTable::Orders})
+        late.rows.erase(it, it == RowTable::Backends ? "i-2" : "evacuate/zone-a");
+    REQUIRE(late.rows.version() > appliedBefore);
+    late.watcher.start({"h", "10.0.0.2", 7600});
+    late.run(60ms);
+    CHECK(late.proofs[RowTable::Backends].lastChange > appliedBefore);
+    CHECK(late.proofs[RowTable::Orders].lastChange > appliedBefore);
+}
+
+TEST_CASE("a removal in the grace after an outage is a change that peers must read")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    fixture.rows.failing = {RowTable::Orders, RowTable::Backends, RowTable::Gateways};
+    fixture.run(1700ms); // the store counts as lost after 1.5 s
+    fixture.rows.failing.clear();
+    fixture.run(60ms);
+    fixture.rows.erase(RowTable::Backends, "i-1");
+    fixture.run(60ms);
+    CHECK(fixture.state->backends.size() == 1); // kept for a while
+    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+}
+
 TEST_CASE("a store that refuses is not pressed by what peers know")
 {
     Fixture fixture;
