--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -22,6 +22,23 @@
   ageMicros @1 :Int64;      # of the proof when the report was composed; -1: never read
 }
 
+struct GossipEvidence {
+  route @0 :Text;
+  newVersion @1 :Bool;
+  answers @2 :UInt64;
+  failures @3 :UInt64;
+  slowness @4 :List(UInt64);  # by class (src/rolloutverdict.h)
+}
+
+struct GossipRollout {
+  name @0 :Text;
+  remainingMicros @1 :Int64;  # until the order's time limit
+  stage @2 :UInt32;
+  end @3 :UInt8;              # RolloutEnd (src/rollout.h)
+  reason @4 :Text;            # of the end
+  evidence @5 :List(GossipEvidence);  # the sender's own
+}
+
 struct GossipEcho {
   peer @0 :UInt64;          # digest of the peer's name
   sequence @1 :UInt64;      # of its last report
@@ -38,4 +55,5 @@
   proofs @6 :List(GossipProof);    # by table, in the order of src/freshness.h
   echoes @7 :List(GossipEcho);
   uptimeMicros @8 :Int64;          # since the sender started
+  rollouts @9 :List(GossipRollout);
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(da793db429c6b3c3);
 CAPNP_DECLARE_SCHEMA(d3868f3375db5656);
 CAPNP_DECLARE_SCHEMA(805803d5e6a051fd);
+CAPNP_DECLARE_SCHEMA(8a27f0bd33b14cb8);
+CAPNP_DECLARE_SCHEMA(cebcf7a267e75ade);
 CAPNP_DECLARE_SCHEMA(91b16c37abd45b15);
 CAPNP_DECLARE_SCHEMA(c14a0518ea04717e);
 
@@ -73,6 +75,36 @@
   };
 };
 
+struct GossipEvidence {
+  GossipEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a27f0bd33b14cb8, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GossipRollout {
+  GossipRollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cebcf7a267e75ade, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipEcho {
   GossipEcho() = delete;
 
@@ -96,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,6 +390,229 @@
 };
 #endif  // !CAPNP_LITE
 
+class GossipEvidence::Reader {
+public:
+  typedef GossipEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline bool getNewVersion() const;
+
+  inline  ::uint64_t getAnswers() const;
+
+  inline  ::uint64_t getFailures() const;
+
+  inline bool hasSlowness() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSlowness() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipEvidence::Builder {
+public:
+  typedef GossipEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool getNewVersion();
+  inline void setNewVersion(bool value);
+
+  inline  ::uint64_t getAnswers();
+  inline void setAnswers( ::uint64_t value);
+
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
+
+  inline bool hasSlowness();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSlowness();
+  inline void setSlowness( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSlowness(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSlowness(unsigned int size);
+  inline void adoptSlowness(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSlowness();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipEvidence::Pipeline {
+public:
+  typedef GossipEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GossipRollout::Reader {
+public:
+  typedef GossipRollout Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::int64_t getRemainingMicros() const;
+
+  inline  ::uint32_t getStage() const;
+
+  inline  ::uint8_t getEnd() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipRollout::Builder {
+public:
+  typedef GossipRollout Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
+
+  inline  ::uint32_t getStage();
+  inline void setStage( ::uint32_t value);
+
+  inline  ::uint8_t getEnd();
+  inline void setEnd( ::uint8_t value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipRollout::Pipeline {
+public:
+  typedef GossipRollout Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipEcho::Reader {
 public:
   typedef GossipEcho Reads;
@@ -484,6 +739,9 @@
 
   inline  ::int64_t getUptimeMicros() const;
 
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -559,6 +817,13 @@
   inline  ::int64_t getUptimeMicros();
   inline void setUptimeMicros( ::int64_t value);
 
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>> disownRollouts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -699,6 +964,264 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipEvidence::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipEvidence::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipEvidence::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipEvidence::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipEvidence::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipEvidence::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GossipEvidence::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipEvidence::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GossipEvidence::Reader::getNewVersion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipEvidence::Builder::getNewVersion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipEvidence::Builder::setNewVersion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipEvidence::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipEvidence::Builder::getAnswers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipEvidence::Builder::setAnswers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipEvidence::Reader::getFailures() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipEvidence::Builder::getFailures() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipEvidence::Builder::setFailures( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipEvidence::Reader::hasSlowness() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipEvidence::Builder::hasSlowness() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipEvidence::Reader::getSlowness() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipEvidence::Builder::getSlowness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipEvidence::Builder::setSlowness( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GossipEvidence::Builder::setSlowness(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipEvidence::Builder::initSlowness(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipEvidence::Builder::adoptSlowness(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipEvidence::Builder::disownSlowness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GossipRollout::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipRollout::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipRollout::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipRollout::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipRollout::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipRollout::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GossipRollout::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipRollout::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t GossipRollout::Reader::getRemainingMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipRollout::Builder::getRemainingMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipRollout::Builder::setRemainingMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GossipRollout::Reader::getStage() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GossipRollout::Builder::getStage() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipRollout::Builder::setStage( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t GossipRollout::Reader::getEnd() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t GossipRollout::Builder::getEnd() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void GossipRollout::Builder::setEnd( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipRollout::Reader::hasReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipRollout::Builder::hasReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipRollout::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipRollout::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipRollout::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipRollout::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipRollout::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipRollout::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GossipRollout::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipRollout::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Reader GossipRollout::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Builder GossipRollout::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipRollout::Builder::setEvidence( ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>::Builder GossipRollout::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipRollout::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>> GossipRollout::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t GossipEcho::Reader::getPeer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -967,6 +1490,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipReport::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipReport::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Reader GossipReport::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void GossipReport::Builder::setRollouts( ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>::Builder GossipReport::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void GossipReport::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>> GossipReport::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipRollout,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/deploymentstate.h
+++ b/src/deploymentstate.h
@@ -9,6 +9,7 @@
 #include "types.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
     std::shared_ptr<const RouteTable> routes; // null until a configuration was read
     std::set<std::string> withdrawnZones;
     std::vector<RolloutOrder> rollouts;
+    std::optional<std::vector<RolloutStatus>> rolloutStatuses; // absent: not read yet
     std::vector<BackendRecord> backends;
     std::vector<GatewayRecord> gateways;
 };
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -43,6 +43,19 @@
     return "unknown";
 }
 
+const char *nameOf(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Running:
+        return "running";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        return "rolled_back";
+    }
+    return "unknown";
+}
+
 // Reads one table: all pages of it, and from then on its changes.
 class TableReader : public std::enable_shared_from_this<TableReader>
 {
@@ -270,8 +283,11 @@
         if (const auto *rollout = std::get_if<RolloutOrder>(&order)) {
             EventLog("rollout_ordered")
                     .field("service", rollout->service)
-                    .field("version", rollout->version);
+                    .field("version", rollout->version)
+                    .field("duration_ms", rollout->duration / 1ms);
             rollouts[row.key] = *rollout;
+            rollouts[row.key].rowVersion = row.version;
+            startStatuses();
             return true;
         }
         EventLog("row_unreadable", EventLevel::Warning)
@@ -295,6 +311,49 @@
         return true;
     }
 
+    // --- statuses of rollouts ---
+
+    // Read only where there are rollouts.
+    void startStatuses()
+    {
+        if (std::exchange(statusesStarted, true))
+            return;
+        readerOf(RowTable::Statuses).start();
+    }
+
+    void handleStatuses(const std::vector<StoredRow> &rows, bool whole)
+    {
+        bool changed = whole;
+        if (whole)
+            statuses.clear();
+        statusesRead = true;
+        for (const StoredRow &row : rows) {
+            if (row.removed) {
+                changed = statuses.erase(row.key) > 0 || changed;
+            } else if (auto status = codec.decodeRolloutStatus(row.key, row.value)) {
+                status->rowVersion = row.version;
+                statuses[row.key] = *status;
+                changed = true;
+            }
+        }
+        if (changed)
+            publish();
+    }
+
+    void writeStatus(const RolloutStatus &status)
+    {
+        store.put(RowTable::Statuses, codec.keyOfRolloutStatus(status.service),
+                  codec.encodeRolloutStatus(status), status.rowVersion,
+                  [d = shared_from_this(), status](std::optional<RowStoreError> error) {
+                      EventLog("rollout_status_written")
+                              .field("service", status.service)
+                              .field("version", status.version)
+                              .field("state", nameOf(status.state))
+                              .field("outcome", error ? nameOf(*error) : "done");
+                      d->readerOf(RowTable::Statuses).readNow();
+                  });
+    }
+
     // --- backend servers ---
 
     std::optional<BackendRecord> decodeBackend(const StoredRow &row)
@@ -427,6 +486,11 @@
             state->withdrawnZones.insert(zone);
         for (const auto &[key, rollout] : rollouts)
             state->rollouts.push_back(rollout);
+        if (statusesRead) {
+            state->rolloutStatuses.emplace();
+            for (const auto &[key, status] : statuses)
+                state->rolloutStatuses->push_back(status);
+        }
         state->backends = registry.list();
         for (const auto &[name, gateway] : gateways)
             state->gateways.push_back(gateway);
@@ -443,6 +507,9 @@
     std::shared_ptr<const RouteTable> routes;
     std::map<std::string, std::string> withdrawals; // zone by row
     std::map<std::string, RolloutOrder> rollouts;   // by row
+    std::map<std::string, RolloutStatus> statuses;  // by row
+    bool statusesStarted = false;
+    bool statusesRead = false;
     BackendRegistry registry;
     std::map<std::string, GatewayRecord> gateways;
     std::set<std::string> unreadable; // rows that were logged
@@ -451,6 +518,7 @@
     std::vector<std::shared_ptr<TableReader>> readers; // by RowTable
     Duration answeredAt {};                            // since boot, by any table
     Duration gatewaysReadAt {};                        // since boot
+    Duration statusesReadAt {};                        // since boot
     bool storeLost = false;
 };
 
@@ -503,6 +571,16 @@
                        failed("gateways"), [state] { return state->gatewaysReadAt; }}));
     for (const auto &it : d->readers)
         it->start();
+    // Never due while there are no rollouts.
+    d->readers.push_back(
+            d->reader(RowTable::Statuses, d->settings.statusesInterval,
+                      {[state](const Rows &rows) { state->handleStatuses(rows, true); },
+                       [state](const Rows &rows) { state->handleStatuses(rows, false); }, answered,
+                       [state](const ReadProof &it) { state->statusesReadAt = it.sentAt; },
+                       failed("statuses"),
+                       [state] {
+                           return state->rollouts.empty() ? timeSinceBoot() : state->statusesReadAt;
+                       }}));
     d->registerSelf();
 }
 
@@ -511,6 +589,11 @@
     d->readerOf(table).readNow();
 }
 
+void DeploymentWatcher::writeStatus(const RolloutStatus &status)
+{
+    d->writeStatus(status);
+}
+
 void DeploymentWatcher::setDelay(Duration delay)
 {
     d->readerOf(RowTable::Orders).setDelay(delay);
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -25,6 +25,7 @@
     Duration backendsInterval = std::chrono::milliseconds(450);
     Duration gatewaysInterval = std::chrono::seconds(5);
     Duration retryInterval = std::chrono::milliseconds(150); // after a failed call
+    Duration statusesInterval = std::chrono::seconds(1);     // while there are rollouts
 
     bool operator==(const WatcherSettings &) const = default;
 };
@@ -61,6 +62,10 @@
     // Reads the table at once; a peer knows a change that is not applied here.
     void readNow(RowTable table);
 
+    // Writes the status of a rollout on condition that its row still has the version given with it,
+    // and reads the table again; the outcome shows in the next state.
+    void writeStatus(const RolloutStatus &status);
+
     // Time that this gateway leaves others to read first.
     void setDelay(Duration delay);
 
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -199,6 +199,12 @@
                 && !withdrawnZones.contains(backend.record.availabilityZone);
     }
 
+    static bool maySend(const Backend &backend, const DirectRequest &request)
+    {
+        return !request.excluded.contains(backend.record.id)
+                && request.version.allows(backend.record.version);
+    }
+
     bool hasRoom(Backend &backend, const Service &service, const DirectRequest &request,
                  Instant now) const
     {
@@ -207,7 +213,7 @@
         if (!mayUse(backend) || backend.signs.hasAgent(now)
             || backend.signs.mayBeSilent(turnDelay(backend), backend.peersSilent, now)
             || backend.running + backend.peerRunning + reserve >= slots || backend.fullUntil > now
-            || request.excluded.contains(backend.record.id))
+            || !maySend(backend, request))
             return false;
         const OutlierState state = outliers.state(backend.slot);
         return (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
@@ -227,8 +233,7 @@
         const OutlierState state = outliers.state(backend.slot);
         return mayUse(backend) && backend.signs.hasAgent(now) && backend.fullUntil <= now
                 && (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
-                && !waiting.request.excluded.contains(backend.record.id)
-                && !waiting.asks.contains(backend.record.id);
+                && maySend(backend, waiting.request) && !waiting.asks.contains(backend.record.id);
     }
 
     // Expected seconds to the first event, with what the placement costs others.
@@ -257,7 +262,8 @@
         std::uint64_t best = 0;
         for (const Backend *it : service.backends) {
             const std::uint64_t weight = stableDigest(request.sessionPart, it->digest);
-            if (mayUse(*it) && (home == nullptr || weight > best)) {
+            const bool usable = mayUse(*it) && request.version.allows(it->record.version);
+            if (usable && (home == nullptr || weight > best)) {
                 home = it;
                 best = weight;
             }
@@ -341,7 +347,7 @@
             checkAsks(waiting, now, actions);
             askMore(service, waiting, now, actions);
             // A request that is kept from some backend servers does not hold up the others.
-            if (request.excluded.empty())
+            if (request.excluded.empty() && request.version.version.empty())
                 blockedFrom = std::min(blockedFrom, request.leaveFree);
             ++ahead;
             ++it;
@@ -639,6 +645,15 @@
         ask->second.ahead = ahead;
 }
 
+bool DirectScheduler::idleOutside(const std::string &service, const std::string &version) const
+{
+    return std::none_of(d->backends.begin(), d->backends.end(), [&](const auto &it) {
+        const Private::Backend &backend = it.second;
+        return backend.record.service == service && backend.record.version != version
+                && backend.running + backend.peerRunning > 0;
+    });
+}
+
 std::map<std::string, std::vector<RequestId>> DirectScheduler::runningByBackend() const
 {
     std::map<std::string, std::vector<RequestId>> running;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -27,6 +27,19 @@
 
 namespace cornelshed {
 
+// Which versions of a service may get a request.
+struct VersionChoice
+{
+    std::string version;   // empty: any
+    bool excluded = false; // all but that version
+
+    bool allows(const std::string &other) const
+    {
+        return version.empty() || (version == other) != excluded;
+    }
+    auto operator<=>(const VersionChoice &) const = default;
+};
+
 struct DirectRequest
 {
     RequestId id;
@@ -39,7 +52,8 @@
     std::uint64_t outputTokens = 0;
     std::string sessionPart;        // requests with the same one share cached memory
     std::set<std::string> excluded; // backend servers that must not get it
-    bool repeat = false;            // was offered to a backend server before
+    VersionChoice version;
+    bool repeat = false; // was offered to a backend server before
 
     bool operator==(const DirectRequest &) const = default;
 };
@@ -162,6 +176,9 @@
     void queuedAt(const RequestId &id, const std::string &backend, std::uint32_t ahead,
                   Instant now);
 
+    // Whether no request runs on the service's servers of other versions, here or at a peer.
+    bool idleOutside(const std::string &service, const std::string &version) const;
+
     // Requests that run on each backend server.
     std::map<std::string, std::vector<RequestId>> runningByBackend() const;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -52,6 +52,8 @@
 constexpr Duration shutdownMargin = 300ms;
 // How often a shutdown checks whether the last answers are written.
 constexpr Duration drainCheckInterval = 20ms;
+// Evidence of rollouts goes with a report at most this often.
+constexpr Duration rolloutReportInterval = 200ms;
 // Organisations' ranks go before routes'.
 constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
 // Requests beyond their organisation's allowance go after all others.
@@ -82,7 +84,7 @@
     };
 
     Private(asio::io_context &given, const IngressProtocol &ingress, GatewayTraffic traffic,
-            Metrics &metricsOf)
+            StateChart rolloutChart, Metrics &metricsOf)
         : ioContext(given), headers(ingress), settings(std::move(traffic)), metrics(metricsOf),
           listener(std::make_shared<detail::Listener>(std::vector {&given})),
           scheduler(settings.scheduling), dueTimer(given), drainTimer(given), limitTimer(given),
@@ -91,6 +93,9 @@
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
                                       "From a request's arrival to the end of its answer")),
           allowances(settings.allowanceWindow, settings.allowanceTolerance),
+          rollouts(std::move(rolloutChart),
+                   {settings.name + "#" + std::to_string(settings.incarnation),
+                    settings.exposureShare, settings.exposureConstant}),
           agents(given, scheduler, settings.incarnation, settings.agentPort,
                  [this] { advance(monotonicNow()); })
     {
@@ -252,7 +257,7 @@
                 std::distance(it->second.begin(), it->second.lower_bound(rank)));
     }
 
-    DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat) const
+    DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat)
     {
         const AdmittedRequest &admitted = exchange.admitted();
         const auto wait =
@@ -269,6 +274,7 @@
         request.outputTokens = admitted.facts.outputTokens;
         request.sessionPart = admitted.facts.sessionPart;
         request.excluded = exchange.triedBackends();
+        request.version = rollouts.choose(admitted.service, admitted.facts.requestId, repeat, now);
         request.repeat = repeat;
         return request;
     }
@@ -386,13 +392,36 @@
         advance(now);
     }
 
-    void firstEvent(const RequestId &id) override { scheduler.firstEvent(id, monotonicNow()); }
+    void firstEvent(const RequestId &id) override
+    {
+        scheduler.firstEvent(id, monotonicNow());
+        const auto it = exchanges.find(id);
+        if (rollouts.active() && it != exchanges.end())
+            recordOutcome(*it->second, {AttemptOutcome::Answered, it->second->attemptAge(), {}},
+                          false);
+    }
 
     void attemptEnded(const RequestId &id, const AttemptReport &report) override
     {
+        const auto it = exchanges.find(id);
+        if (rollouts.active() && it != exchanges.end())
+            recordOutcome(*it->second, report, it->second->answerBegun());
         scheduler.ended(id, report, monotonicNow());
     }
 
+    void recordOutcome(const GatewayExchange &exchange, const AttemptReport &report, bool begun)
+    {
+        const AdmittedRequest &admitted = exchange.admitted();
+        const auto backend = scheduler.backend(exchange.lastBackend());
+        if (!backend)
+            return;
+        // Up to the first event only the prompt costs time.
+        const bool stream = admitted.route.kind == RequestKind::Stream;
+        rollouts.recordOutcome({admitted.service, backend->version, admitted.route.name, report,
+                                admitted.route.objective, admitted.facts.promptTokens,
+                                stream ? 0 : admitted.facts.outputTokens, begun});
+    }
+
     void exchangeEnded(GatewayExchange &exchange, std::uint32_t status) override
     {
         const Instant now = monotonicNow();
@@ -443,6 +472,41 @@
                 .field("configuration", admitted.configurationVersion);
     }
 
+    // --- rollouts ---
+
+    std::vector<RolloutReport> dueRolloutReports()
+    {
+        const Instant now = monotonicNow();
+        if (!rollouts.active() || now < rolloutsReportedAt + rolloutReportInterval)
+            return {};
+        rolloutsReportedAt = now;
+        return rollouts.reports(now);
+    }
+
+    void tickRollouts(Instant now)
+    {
+        if (!rollouts.active())
+            return;
+        const RolloutTick tick = rollouts.tick(
+                [this](const std::string &service, const std::string &version) {
+                    return scheduler.idleOutside(service, version);
+                },
+                now);
+        for (const RolloutStep &it : tick.steps) {
+            EventLog("rollout_step")
+                    .field("service", it.service)
+                    .field("version", it.version)
+                    .field("stage", it.progress.stage)
+                    .field("open", it.progress.end == RolloutEnd::Open)
+                    .field("reason", it.progress.reason)
+                    .field("evidence", it.evidence);
+        }
+        for (const RolloutStatus &it : tick.writes) {
+            if (writeRolloutStatus)
+                writeRolloutStatus(it);
+        }
+    }
+
     // --- state ---
 
     std::uint64_t versionInForce() const
@@ -601,6 +665,9 @@
     TimeSummary &firstEventTimes;
     TimeSummary &answerTimes;
     TokenAllowances allowances;
+    GatewayRollouts rollouts;
+    Instant rolloutsReportedAt {};
+    std::function<void(const RolloutStatus &)> writeRolloutStatus;
     std::unordered_map<std::string, WindowedBudget> repeatBudgets; // by service
     std::unordered_map<std::string, std::set<TierRank>> ranksOfService;
     std::shared_ptr<const DeploymentState> state;
@@ -626,8 +693,9 @@
 };
 
 Gateway::Gateway(asio::io_context &context, const IngressProtocol &protocol,
-                 GatewayTraffic settings, Metrics &metrics)
-    : d(std::make_shared<Private>(context, protocol, std::move(settings), metrics))
+                 GatewayTraffic settings, StateChart rolloutChart, Metrics &metrics)
+    : d(std::make_shared<Private>(context, protocol, std::move(settings), std::move(rolloutChart),
+                                  metrics))
 { }
 
 Gateway::~Gateway()
@@ -671,6 +739,8 @@
     if (newRoutes)
         d->applyConfiguration(now);
     d->applyBackends(now);
+    d->rollouts.setOrders(d->state->rollouts, d->state->rolloutStatuses, now);
+    d->rollouts.setBackends(d->state->backends);
     d->advance(now);
 }
 
@@ -696,7 +766,8 @@
             d->scheduler.ownLoads(monotonicNow()),
             d->allowances.ownTotals(),
             {d->freshness.share(RowTable::Orders, sinceBoot),
-             d->freshness.share(RowTable::Backends, sinceBoot)}};
+             d->freshness.share(RowTable::Backends, sinceBoot)},
+            d->dueRolloutReports()};
 }
 
 std::vector<RowTable> Gateway::peerReported(const GossipReport &report,
@@ -715,6 +786,8 @@
     }
     const Instant now = monotonicNow();
     d->scheduler.peerReport(stableDigest(report.name), report.loads, now);
+    for (const RolloutReport &it : report.rollouts)
+        d->rollouts.peerReport(it, now);
     for (const auto &[organisation, taken] : report.taken)
         d->allowances.peerTotal(report.incarnation, report.uptime, organisation, taken, now);
     if (d->scheduler.waiting() > 0)
@@ -726,10 +799,22 @@
 {
     d->view = view;
     d->scheduler.setDaemons(view.mayBeAlive, view.place);
+    d->rollouts.setDaemons(view.mayBeAlive, view.heardPlace);
     d->allowances.setDaemons(view.heard, view.mayBeAlive);
     d->allowances.setReportLag(view.interval * 3 / 2); // on average half an interval more
 }
 
+void Gateway::onRolloutStatus(std::function<void(const RolloutStatus &)> write)
+{
+    d->writeRolloutStatus = std::move(write);
+}
+
+bool Gateway::tickRollouts()
+{
+    d->tickRollouts(monotonicNow());
+    return d->rollouts.active();
+}
+
 bool Gateway::ready() const
 {
     return !d->draining && d->proofAge() < d->settings.readyProofLimit;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -7,6 +7,7 @@
 #include "deploymentstate.h"
 #include "directscheduler.h"
 #include "freshness.h"
+#include "gatewayrollouts.h"
 #include "ingressprotocol.h"
 #include "metrics.h"
 #include "peergossip.h"
@@ -39,6 +40,8 @@
     AllowanceTolerance allowanceTolerance;
     // Not ready for new connections when the proof is older than this.
     Duration readyProofLimit = std::chrono::milliseconds(2500);
+    double exposureShare = 0.1;   // of a service's requests, to an unproven version
+    double exposureConstant = 50; // and requests beyond that
     std::uint16_t agentPort = 0; // of admission agents on backend servers' hosts; 0: there are none
     // Every so many answered requests one is logged; failed and refused ones always are.
     std::uint32_t answeredLogInterval = 20;
@@ -49,8 +52,9 @@
 class Gateway
 {
 public:
+    // rolloutChart is the state chart of this name.
     Gateway(boost::asio::io_context &context, const IngressProtocol &protocol,
-            GatewayTraffic settings, Metrics &metrics);
+            GatewayTraffic settings, StateChart rolloutChart, Metrics &metrics);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -80,6 +84,13 @@
                                        std::optional<Duration> echoedSentAt);
     void setView(const GossipView &view);
 
+    // Called on the traffic thread with what is to be written about a rollout.
+    void onRolloutStatus(std::function<void(const RolloutStatus &)> write);
+
+    // Takes the steps of rollouts that are due; false if there are none. To be called several times
+    // a second.
+    bool tickRollouts();
+
     // Safe from any thread.
     bool ready() const;
 
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -10,6 +10,7 @@
 #include "logwriter.h"
 #include "metrics.h"
 #include "peergossip.h"
+#include "statechartfile.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -35,6 +36,7 @@
 // connections are accepted.
 constexpr Duration announceTime = 2500ms;
 constexpr Duration viewInterval = 250ms;
+constexpr Duration rolloutInterval = 100ms; // short orders last a few seconds
 // The first gateway in the common order reads the store; each next one leaves it this much time to
 // tell, so that it takes over soon after the first ones are gone.
 constexpr Duration readDelay = 60ms;
@@ -56,6 +58,8 @@
     const Duration revocation = std::chrono::milliseconds(settings.keyRevocationMs);
     traffic.keyProofLimit = std::max<Duration>(revocation - keyMargin, revocation / 2);
     traffic.readyProofLimit = revocation / readyShare;
+    traffic.exposureShare = settings.exposureShare;
+    traffic.exposureConstant = settings.exposureConstant;
     traffic.agentPort = settings.agentPort;
     traffic.scheduling.agents = settings.agentPort != 0;
     traffic.answeredLogInterval = settings.answeredLogInterval;
@@ -67,10 +71,11 @@
 class GatewayDaemon::Private
 {
 public:
-    Private(const GatewaySettings &given, std::string file, const GatewayPlatform &adapter,
-            const LogWriter &log)
+    Private(const GatewaySettings &given, std::string file, StateChart rolloutChart,
+            const GatewayPlatform &adapter, const LogWriter &log)
         : settings(given), settingsFile(std::move(file)), platform(adapter),
-          gateway(traffic, platform.protocol, trafficSettings(settings, incarnation), metrics),
+          gateway(traffic, platform.protocol, trafficSettings(settings, incarnation),
+                  std::move(rolloutChart), metrics),
           gossip(
                   traffic, self(), [this] { return gateway.composeReport(); },
                   [this](const GossipReport &report, std::optional<Duration> echoedSentAt) {
@@ -121,6 +126,9 @@
                 .field("zone", settings.availabilityZone)
                 .field("version", CORNELSHED_VERSION)
                 .field("incarnation", incarnation);
+        gateway.onRolloutStatus([this](const RolloutStatus &status) {
+            asio::post(control, [this, status] { watcher->writeStatus(status); });
+        });
         watcher->start(self());
         updateView();
         checkFile();
@@ -159,9 +167,10 @@
     {
         const GossipView view = gossip.view();
         gateway.setView(view);
+        const bool rollouts = gateway.tickRollouts();
         const Duration delay = readDelay * std::min(view.place, readDelaySteps);
         asio::post(control, [this, delay] { watcher->setDelay(delay); });
-        viewTimer.expires_after(viewInterval);
+        viewTimer.expires_after(rollouts ? rolloutInterval : viewInterval);
         viewTimer.async_wait([this](auto ec) {
             if (!ec)
                 updateView();
@@ -237,8 +246,9 @@
 };
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
-                             const GatewayPlatform &platform, const LogWriter &log)
-    : d(std::make_unique<Private>(settings, settingsFile, platform, log))
+                             StateChart rolloutChart, const GatewayPlatform &platform,
+                             const LogWriter &log)
+    : d(std::make_unique<Private>(settings, settingsFile, std::move(rolloutChart), platform, log))
 { }
 
 GatewayDaemon::~GatewayDaemon() = default;
@@ -264,11 +274,19 @@
     const auto settings = loadSettings(options, parseGatewaySettings);
     if (const auto *failure = std::get_if<DaemonStatus>(&settings))
         return static_cast<int>(*failure);
+    const auto &given = std::get<GatewaySettings>(settings);
+    auto chart = readStateChart(given.chartsDirectory + "/rollout.toml");
+    if (const auto *error = std::get_if<StateChartError>(&chart)) {
+        for (const std::string &it : error->problems)
+            std::cerr << it << '\n';
+        return static_cast<int>(DaemonStatus::SettingsError);
+    }
     if (options.checkOnly)
         return static_cast<int>(DaemonStatus::Success);
     LogWriter log;
     log.install();
-    GatewayDaemon daemon(std::get<GatewaySettings>(settings), options.settingsFile, platform, log);
+    GatewayDaemon daemon(given, options.settingsFile, std::move(std::get<StateChart>(chart)),
+                         platform, log);
     if (const auto problem = daemon.start()) {
         EventLog("start_failed", EventLevel::Error).field("reason", *problem);
         return static_cast<int>(DaemonStatus::RuntimeFailure);
--- a/src/gatewaydaemon.h
+++ b/src/gatewaydaemon.h
@@ -8,6 +8,7 @@
 #include "gatewaysettings.h"
 #include "ingressprotocol.h"
 #include "rowstore.h"
+#include "statechart.h"
 
 #include <functional>
 #include <memory>
@@ -37,7 +38,7 @@
 public:
     // settingsFile is read again when it changes. log must outlive the daemon.
     GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
-                  const GatewayPlatform &platform, const LogWriter &log);
+                  StateChart rolloutChart, const GatewayPlatform &platform, const LogWriter &log);
     ~GatewayDaemon();
     GatewayDaemon(const GatewayDaemon &) = delete;
     GatewayDaemon &operator=(const GatewayDaemon &) = delete;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -299,6 +299,11 @@
                broken ? AttemptOutcome::Broken : AttemptOutcome::Failed);
 }
 
+Duration GatewayExchange::attemptAge() const
+{
+    return monotonicNow() - m_attemptStart;
+}
+
 AttemptReport GatewayExchange::report(AttemptOutcome outcome) const
 {
     const Instant now = monotonicNow();
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -86,6 +86,8 @@
     const std::set<std::string> &triedBackends() const { return m_tried; }
     bool everSent() const { return m_history.ran > 0 || m_running; }
     const std::string &lastBackend() const { return m_backend; }
+    Duration attemptAge() const; // since the present attempt was sent
+    bool answerBegun() const { return m_history.answerBegun; }
     const char *lastProblem() const { return m_problem; }
     Duration timeInQueue() const { return m_queueTime; } // until the first attempt
     Duration timeToFirstEvent() const { return m_firstEventTime; }
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -48,6 +48,7 @@
             static_cast<std::uint16_t>(section.integer("admission_port", 0, 65535, 0));
     settings.agentPort = static_cast<std::uint16_t>(section.integer("agent_port", 0, 65535, 0));
     settings.metricsPort = static_cast<std::uint16_t>(section.integer("metrics_port", 0, 65535, 0));
+    settings.chartsDirectory = section.text("charts_directory", settings.chartsDirectory);
     settings.answeredLogInterval =
             readCount(section, "answered_log_interval", 1, 1000000, settings.answeredLogInterval);
 }
@@ -67,6 +68,9 @@
     settings.allowanceOver = section.number("allowance_over", 0, 10, settings.allowanceOver);
     settings.allowanceConstant =
             section.number("allowance_constant", 0, 1e12, settings.allowanceConstant);
+    settings.exposureShare = section.number("exposure_share", 0, 1, settings.exposureShare);
+    settings.exposureConstant =
+            section.number("exposure_constant", 0, 1e6, settings.exposureConstant);
     settings.coldOver = section.number("cold_over", 1, 100, settings.coldOver);
     settings.coldConstant = section.number("cold_constant", 0, 1e6, settings.coldConstant);
 }
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -33,6 +33,7 @@
     std::uint16_t agentPort = 0;     // of admission agents on backend servers' hosts
     std::uint16_t metricsPort = 0;   // 0: none
     SocketAddress platform;
+    std::string chartsDirectory = "charts"; // state charts; relative to the working directory
 
     // Bounds that the deployment promises; the daemons keep a margin below each.
     std::uint32_t keyRevocationMs = 5000; // a revoked key is refused after this
@@ -43,6 +44,8 @@
     std::uint32_t allowanceWindowMs = 8000; // allowances of organisations hold in each window
     double allowanceOver = 0;               // share beyond an allowance that counts as a violation
     double allowanceConstant = 0;           // and tokens beyond that
+    double exposureShare = 0.1;             // of a service's requests, to an unproven version
+    double exposureConstant = 50;           // and requests beyond that
     double coldOver = 1.5;                  // a cold server bears this multiple of its rate
     double coldConstant = 5;
 
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -43,6 +43,49 @@
                                                                    : BackendSign::None;
 }
 
+void encodeRollout(const RolloutReport &report, wire::GossipRollout::Builder out)
+{
+    out.setName(report.rollout);
+    out.setRemainingMicros(report.remaining.count());
+    out.setStage(report.progress.stage);
+    out.setEnd(static_cast<std::uint8_t>(report.progress.end));
+    out.setReason(report.progress.reason);
+    auto evidence = out.initEvidence(static_cast<unsigned>(report.evidence.size()));
+    unsigned n = 0;
+    for (const auto &[key, counts] : report.evidence) {
+        auto entry = evidence[n++];
+        entry.setRoute(key.route);
+        entry.setNewVersion(key.newVersion);
+        entry.setAnswers(counts.answers);
+        entry.setFailures(counts.failures);
+        auto slowness = entry.initSlowness(static_cast<unsigned>(counts.slowness.size()));
+        for (unsigned i = 0; i < slowness.size(); ++i)
+            slowness.set(i, counts.slowness[i]);
+    }
+}
+
+RolloutReport decodeRollout(wire::GossipRollout::Reader in, const std::string &sender)
+{
+    RolloutReport report;
+    report.rollout = in.getName().cStr();
+    report.remaining = Duration(in.getRemainingMicros());
+    report.progress.stage = in.getStage();
+    // Ends of later releases stay open here; the status row tells them.
+    if (in.getEnd() <= static_cast<std::uint8_t>(RolloutEnd::Infeasible))
+        report.progress.end = static_cast<RolloutEnd>(in.getEnd());
+    report.progress.reason = in.getReason().cStr();
+    for (const auto it : in.getEvidence()) {
+        const EvidenceKey key {report.rollout, sender, it.getRoute().cStr(), it.getNewVersion()};
+        VersionCounts &counts = report.evidence[key];
+        counts.answers = it.getAnswers();
+        counts.failures = it.getFailures();
+        const auto slowness = it.getSlowness();
+        for (unsigned i = 0; i < slowness.size() && i < counts.slowness.size(); ++i)
+            counts.slowness[i] = slowness[i];
+    }
+    return report;
+}
+
 } // namespace
 
 std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes)
@@ -74,6 +117,9 @@
         proofs[i].setLastChange(proof ? proof->lastChange : 0);
         proofs[i].setAgeMicros(proof ? proof->age.count() : -1);
     }
+    auto rollouts = root.initRollouts(static_cast<unsigned>(report.rollouts.size()));
+    for (unsigned i = 0; i < rollouts.size(); ++i)
+        encodeRollout(report.rollouts[i], rollouts[i]);
     auto sentEchoes = root.initEchoes(static_cast<unsigned>(echoes.size()));
     n = 0;
     for (const auto &[peer, echo] : echoes) {
@@ -103,6 +149,9 @@
             report.taken[it.getOrganisation()] = it.getTaken();
         for (const auto it : root.getEchoes())
             decoded.echoes[it.getPeer()] = {it.getIncarnation(), it.getSequence()};
+        const std::string sender = report.name + "#" + std::to_string(report.incarnation);
+        for (const auto it : root.getRollouts())
+            report.rollouts.push_back(decodeRollout(it, sender));
         const auto proofs = root.getProofs();
         for (unsigned i = 0; i < proofs.size() && i < report.proofs.size(); ++i) {
             if (proofs[i].getAgeMicros() >= 0)
@@ -311,7 +360,9 @@
     GossipView view;
     view.interval = d->interval();
     for (const auto &[name, peer] : d->peers) {
-        view.heard += Private::heard(peer, now) ? 1 : 0;
+        const bool isHeard = Private::heard(peer, now);
+        view.heard += isHeard ? 1 : 0;
+        view.heardPlace += isHeard && name < d->self.name ? 1 : 0;
         if (!Private::mayBeAlive(peer, now))
             continue;
         ++view.mayBeAlive;
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -7,6 +7,7 @@
 
 #include "directscheduler.h"
 #include "freshness.h"
+#include "gatewayrollouts.h"
 #include "rowstore.h"
 #include "types.h"
 
@@ -35,6 +36,7 @@
     std::vector<PeerLoad> loads;
     std::map<std::uint64_t, double> taken; // tokens since the start, by organisation digest
     std::array<std::optional<SharedProof>, sharedTables.size()> proofs; // by table
+    std::vector<RolloutReport> rollouts;
 
     bool operator==(const GossipReport &) const = default;
 };
@@ -71,6 +73,7 @@
     std::uint32_t mayBeAlive = 1; // heard at some time within the last half minute, or listed
     Duration interval {};         // between reports
     std::uint32_t place = 0;      // of this one by name, among those that may be alive
+    std::uint32_t heardPlace = 0; // and among those that are heard
 
     bool operator==(const GossipView &) const = default;
 };
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-// Daemons that do not hold the lease wait this long after the deadline before they roll back, so
-// that a last step that is still being told is not mistaken for a missed deadline.
-constexpr Duration deadlineGrace = std::chrono::seconds(15);
-
-// The last step is planned this long before the deadline: it has to be written and told first.
-constexpr Duration tellTime = std::chrono::seconds(5);
-
-// A proposed step is repeated after this time if it did not become effective.
-constexpr Duration proposalInterval = std::chrono::seconds(2);
-
 constexpr Duration mostStageTime = std::chrono::minutes(30);
 
 // A caller that leaves in time says nothing about the server.
@@ -45,6 +35,14 @@
     RouteVerdict verdict;
     VersionCounts seenOld; // totals already fed to the verdict
     VersionCounts seenNew;
+
+    std::uint64_t answers() const { return seenOld.answers + seenNew.answers; }
+
+    // The old version fails so often that nothing is told by the new one's failures.
+    bool alwaysFailed() const
+    {
+        return seenOld.answers > 0 && seenOld.failures * 2 >= seenOld.answers;
+    }
 };
 
 } // namespace
@@ -184,9 +182,15 @@
             if (rollout.routes.count(it) == 0)
                 return false;
         }
+        std::uint64_t all = 0;
+        for (const auto &[route, state] : rollout.routes)
+            all += state.answers();
+        const double few = m_policy.rareRouteShare * static_cast<double>(all);
         return !rollout.routes.empty()
-                && std::all_of(rollout.routes.begin(), rollout.routes.end(),
-                               [&](const auto &it) { return test(it.second.verdict); });
+                && std::all_of(rollout.routes.begin(), rollout.routes.end(), [&](const auto &it) {
+                       return static_cast<double>(it.second.answers()) < few
+                               || it.second.alwaysFailed() || test(it.second.verdict);
+                   });
     }
 
     RolloutAction rollBack(const std::string &name, Rollout &rollout, const std::string &reason)
@@ -201,7 +205,8 @@
     {
         const std::uint32_t stage = rollout.progress.stage;
         const int ramps = static_cast<int>(lastStage() - std::max<std::uint32_t>(stage, 1));
-        const Duration ramping = m_policy.leastStageTime * std::max(ramps - 1, 0) + tellTime;
+        const Duration ramping =
+                m_policy.leastStageTime * std::max(ramps - 1, 0) + m_policy.tellTime;
         return stage == 0 ? ramping + m_policy.leastProvingTime : ramping;
     }
 
@@ -237,7 +242,7 @@
     {
         const Duration least =
                 rollout.progress.stage == 1 ? m_policy.leastProvingTime : m_policy.leastStageTime;
-        if (now < rollout.stageSince + least && now < rollout.plan.deadline - tellTime)
+        if (now < rollout.stageSince + least && now < rollout.plan.deadline - m_policy.tellTime)
             return std::nullopt;
         const bool leans = allRoutes(rollout, [&](const RouteVerdict &it) {
             return it.leansGood(m_policy.answersToLean);
@@ -260,7 +265,8 @@
             return;
         }
         const bool moved = rollout.progress.stage == lastStage();
-        const Instant end = rollout.plan.deadline + (leaseHeld ? Duration {} : deadlineGrace);
+        const Instant end =
+                rollout.plan.deadline + (leaseHeld ? Duration {} : m_policy.deadlineGrace);
         if (!moved && rollout.progress.stage > 0 && now >= end) {
             actions.push_back(rollBack(name, rollout, "deadline missed"));
             return;
@@ -268,7 +274,7 @@
         if (!leaseHeld || now < rollout.nextProposal)
             return;
         if (const auto step = nextStep(rollout, now)) {
-            rollout.nextProposal = now + proposalInterval;
+            rollout.nextProposal = now + m_policy.proposalInterval;
             actions.emplace_back(WriteProgress {name, *step, fencing});
         }
     }
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -44,6 +44,15 @@
     Duration watchTime =
             std::chrono::seconds(60); // after the last step, before the rollout is done
     std::uint64_t answersToLean = 20; // per route, for a step near the deadline without a verdict
+    // Routes with a smaller share of the answers do not hold up the steps; a fault on them counts.
+    double rareRouteShare = 0;
+    // Daemons that do not hold the lease wait this long after the deadline before they roll back,
+    // so that a last step that is still being told is not mistaken for a missed deadline.
+    Duration deadlineGrace = std::chrono::seconds(15);
+    // The last step is planned this long before the deadline: it has to be written and told first.
+    Duration tellTime = std::chrono::seconds(5);
+    // A proposed step is repeated after this time if it did not become effective.
+    Duration proposalInterval = std::chrono::seconds(2);
 
     bool operator==(const RolloutPolicy &) const = default;
 };
--- a/src/rolloutverdict.cpp
+++ b/src/rolloutverdict.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// The cumulative sum test raises a false alarm once in about e^limit answers. The limit allows for
-// this many answers in the life of a rollout at the stated error rate.
-constexpr double answersPerRollout = 1e5;
-
 // A failed share below this is not told from zero with the counts of a small deployment.
 constexpr double leastFailureBase = 0.005;
 constexpr double leastSlowBase = 0.05;
@@ -131,7 +127,8 @@
 
     if (m_old.answers < m_settings.oldAnswersNeeded)
         return;
-    const std::size_t threshold = slowThreshold();
+    const std::size_t threshold =
+            std::min(slowThreshold() + m_settings.slowMargin, slownessClassCount - 1);
     const double base = slowBase(threshold);
     const std::uint64_t slow = countAbove(newGrowth, threshold);
     const double slowRatio = logLikelihoodRatio(slow, wholeAnswers(newGrowth) - slow, base,
@@ -149,7 +146,8 @@
 
 Verdict RouteVerdict::verdict() const
 {
-    const double badLimit = std::log(answersPerRollout / m_settings.errorRate);
+    // The cumulative sum test raises a false alarm once in about e^limit answers.
+    const double badLimit = std::log(m_settings.answersPerRollout / m_settings.errorRate);
     if (m_badFailures >= badLimit || m_badSlowness >= badLimit)
         return Verdict::Bad;
     const double goodLimit = std::log(m_settings.errorRate);
--- a/src/rolloutverdict.h
+++ b/src/rolloutverdict.h
@@ -45,10 +45,12 @@
 
 struct VerdictSettings
 {
+    double answersPerRollout = 1e5;      // for which errorRate holds
     double errorRate = 0.01;             // of a wrong verdict over a whole rollout, each direction
     double failureExcess = 0.05;         // failed share over the old version's that counts as bad
     double slowExcess = 0.25;            // slow share over the old version's that counts as bad
     std::uint64_t oldAnswersNeeded = 30; // before slowness can be judged
+    std::size_t slowMargin = 0; // classes by which an answer must exceed the threshold to be slow
 
     bool operator==(const VerdictSettings &) const = default;
 };
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -21,7 +21,8 @@
 enum class RowTable : std::uint8_t {
     Orders,   // configuration and operators' orders; read only
     Backends, // registry of backend servers; read only
-    Gateways  // the system's own daemons
+    Gateways, // the system's own daemons
+    Statuses  // what became of operators' orders; written by the system
 };
 
 struct StoredRow
@@ -86,10 +87,27 @@
     std::string service;
     std::string version;
     Duration duration {};
+    std::uint64_t rowVersion = 0; // of the order
 
     auto operator<=>(const RolloutOrder &) const = default;
 };
 
+enum class RolloutState : std::uint8_t {
+    Running,
+    Completed, // the old version's servers may stop at once
+    RolledBack
+};
+
+struct RolloutStatus
+{
+    std::string service;
+    std::string version; // that the order named
+    RolloutState state = RolloutState::Running;
+    std::uint64_t rowVersion = 0; // 0: not written yet
+
+    auto operator<=>(const RolloutStatus &) const = default;
+};
+
 struct GatewayRecord
 {
     std::string name;
@@ -120,6 +138,12 @@
     virtual Result<GatewayRecord, UnreadableRow> decodeGateway(const std::string &key,
                                                                const std::string &value) const = 0;
     virtual std::string encodeGateway(const GatewayRecord &record) const = 0;
+
+    // Rows of Statuses hold other things too; nothing: not a rollout's.
+    virtual std::optional<RolloutStatus> decodeRolloutStatus(const std::string &key,
+                                                             const std::string &value) const = 0;
+    virtual std::string keyOfRolloutStatus(const std::string &service) const = 0;
+    virtual std::string encodeRolloutStatus(const RolloutStatus &status) const = 0;
 };
 
 } // namespace cornelshed
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -160,6 +160,28 @@
     CHECK(harness.started(start + 1s) == Sequences {2});
 }
 
+TEST_CASE(
+        "a request that is kept to a version, or from one, goes nowhere else and holds up no other")
+{
+    BackendRecord next = server("b", 1);
+    next.version = "v2";
+    Harness harness({server("a", 1), next});
+    const auto add = [&](std::uint64_t sequence, const VersionChoice &version) {
+        DirectRequest added = request(sequence, 0, start);
+        added.version = version;
+        harness.scheduler.add(added);
+    };
+    add(1, {"v2", true});
+    add(2, {"v2", true});
+    add(3, {"v2", false});
+    CHECK(harness.started(start) == Sequences {1, 3});
+    CHECK_FALSE(harness.scheduler.idleOutside("writer", "v2"));
+    harness.scheduler.ended({1, 1}, {AttemptOutcome::Answered, 10ms, {}}, start + 10ms);
+    CHECK(harness.scheduler.idleOutside("writer", "v2"));
+    harness.scheduler.peerReport(7, {{stableDigest("a"), 1, 0}}, start + 10ms);
+    CHECK_FALSE(harness.scheduler.idleOutside("writer", "v2"));
+}
+
 TEST_CASE("zone back cold: all daemons together stay within what a cold backend server bears")
 {
     CHECK(rc::check([] {
--- a/test/correctness/platformrows.cpp
+++ b/test/correctness/platformrows.cpp
@@ -127,3 +127,19 @@
     CHECK(rows.decodeGateway("g-1", rows.encodeGateway(gateway))
           == Result<GatewayRecord, UnreadableRow>(gateway));
 }
+
+TEST_CASE("the status of a rollout, and rows of others in its table")
+{
+    const PlatformRows rows;
+    CHECK(rows.keyOfRolloutStatus("w") == "rollout/w");
+    for (const RolloutState it :
+         {RolloutState::Running, RolloutState::Completed, RolloutState::RolledBack}) {
+        const RolloutStatus status {"w", "v2", it, 0};
+        CHECK(rows.decodeRolloutStatus("rollout/w", rows.encodeRolloutStatus(status)) == status);
+    }
+    CHECK(rows.encodeRolloutStatus({"w", "v2", RolloutState::RolledBack, 7})
+          == R"({"state":"rolled_back","to":"v2"})");
+    CHECK_FALSE(rows.decodeRolloutStatus("evacuate/z", R"({"state":"running","to":"v2"})"));
+    CHECK_FALSE(rows.decodeRolloutStatus("rollout/w", R"({"state":"paused","to":"v2"})"));
+    CHECK_FALSE(rows.decodeRolloutStatus("rollout/w", "garbage"));
+}
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -72,10 +72,16 @@
     }
 
     void put(RowTable table, const std::string &key, const std::string &value,
-             std::optional<std::uint64_t> /*expected*/, WriteCallback callback) override
+             std::optional<std::uint64_t> expected, WriteCallback callback) override
     {
-        set(table, key, value);
-        boost::asio::post(m_context, [callback] { callback(std::nullopt); });
+        const auto row = m_tables[table].find(key);
+        const std::uint64_t present = row == m_tables[table].end() ? 0 : row->second.version;
+        const bool conflict = expected && *expected != present;
+        if (!conflict)
+            set(table, key, value);
+        boost::asio::post(m_context, [callback, conflict] {
+            callback(conflict ? std::optional(RowStoreError::Conflict) : std::nullopt);
+        });
     }
 
     std::uint64_t version() const { return m_version; }
@@ -267,6 +273,35 @@
     CHECK(fixture.version() == 12);
 }
 
+TEST_CASE("the status of a rollout is written on condition and read back; others are no concern")
+{
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    CHECK_FALSE(fixture.state->rolloutStatuses);
+    CHECK(fixture.rows.changeReads[RowTable::Statuses] == 0);
+    fixture.rows.set(RowTable::Statuses, "other", "{}");
+    fixture.rows.set(RowTable::Orders, "rollout/w", R"({"service":"w","to":"v2","duration_s":5})");
+    const std::uint64_t ordered = fixture.rows.version();
+    fixture.run(60ms);
+    REQUIRE(fixture.state->rollouts.size() == 1);
+    CHECK(fixture.state->rollouts[0].rowVersion == ordered);
+    REQUIRE(fixture.state->rolloutStatuses);
+    CHECK(fixture.state->rolloutStatuses->empty());
+
+    RolloutStatus status {"w", "v2", RolloutState::Completed, 0};
+    fixture.watcher.writeStatus(status);
+    fixture.run(60ms);
+    REQUIRE(fixture.state->rolloutStatuses->size() == 1);
+    CHECK(fixture.state->rolloutStatuses->front().state == RolloutState::Completed);
+    CHECK(fixture.state->rolloutStatuses->front().rowVersion > ordered);
+    // Another gateway that knew the row as not written does not overwrite it.
+    status.state = RolloutState::RolledBack;
+    fixture.watcher.writeStatus(status);
+    fixture.run(60ms);
+    CHECK(fixture.state->rolloutStatuses->front().state == RolloutState::Completed);
+}
+
 TEST_CASE("beats of servers are no changes, so that peers need not read them")
 {
     Fixture fixture;
--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -289,7 +289,9 @@
                 + std::to_string(m_base + 3) + "\"\npeer_address = \"" + at + "\"\npeer_port = "
                 + std::to_string(m_base) + "\nadmission_port = " + std::to_string(m_base + 1)
                 + "\nagent_port = " + std::to_string(m_base + 1)
-                + "\n[platform]\naddress = \"127.0.0.1:" + std::to_string(m_proxies.back()->port())
+                + "\ncharts_directory = \"" CORNELSHED_SOURCE_DIR
+                  "/charts\"\n[platform]\naddress = \"127.0.0.1:"
+                + std::to_string(m_proxies.back()->port())
                 + "\"\n[bounds]\nkey_revocation_ms = 5000\nshutdown_timeout_ms = 3000\n";
         m_programs.push_back(std::make_unique<Program>(CORNELSHED_BINARY_DIR "/cornelshed-gatewayd",
                                                        settingsFile(name, text),
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -23,6 +23,10 @@
     report.loads = {{11, 2, 300, BackendSign::Silent}, {12, 1, 0, BackendSign::Heard}, {13, 1, 0}};
     report.taken = {{21, 1000.5}};
     report.proofs[0] = SharedProof {9, Duration(1500)};
+    RolloutReport rollout {"w#7", Duration(900), {1, RolloutEnd::RolledBack, "bad"}, {}};
+    const std::string sender = report.name + "#" + std::to_string(report.incarnation);
+    rollout.evidence[{"w#7", sender, "r-1", true}].answers = 5;
+    report.rollouts = {rollout};
     return report;
 }
 
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -9,6 +9,7 @@
 #include "metrics.h"
 #include "monotonicclock.h"
 #include "platformheaders.h"
+#include "statechartfile.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -32,7 +33,10 @@
         traffic.scheduling.availabilityZone = "a";
         traffic.repeats = {0.2, 100, std::chrono::seconds(10)};
         traffic.allowanceTolerance = {0, 1000};
-        m_gateway = std::make_unique<Gateway>(m_context, m_headers, traffic, m_metrics);
+        m_gateway = std::make_unique<Gateway>(
+                m_context, m_headers, traffic,
+                std::get<StateChart>(readStateChart(CORNELSHED_SOURCE_DIR "/charts/rollout.toml")),
+                m_metrics);
         m_problem = m_gateway->listen("127.0.0.1", 0);
         m_thread = std::thread([this] { m_context.run(); });
     }
