cornelshed explain: what became of a request, from the gateways' logs

Cause: from a failed request's id to its cause an engineer had to grep the logs of all gateways and know which lines around it matter.

Ruled out: joining the caller's attempts; their ids have nothing in common.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -198,7 +198,7 @@
                         .field("request", admitted.facts.requestId)
                         .field("organisation", name)
                         .field("cost", cost)
-                        .field("level", allowances.level(name, true, now));
+                        .field("left", allowances.level(name, true, now));
                 return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
                               std::max<Duration>(wait, leastAllowanceRetryAfter));
             }
--- a/src/operator_main.cpp
+++ b/src/operator_main.cpp
@@ -23,6 +23,7 @@
              [--seen VERSION] [--change ID] [--wait] [--wait-timeout-ms MS]
   cornelshed status --platform HOST:PORT
   cornelshed burn --platform HOST:PORT [--objective SHARE] [--html FILE]
+  cornelshed explain --request ID [LOGFILE...]
   cornelshed --help
   cornelshed --version
 
@@ -34,6 +35,8 @@
   accept         Makes the configuration the accepted one.
   status         Shows the accepted configuration, its spread, events and leases.
   burn           Shows how fast each tier and organisation spends its error budget.
+  explain        Tells from logs of gateways what became of a request, and why. Without files, or
+                 with -, reads standard input.
 
 Options:
   --answers FILE        Answers file (TOML).
@@ -47,12 +50,14 @@
   --wait-timeout-ms MS  How long to wait [default: 10000].
   --objective SHARE     Share of requests that have to be good [default: 0.995].
   --html FILE           Also writes the report as one HTML file with plots.
+  --request ID          The request's id, as its caller sent it.
   --help                Shows this text.
   --version             Shows the version.
 
 Exit status:
   0  success
-  1  a file is wrong or cannot be read or written; nothing was changed
+  1  a file is wrong or cannot be read or written; nothing was changed; explain: no line names the
+     request
   2  wrong command line
   3  not accepted because of another change; nothing was changed
   4  the platform cannot be reached or refused; nothing was changed
@@ -142,6 +147,9 @@
         return commands.accept(acceptOptions(arguments));
     if (chosen("burn"))
         return commands.burn(platform(arguments), objective(arguments), text(arguments, "--html"));
+    if (chosen("explain"))
+        return commands.explain(text(arguments, "--request"),
+                                arguments.at("LOGFILE").asStringList(), std::cin);
     return commands.status(platform(arguments));
 }
 
--- a/src/operatorcommands.cpp
+++ b/src/operatorcommands.cpp
@@ -10,6 +10,7 @@
 #include "configurationhead.h"
 #include "deploymentversions.h"
 #include "platformsession.h"
+#include "requestaccount.h"
 
 #include <array>
 #include <charconv>
@@ -327,4 +328,36 @@
     return htmlPath.empty() ? ExitStatus::Success : writeFile(htmlPath, burnHtml(lines, objective));
 }
 
+ExitStatus OperatorCommands::explain(const std::string &requestId,
+                                     const std::vector<std::string> &logPaths, std::istream &input)
+{
+    RequestAccount account(requestId);
+    const auto read = [&](const std::string &source, std::istream &lines) {
+        std::string line;
+        while (std::getline(lines, line))
+            account.addLine(source, line);
+    };
+    if (logPaths.empty())
+        read("standard input", input);
+    for (const std::string &path : logPaths) {
+        if (path == "-") {
+            read("standard input", input);
+            continue;
+        }
+        std::ifstream file(path);
+        if (!file) {
+            m_errors << path << ": cannot be read\n";
+            return ExitStatus::WrongInput;
+        }
+        read(path, file);
+    }
+    if (!account.found()) {
+        m_errors << "no line names request " << requestId
+                 << "; lines of answered requests are sampled, and some may have been dropped\n";
+        return ExitStatus::WrongInput;
+    }
+    m_output << account.text();
+    return ExitStatus::Success;
+}
+
 } // namespace cornelshed
--- a/src/operatorcommands.h
+++ b/src/operatorcommands.h
@@ -9,6 +9,7 @@
 #include <iosfwd>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cornelshed {
 
@@ -65,6 +66,10 @@
     ExitStatus burn(const PlatformEndpoint &platform, double objective,
                     const std::string &htmlPath);
 
+    // Account of a request from logs; without paths, or for "-", from the given input.
+    ExitStatus explain(const std::string &requestId, const std::vector<std::string> &logPaths,
+                       std::istream &input);
+
 private:
     // Nothing if the file cannot be read; the reason is printed.
     std::optional<std::string> readFile(const std::string &path);
--- /dev/null
+++ b/src/requestaccount.cpp
@@ -0,0 +1,303 @@
+// Parsing of log lines, choice of what bears on a request, and its ending in words.
+
+#include "requestaccount.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace cornelshed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// How long before the request's arrival a change of what its gateway believed still bears on it.
+constexpr Duration contextTime = 5s;
+
+// Events of a gateway that bear on any request.
+constexpr std::array<std::string_view, 13> generalEvents {"started",
+                                                          "signal",
+                                                          "shutdown_started",
+                                                          "reloaded",
+                                                          "store_lost",
+                                                          "store_regained",
+                                                          "peer_silent",
+                                                          "peer_heard",
+                                                          "zone_withdrawn",
+                                                          "order_removed",
+                                                          "rollout_step",
+                                                          "log_lines_dropped",
+                                                          "configuration_applied"};
+
+// Events that bear on a request that names the same value in a field.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 3> relatedEvents {
+        {{"backend_listed", "backend"},
+         {"backend_gone", "backend"},
+         {"allowance_changed", "organisation"}}};
+
+struct Ending
+{
+    std::string_view problem; // of request_ended, or reason of request_refused
+    std::string_view meaning;
+};
+
+constexpr std::array<Ending, 27> endings {{
+        {"allowance", "its organisation had used up its allowance; it has not run"},
+        {"no_route", "no route of the configuration in force matches it; it has not run"},
+        {"unknown_key",
+         "no organisation of the configuration in force has its key; it has not run"},
+        {"stale_configuration",
+         "the gateway could not prove its configuration fresh enough for keys; it has not run"},
+        {"unconfigured", "the gateway had no configuration yet; it has not run"},
+        {"malformed_header", "its headers are not proper; it has not run"},
+        {"queue_too_long", "too many requests were before it at its arrival; it has not run"},
+        {"waited_too_long",
+         "no backend server had room for it within its waiting limit; see ran for earlier "
+         "attempts"},
+        {"deadline", "its time limit passed"},
+        {"caller_left", "its caller closed the connection"},
+        {"silent", "nothing was heard from the backend server in time"},
+        {"connection_cut", "the backend server broke the connection; it may have run there"},
+        {"no_connection", "the backend server could not be reached; it has not run there"},
+        {"backend_error", "the backend server answered with an error"},
+        {"answer_not_authentic",
+         "the backend server's answer was not the request's own; it was not passed on"},
+        {"event_cut", "the backend server broke off inside an event of the stream"},
+        {"events_out_of_order", "the backend server's events had gaps or repeats"},
+        {"malformed_answer", "the backend server's answer was not proper HTTP"},
+        {"timed_out", "the backend server gave no answer in time; it may have run there"},
+        {"abandoned", "the gateway gave the attempt up"},
+        {"misdirected", "another backend server has the address; it has not run there"},
+        {"backend_full", "the backend server refused it; it has not run there"},
+        {"shutdown", "the gateway was stopped before the answer was complete"},
+        {"request_timeout", "it was not received whole in time; it has not run"},
+        {"body_too_large", "its body is larger than the limit; it has not run"},
+        {"header_too_large", "its headers are larger than the limit; it has not run"},
+        {"malformed_request", "it is not proper HTTP; it has not run"},
+}};
+
+} // namespace
+
+std::string_view meaningOfProblem(std::string_view problem)
+{
+    for (const Ending &it : endings) {
+        if (it.problem == problem)
+            return it.meaning;
+    }
+    return "see the problem's name";
+}
+
+namespace {
+
+bool isKeyCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || c == '_' || (c >= '0' && c <= '9');
+}
+
+// The next key=value pair from the position on; values may be quoted.
+std::optional<std::pair<std::string, std::string>> nextPair(std::string_view line,
+                                                            std::size_t &position)
+{
+    while (position < line.size()) {
+        std::size_t at = position;
+        while (at < line.size() && isKeyCharacter(line[at]))
+            ++at;
+        if (at == position || at >= line.size() || line[at] != '=') {
+            // Not a pair: on to the next word.
+            const std::size_t space = line.find(' ', position);
+            position = space == std::string_view::npos ? line.size() : space + 1;
+            continue;
+        }
+        const std::string key(line.substr(position, at - position));
+        ++at;
+        std::size_t end = 0;
+        std::string value;
+        if (at < line.size() && line[at] == '"') {
+            end = line.find('"', at + 1);
+            if (end == std::string_view::npos)
+                return std::nullopt; // torn
+            value = line.substr(at + 1, end - at - 1);
+            ++end;
+        } else {
+            end = std::min(line.find(' ', at), line.size());
+            value = line.substr(at, end - at);
+        }
+        position = std::min(end + 1, line.size());
+        return std::pair {key, value};
+    }
+    return std::nullopt;
+}
+
+std::optional<int> number(std::string_view text, std::size_t from, std::size_t count)
+{
+    int value = 0;
+    if (from + count > text.size())
+        return std::nullopt;
+    const char *end = text.data() + from + count;
+    const auto [rest, ec] = std::from_chars(text.data() + from, end, value);
+    return ec == std::errc() && rest == end ? std::optional(value) : std::nullopt;
+}
+
+// 2026-09-15T16:57:54.867Z as time since 1970.
+std::optional<Duration> timeOf(std::string_view text)
+{
+    const auto year = number(text, 0, 4);
+    const auto month = number(text, 5, 2);
+    const auto day = number(text, 8, 2);
+    const auto hour = number(text, 11, 2);
+    const auto minute = number(text, 14, 2);
+    const auto second = number(text, 17, 2);
+    const auto millisecond = number(text, 20, 3);
+    if (!year || !month || !day || !hour || !minute || !second || !millisecond)
+        return std::nullopt;
+    const std::chrono::year_month_day date {std::chrono::year(*year),
+                                            std::chrono::month(static_cast<unsigned>(*month)),
+                                            std::chrono::day(static_cast<unsigned>(*day))};
+    if (!date.ok())
+        return std::nullopt;
+    const auto days = std::chrono::sys_days(date).time_since_epoch();
+    return days + std::chrono::hours(*hour) + std::chrono::minutes(*minute)
+            + std::chrono::seconds(*second) + std::chrono::milliseconds(*millisecond);
+}
+
+std::string fieldOf(const LogEvent &event, const std::string &key)
+{
+    const auto it = event.fields.find(key);
+    return it == event.fields.end() ? std::string() : it->second;
+}
+
+bool isGeneral(const LogEvent &event)
+{
+    return std::find(generalEvents.begin(), generalEvents.end(), event.name) != generalEvents.end();
+}
+
+// Whether an event of a backend server or an organisation is of one that the request names.
+bool isRelated(const LogEvent &event, const std::vector<LogEvent> &own)
+{
+    for (const auto &[name, key] : relatedEvents) {
+        if (event.name != name)
+            continue;
+        const std::string value = fieldOf(event, std::string(key));
+        return std::any_of(own.begin(), own.end(), [&](const LogEvent &it) {
+            return fieldOf(it, std::string(key)) == value;
+        });
+    }
+    return false;
+}
+
+// What the last line says about the whole request.
+std::string sentenceOf(const LogEvent &last)
+{
+    const bool refused = last.name == "request_refused";
+    const std::string status = fieldOf(last, "status");
+    const std::string problem = fieldOf(last, refused ? "reason" : "problem");
+    if (!refused && last.name != "request_ended")
+        return "its end is not in this log";
+    if (!status.empty() && status[0] == '2')
+        return "answered with " + status
+                + (problem.empty() ? std::string() : " after an attempt that failed: ")
+                + (problem.empty() ? std::string() : std::string(meaningOfProblem(problem)));
+    const std::string how =
+            status == "0" ? "its connection was closed" : "the caller got " + status;
+    std::string sentence = how + ": " + std::string(meaningOfProblem(problem));
+    const std::string wait = fieldOf(last, "retry_after_ms");
+    if (!wait.empty() && wait[0] != '-')
+        sentence += "; told to come back after " + wait + " ms";
+    return sentence;
+}
+
+} // namespace
+
+std::optional<LogEvent> parseLogEvent(std::string_view line)
+{
+    LogEvent event;
+    bool timed = false;
+    std::size_t position = 0;
+    while (const auto pair = nextPair(line, position)) {
+        const auto &[key, value] = *pair;
+        if (key == "event") {
+            event.name = value;
+        } else if (key == "time") {
+            const auto time = timeOf(value);
+            timed = time.has_value();
+            event.time = time.value_or(Duration::zero());
+        } else if (key != "level") {
+            event.fields[key] = value;
+            event.text += ' ' + key + '=' + value;
+        }
+    }
+    const bool whole = position >= line.size();
+    return whole && timed && !event.name.empty() ? std::optional(std::move(event)) : std::nullopt;
+}
+
+void RequestAccount::addLine(const std::string &source, std::string_view line)
+{
+    const auto event = parseLogEvent(line);
+    const bool names = line.find(m_requestId) != std::string_view::npos;
+    if (!event) {
+        if (names)
+            ++m_sources[source].tornLines;
+        return;
+    }
+    if (fieldOf(*event, "request") == m_requestId) {
+        m_sources[source].own.push_back(*event);
+        return;
+    }
+    const bool related = std::any_of(relatedEvents.begin(), relatedEvents.end(),
+                                     [&](const auto &it) { return it.first == event->name; });
+    if (related || isGeneral(*event))
+        m_sources[source].context.push_back(*event);
+}
+
+bool RequestAccount::found() const
+{
+    return std::any_of(m_sources.begin(), m_sources.end(), [](const auto &it) {
+        return !it.second.own.empty() || it.second.tornLines > 0;
+    });
+}
+
+std::string RequestAccount::text() const
+{
+    std::string text = "request " + m_requestId + '\n';
+    for (const auto &[name, source] : m_sources) {
+        if (!source.own.empty() || source.tornLines > 0)
+            text += textOf(name, source);
+    }
+    return text;
+}
+
+std::string RequestAccount::textOf(const std::string &name, const Source &source) const
+{
+    std::string text = name + ":\n";
+    if (source.tornLines > 0)
+        text += "  " + std::to_string(source.tornLines) + " torn lines name it\n";
+    if (source.own.empty())
+        return text;
+    const LogEvent &last = source.own.back();
+    Duration arrival = source.own.front().time;
+    if (const std::string total = fieldOf(last, "total_ms"); !total.empty()) {
+        std::int64_t ms = 0;
+        std::from_chars(total.data(), total.data() + total.size(), ms);
+        arrival = std::min(arrival, last.time - std::chrono::milliseconds(ms));
+    }
+    std::vector<LogEvent> events = source.own;
+    for (const LogEvent &it : source.context) {
+        const bool near = it.time >= arrival - contextTime && it.time <= last.time;
+        if (near && (isGeneral(it) || isRelated(it, source.own)))
+            events.push_back(it);
+    }
+    std::stable_sort(events.begin(), events.end(),
+                     [](const LogEvent &a, const LogEvent &b) { return a.time < b.time; });
+    for (const LogEvent &it : events) {
+        const auto ms = (it.time - last.time) / 1ms;
+        const bool own = fieldOf(it, "request") == m_requestId;
+        text += (own ? "  " : "    ") + std::to_string(ms) + " ms " + it.name + it.text + '\n';
+    }
+    return text + "  " + sentenceOf(last) + '\n';
+}
+
+} // namespace cornelshed
