Gateway: admission is a part of its own

Cause: gateway.cpp had grown to 850 lines; route, key, allowance and order of a request were decided between its bookkeeping.

Change: gatewayadmission decides whether a request is admitted and in which order; gateway.cpp (702 lines) keeps scheduling and bookkeeping. No decision has changed; error.gateway, error.gatewaysoak and the others pass as before.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -5,8 +5,8 @@
 #include "agentlink.h"
 #include "callerchannel.h"
 #include "eventlog.h"
+#include "gatewayadmission.h"
 #include "gatewayexchange.h"
-#include "httpheaders.h"
 #include "listener.h"
 #include "monotonicclock.h"
 #include "stabledigest.h"
@@ -17,8 +17,6 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <iterator>
-#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -42,33 +40,18 @@
 // A waiting request is refused after this share of its objective: an answer that is begun later
 // would be late, and the caller can still try elsewhere.
 constexpr double waitObjectives = 0.75;
-// A caller without a limit of its own and on a route without one.
-constexpr Duration usualTimeLimit = 30s;
-constexpr Duration unconfiguredRetryAfter = 500ms;
-// Early enough for an answer within the objective of most routes.
-constexpr Duration leastAllowanceRetryAfter = 200ms;
-constexpr Duration staleRetryAfter = 100ms;
 // At the end of a shutdown, connections are closed this long before the process must have ended.
 constexpr Duration shutdownMargin = 300ms;
 // How often a shutdown checks whether the last answers are written.
 constexpr Duration drainCheckInterval = 20ms;
 // Evidence of rollouts goes with a report at most this often.
 constexpr Duration rolloutReportInterval = 200ms;
-// Organisations' ranks go before routes'.
-constexpr std::uint64_t organisationRankWeight = std::uint64_t {1} << 32U;
-// Requests beyond their organisation's allowance go after all others.
-constexpr std::uint64_t lentOrder = std::uint64_t {1} << 62U;
 
 std::string retryAfterText(Duration duration)
 {
     return std::to_string(std::chrono::duration<double>(duration).count());
 }
 
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 } // namespace
 
 class Gateway::Private final : public detail::ExchangeServices,
@@ -92,7 +75,9 @@
                                           "From a request's arrival to its first event")),
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
                                       "From a request's arrival to the end of its answer")),
-          allowances(settings.allowanceWindow, settings.allowanceTolerance),
+          admission(
+                  headers,
+                  {settings.keyProofLimit, settings.allowanceWindow, settings.allowanceTolerance}),
           rollouts(std::move(rolloutChart),
                    {settings.name + "#" + std::to_string(settings.incarnation),
                     settings.exposureShare, settings.exposureConstant}),
@@ -129,88 +114,12 @@
     {
         counter("requests_total", "Requests received").add();
         const Instant now = monotonicNow();
-        auto decoded = headers.decodeCaller(request.headers);
-        if (const auto *error = std::get_if<InputError>(&decoded))
-            return refuse(channel, {}, *error, std::nullopt);
-        AdmittedRequest admitted;
-        admitted.facts = std::get<CallerFacts>(std::move(decoded));
-        if (!state || !state->routes) {
-            return refuse(channel, admitted.facts, {503, "unconfigured", "no configuration yet"},
-                          unconfiguredRetryAfter);
-        }
-        const RouteTable &routes = *state->routes;
-        const std::string *host = hostOf(request);
-        const DirectRoute *route = routes.find(host ? *host : "", pathOf(request.target));
-        if (route == nullptr)
-            return refuse(channel, admitted.facts, {404, "no_route", "no such route"},
-                          std::nullopt);
-        admitted.route = *route;
-        admitted.configurationVersion = routes.content().version;
-        admitted.request = std::move(request);
-        const Organisation *organisation = nullptr;
-        if (!routes.content().organisations.empty() && !route->keyExempt) {
-            if (const auto problem = checkKey(routes, admitted.facts.key, organisation))
-                return refuse(channel, admitted.facts, problem->first, problem->second);
-        }
-        return schedule(std::move(admitted), organisation, channel, now);
-    }
-
-    static const std::string *hostOf(const IngressRequest &request)
-    {
-        return findHeader(request.headers, "Host");
-    }
-
-    std::optional<std::pair<InputError, std::optional<Duration>>>
-    checkKey(const RouteTable &routes, const std::string &key, const Organisation *&organisation)
-    {
-        const Duration age = proofAge();
-        if (age >= settings.keyProofLimit) {
-            // The key may have been taken back meanwhile.
-            return std::pair {InputError {503, "stale_configuration", "cannot check the key now"},
-                              std::optional<Duration>(staleRetryAfter)};
-        }
-        organisation = routes.organisationOf(key);
-        if (organisation == nullptr)
-            return std::pair {InputError {401, "unknown_key", "unknown key"},
-                              std::optional<Duration>()};
-        return std::nullopt;
-    }
-
-    std::shared_ptr<IngressExchange> schedule(AdmittedRequest admitted,
-                                              const Organisation *organisation,
-                                              const std::shared_ptr<CallerChannel> &channel,
-                                              Instant now)
-    {
-        const DirectRoute &route = admitted.route;
-        TierRank organisationRank = 0;
-        if (organisation != nullptr) {
-            admitted.organisation = organisation->name;
-            admitted.allowanceCost = costOf(*organisation, admitted.facts);
-            organisationRank = organisation->rank;
-            const std::string &name = organisation->name;
-            const double cost = admitted.allowanceCost;
-            const bool within = allowances.tryTake(name, cost, false, now);
-            if (!within)
-                admitted.order += lentOrder;
-            if (!within && !allowances.tryTake(name, cost, true, now)) {
-                const Duration wait = allowances.timeUntil(name, cost, now);
-                EventLog("allowance_exceeded", EventLevel::Warning)
-                        .field("request", admitted.facts.requestId)
-                        .field("organisation", name)
-                        .field("cost", cost)
-                        .field("left", allowances.level(name, true, now));
-                return refuse(channel, admitted.facts, {429, "allowance", "over the allowance"},
-                              std::max<Duration>(wait, leastAllowanceRetryAfter));
-            }
-        }
+        CallerFacts facts;
+        auto result = admission.admit(std::move(request), proofAge(), facts, now);
+        if (const auto *refusal = std::get_if<detail::AdmissionRefusal>(&result))
+            return refuse(channel, facts, refusal->error, refusal->retryAfter);
+        auto &admitted = std::get<AdmittedRequest>(result);
         admitted.id = {settings.incarnation, ++sequence};
-        admitted.service = chooseService(route, admitted.facts.requestId);
-        admitted.order += organisationRank * organisationRankWeight + route.rank;
-        admitted.leaveFree = std::min(higherRanks(admitted.service, route.rank), 1U);
-        const Duration caller = admitted.facts.remaining.value_or(usualTimeLimit);
-        const Duration limit =
-                route.timeout > Duration::zero() ? std::min(route.timeout, caller) : caller;
-        admitted.deadline = admitted.request.receivedAt + limit;
         const auto exchange =
                 std::make_shared<GatewayExchange>(*this, std::move(admitted), channel);
         const AdmittedRequest &stored = exchange->admitted();
@@ -222,41 +131,6 @@
         return exchange;
     }
 
-    static double costOf(const Organisation &organisation, const CallerFacts &facts)
-    {
-        if (organisation.countsRequests)
-            return 1;
-        return static_cast<double>(facts.tokensKnown ? facts.promptTokens + facts.outputTokens
-                                                     : organisation.plainTokens);
-    }
-
-    // The same request id always chooses the same service.
-    static std::string chooseService(const DirectRoute &route, const std::string &requestId)
-    {
-        std::uint64_t total = 0;
-        for (const WeightedService &it : route.services)
-            total += it.weight;
-        if (total == 0)
-            return route.services.front().service;
-        std::uint64_t draw = stableDigest(requestId) % total;
-        for (const WeightedService &it : route.services) {
-            if (draw < it.weight)
-                return it.service;
-            draw -= it.weight;
-        }
-        return route.services.back().service;
-    }
-
-    // How many ranks of the service's routes go before this one.
-    std::uint32_t higherRanks(const std::string &service, TierRank rank) const
-    {
-        const auto it = ranksOfService.find(service);
-        if (it == ranksOfService.end())
-            return 0;
-        return static_cast<std::uint32_t>(
-                std::distance(it->second.begin(), it->second.lower_bound(rank)));
-    }
-
     DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool repeat)
     {
         const AdmittedRequest &admitted = exchange.admitted();
@@ -428,7 +302,7 @@
         const AdmittedRequest &admitted = exchange.admitted();
         scheduler.remove(admitted.id);
         if (!exchange.everSent() && admitted.allowanceCost > 0)
-            allowances.giveBack(admitted.organisation, admitted.allowanceCost);
+            admission.allowances().giveBack(admitted.organisation, admitted.allowanceCost);
         record(exchange, status, now);
         exchanges.erase(admitted.id);
         advance(now);
@@ -576,26 +450,6 @@
         return rates;
     }
 
-    void applyConfiguration(Instant now)
-    {
-        ranksOfService.clear();
-        if (!state->routes)
-            return;
-        for (const DirectRoute &route : state->routes->content().routes) {
-            for (const WeightedService &it : route.services)
-                ranksOfService[it.service].insert(route.rank);
-        }
-        for (const Organisation &it : state->routes->content().organisations) {
-            if (!allowances.configure(it.name, {it.tokensPerSecond, it.burstTokens}, now))
-                continue;
-            EventLog("allowance_changed")
-                    .field("organisation", it.name)
-                    .field("tokens_per_second", it.tokensPerSecond)
-                    .field("burst", it.burstTokens)
-                    .field("rank", it.rank);
-        }
-    }
-
     // --- shutdown ---
 
     void closeIdleChannels()
@@ -664,12 +518,11 @@
     asio::steady_timer limitTimer;
     TimeSummary &firstEventTimes;
     TimeSummary &answerTimes;
-    TokenAllowances allowances;
+    detail::GatewayAdmission admission;
     GatewayRollouts rollouts;
     Instant rolloutsReportedAt {};
     std::function<void(const RolloutStatus &)> writeRolloutStatus;
     std::unordered_map<std::string, WindowedBudget> repeatBudgets; // by service
-    std::unordered_map<std::string, std::set<TierRank>> ranksOfService;
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
     AgentLink agents;
@@ -726,7 +579,7 @@
 
 void Gateway::reload(const GatewayTraffic &settings)
 {
-    d->settings.keyProofLimit = settings.keyProofLimit;
+    d->admission.setKeyProofLimit(settings.keyProofLimit);
     d->settings.readyProofLimit = settings.readyProofLimit;
     d->settings.answeredLogInterval = settings.answeredLogInterval;
 }
@@ -737,7 +590,7 @@
     const bool newRoutes = !d->state || d->state->routes != state->routes;
     d->state = std::move(state);
     if (newRoutes)
-        d->applyConfiguration(now);
+        d->admission.setRoutes(d->state->routes, now);
     d->applyBackends(now);
     d->rollouts.setOrders(d->state->rollouts, d->state->rolloutStatuses, now);
     d->rollouts.setBackends(d->state->backends);
@@ -764,7 +617,7 @@
             d->draining,
             monotonicNow() - d->startedAt,
             d->scheduler.ownLoads(monotonicNow()),
-            d->allowances.ownTotals(),
+            d->admission.allowances().ownTotals(),
             {d->freshness.share(RowTable::Orders, sinceBoot),
              d->freshness.share(RowTable::Backends, sinceBoot)},
             d->dueRolloutReports()};
@@ -789,7 +642,8 @@
     for (const RolloutReport &it : report.rollouts)
         d->rollouts.peerReport(it, now);
     for (const auto &[organisation, taken] : report.taken)
-        d->allowances.peerTotal(report.incarnation, report.uptime, organisation, taken, now);
+        d->admission.allowances().peerTotal(report.incarnation, report.uptime, organisation, taken,
+                                            now);
     if (d->scheduler.waiting() > 0)
         d->advance(now);
     return behind;
@@ -800,8 +654,9 @@
     d->view = view;
     d->scheduler.setDaemons(view.mayBeAlive, view.place);
     d->rollouts.setDaemons(view.mayBeAlive, view.heardPlace);
-    d->allowances.setDaemons(view.heard, view.mayBeAlive);
-    d->allowances.setReportLag(view.interval * 3 / 2); // on average half an interval more
+    d->admission.allowances().setDaemons(view.heard, view.mayBeAlive);
+    d->admission.allowances().setReportLag(view.interval * 3
+                                           / 2); // on average half an interval more
 }
 
 void Gateway::onRolloutStatus(std::function<void(const RolloutStatus &)> write)
