A request whose caller has closed is not sent on, even if the close is unread

Cause: a gateway that is held up reads a request and starts it before it reads the close behind it. On a kept connection the request then goes out at once.

Change: before a request is sent, the caller's socket is looked at; one that was never sent says nothing about the backend server (it is no longer counted as abandoned there).

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -120,6 +120,13 @@
         requestDone();
     }
 
+    bool callerClosed() override
+    {
+        char next = 0;
+        const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void beginStream(std::uint32_t status, Headers headers) override
     {
         if (m_closed)
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -63,6 +63,10 @@
     virtual void streamPart(std::string data) = 0;
     virtual void endStream() = 0;
 
+    // Whether the caller's close has arrived, even if it was not read yet: behind the request that
+    // is being handled, or while the process was held up.
+    virtual bool callerClosed() = 0;
+
     // Closes the connection without completing the answer.
     virtual void abort() = 0;
 
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -711,8 +711,10 @@
     const bool silent = report.outcome == AttemptOutcome::Silent;
     if (!started.firstEventSeen) {
         backend.unreadPromptTokens -= started.promptTokens;
-        if (silent || report.outcome == AttemptOutcome::Abandoned
-            || report.outcome == AttemptOutcome::Broken)
+        if (report.outcome == AttemptOutcome::NeverSent)
+            backend.signs.requestNeverSent();
+        else if (silent || report.outcome == AttemptOutcome::Abandoned
+                 || report.outcome == AttemptOutcome::Broken)
             backend.signs.requestUnheard(silent, now);
         else
             backend.signs.requestHeard(now);
@@ -728,7 +730,8 @@
     if (report.outcome == AttemptOutcome::Broken)
         backend.coldUntil = std::max(backend.coldUntil, now + suspectTime);
     if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Misdirected
-        || report.outcome == AttemptOutcome::Abandoned) {
+        || report.outcome == AttemptOutcome::Abandoned
+        || report.outcome == AttemptOutcome::NeverSent) {
         if (started.probe)
             d->outliers.probeReleased(backend.slot);
         return;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -76,7 +76,8 @@
     Silent,      // taken back because nothing was heard
     NotRun,      // refused by the backend server
     Misdirected, // another backend server has the address
-    Abandoned    // ended by this daemon; tells nothing about the backend server
+    Abandoned,   // ended by this daemon; tells nothing about the backend server
+    NeverSent    // chosen, but its caller left before it was sent
 };
 
 struct AttemptReport
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -207,10 +207,15 @@
         const auto entry = backends.find(action.backend);
         if (exchange == exchanges.end() || !record || entry == backends.end()) {
             // The caller left between the choice and now.
-            scheduler.ended(action.request, {AttemptOutcome::Abandoned, {}, {}}, monotonicNow());
+            scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
             return;
         }
         const auto kept = exchange->second;
+        if (kept->callerClosed()) {
+            scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
+            kept->callerLeft();
+            return;
+        }
         kept->startAttempt(*record, *entry->second.client);
     }
 
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -70,6 +70,8 @@
 
     void start(); // arms the deadline
 
+    bool callerClosed() const { return m_channel->callerClosed(); }
+
     // The scheduler chose a backend server.
     void startAttempt(const BackendRecord &backend, BackendClient &client);
 
--- a/src/gatewayrollouts.cpp
+++ b/src/gatewayrollouts.cpp
@@ -340,6 +340,7 @@
             rollout.longestAnswer = std::max(rollout.longestAnswer, report.total);
     }
     if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Misdirected
+        || report.outcome == AttemptOutcome::NeverSent
         || (abandoned && report.total < outcome.objective * slowObjectives)
         || (outcome.begun && (answered || abandoned)))
         return;
--- a/src/signsoflife.cpp
+++ b/src/signsoflife.cpp
@@ -58,6 +58,11 @@
     ++m_unansweredCount;
 }
 
+void SignsOfLife::requestNeverSent()
+{
+    --m_unansweredCount;
+}
+
 void SignsOfLife::requestHeard(Instant now)
 {
     --m_unansweredCount;
--- a/src/signsoflife.h
+++ b/src/signsoflife.h
@@ -34,6 +34,7 @@
     // unheard; takenBack: because nothing was heard in time, not because its caller left or its
     // connection broke.
     void requestStarted();
+    void requestNeverSent();
     void requestHeard(Instant now);
     void requestUnheard(bool takenBack, Instant now);
     void streamSilent(Instant now); // one that was heard before was taken back
--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -423,6 +423,26 @@
     CHECK(running == 0);
 }
 
+TEST_CASE("a caller that left while the gateway was held up has its request not sent on")
+{
+    Fixture fixture(answerWhole);
+    // Kept connections to the backend servers, on which a request goes out at once.
+    for (int i = 0; i < 6; ++i)
+        CHECK(fixture.ask(requestText("POST", "/order/w", "w-" + std::to_string(i))).status == 200);
+    const std::size_t before = fixture.arrivals().size();
+    for (int i = 0; i < 5; ++i) {
+        Caller caller(fixture.runner.port());
+        std::this_thread::sleep_for(20ms); // the connection is accepted
+        fixture.runner.onTraffic([&] {
+            caller.send(requestText("POST", "/order/a", "r-" + std::to_string(i)));
+            caller.close();
+            std::this_thread::sleep_for(20ms);
+        });
+    }
+    CHECK(fixture.ask(requestText("POST", "/order/b", "r-9")).status == 200);
+    CHECK(fixture.arrivals().size() == before + 1);
+}
+
 TEST_CASE("the time limit of the route ends a request in time and truthfully")
 {
     Fixture fixture([](const StubRequest &, StubReply &) { std::this_thread::sleep_for(1500ms); });
