Soak: faults of processes and connections beside each other, runs counted at the end

Change: processes and connections are harmed by two loops, requests last 10 to 60 ms, and runs of what may run once are counted when all is over.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -23,6 +23,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -103,7 +104,9 @@
         const std::string id = header(request, "X-Request-Id");
         runs.add(id);
         const std::string seal = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
-        std::this_thread::sleep_for(10ms);
+        // Long enough that a connection is often harmed while its request runs.
+        std::this_thread::sleep_for(
+                10ms + std::chrono::milliseconds(std::hash<std::string> {}(id) % 50));
         if (!request.target.starts_with("/quote/")) {
             reply.send("HTTP/1.1 200 OK\r\n" + seal + "Content-Length: " + std::to_string(id.size())
                        + "\r\n\r\n" + id);
@@ -210,7 +213,8 @@
 class Soak
 {
 public:
-    explicit Soak(std::uint64_t seed) : m_seed(seed), m_random(seed)
+    explicit Soak(std::uint64_t seed)
+        : m_seed(seed), m_processRandom(seed), m_proxyRandom(seed + 1000000)
     {
         std::vector<std::uint16_t> ports;
         for (int n = 0; n < serverCount; ++n) {
@@ -239,8 +243,14 @@
             callers.emplace_back([this, n] { call(n); });
         std::this_thread::sleep_for(1s);
         const auto until = std::chrono::steady_clock::now() + faultTime;
-        while (std::chrono::steady_clock::now() < until)
-            injectFault();
+        const auto repeat = [until](const auto &inject) {
+            while (std::chrono::steady_clock::now() < until)
+                inject();
+        };
+        // A stop takes seconds; connections are harmed meanwhile.
+        std::thread processFaults([&] { repeat([this] { harmProcess(); }); });
+        repeat([this] { harmConnections(); });
+        processFaults.join();
         for (const auto &it : m_proxies)
             it->set(ProxyFault::None);
         for (const auto &it : m_programs)
@@ -252,7 +262,7 @@
         m_stopped = true;
         for (std::thread &it : callers)
             it.join();
-        checkRefusals();
+        checkRuns();
     }
 
     int answered() const { return m_answered; }
@@ -298,36 +308,38 @@
                                                        m_folder.file(name + ".log")));
     }
 
-    void injectFault()
+    void harmProcess()
     {
-        Program &program = *m_programs[m_random.below(m_programs.size())];
-        FaultProxy &proxy = *m_proxies[m_random.below(m_proxies.size())];
-        const auto pause = std::chrono::milliseconds(50 + m_random.below(500));
-        switch (m_random.below(8)) {
+        Program &program = *m_programs[m_processRandom.below(m_programs.size())];
+        switch (m_processRandom.below(4)) {
         case 0:
             program.restart(SIGKILL);
             break;
         case 1:
             program.restart(SIGTERM);
             break;
-        case 2:
-        case 3:
+        default:
             program.signal(SIGSTOP);
-            std::this_thread::sleep_for(pause);
+            std::this_thread::sleep_for(std::chrono::milliseconds(50 + m_processRandom.below(500)));
             program.signal(SIGCONT);
             break;
-        default:
-            // Overlaps with what comes next.
-            proxy.set(static_cast<ProxyFault>(1 + m_random.below(4)));
-            std::this_thread::sleep_for(pause / 2);
-            if (m_random.below(2) == 0)
-                proxy.set(ProxyFault::None);
-            break;
-        }
-        if (m_random.below(3) == 0) {
-            for (const auto &it : m_proxies)
-                it->set(ProxyFault::None);
         }
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_processRandom.below(300)));
+    }
+
+    void harmConnections()
+    {
+        FaultProxy &proxy = *m_proxies[m_proxyRandom.below(m_proxies.size())];
+        // Overlaps with what comes next.
+        proxy.set(static_cast<ProxyFault>(1 + m_proxyRandom.below(4)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(25 + m_proxyRandom.below(250)));
+        if (m_proxyRandom.below(2) == 0)
+            proxy.set(ProxyFault::None);
+        if (m_proxyRandom.below(3) != 0)
+            return;
+        for (const auto &it : m_proxies)
+            it->set(ProxyFault::None);
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_proxyRandom.below(100)));
     }
 
     // One caller; uses its connection until it is gone.
@@ -347,6 +359,10 @@
                 text.append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ");
                 text.append(id).append("\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
                                        "Content-Length: 2\r\n\r\nab");
+                if (path == "/order/") {
+                    const std::lock_guard lock(m_mutex);
+                    m_orders.push_back(id);
+                }
                 caller->send(text);
                 const CallerAnswer answer = caller->receive();
                 check(id, path, answer);
@@ -361,9 +377,6 @@
 
     void check(const std::string &id, const std::string &path, const CallerAnswer &answer)
     {
-        const int runs = m_runs.of(id);
-        if (path == "/order/" && runs > 1)
-            report(id + " ran " + std::to_string(runs) + " times");
         if (answer.status == 503 || answer.status == 429) {
             const std::lock_guard lock(m_mutex);
             m_refused.emplace_back(id, path);
@@ -381,9 +394,13 @@
             report(id + " got another or an incomplete answer: " + answer.body);
     }
 
-    // Not run, and never later.
-    void checkRefusals()
+    // What may run once: not twice, whatever its caller got, and never if it was refused.
+    void checkRuns()
     {
+        for (const std::string &id : m_orders) {
+            if (const int runs = m_runs.of(id); runs > 1)
+                report(id + " ran " + std::to_string(runs) + " times");
+        }
         for (const auto &[id, path] : m_refused) {
             if (path == "/order/" && m_runs.of(id) > 0)
                 report(id + " was refused as not run, and ran");
@@ -397,7 +414,8 @@
     }
 
     std::uint64_t m_seed;
-    SeededRandom m_random;
+    SeededRandom m_processRandom;
+    SeededRandom m_proxyRandom;
     demo::TemporaryFolder m_folder;
     Runs m_runs;
     std::vector<std::unique_ptr<BackendStub>> m_servers;
@@ -409,7 +427,8 @@
     std::atomic<bool> m_stopped {false};
     std::atomic<int> m_answered {0};
     bool m_recovered = false;
-    std::mutex m_mutex; // guards the following
+    std::mutex m_mutex;                // guards the following
+    std::vector<std::string> m_orders; // ids
     std::vector<std::pair<std::string, std::string>> m_refused;
     std::vector<std::string> m_problems;
 };
