--- a/src/requestaccount.cpp
+++ b/src/requestaccount.cpp
@@ -181,10 +181,10 @@
     for (const auto &[name, key] : relatedEvents) {
         if (event.name != name)
             continue;
-        const std::string value = fieldOf(event, std::string(key));
-        return std::any_of(own.begin(), own.end(), [&](const LogEvent &it) {
-            return fieldOf(it, std::string(key)) == value;
-        });
+        const std::string field(key);
+        const std::string value = fieldOf(event, field);
+        return std::any_of(own.begin(), own.end(),
+                           [&](const LogEvent &it) { return fieldOf(it, field) == value; });
     }
     return false;
 }
@@ -227,7 +227,7 @@
             event.time = time.value_or(Duration::zero());
         } else if (key != "level") {
             event.fields[key] = value;
-            event.text += ' ' + key + '=' + value;
+            event.text.append(1, ' ').append(key).append(1, '=').append(value);
         }
     }
     const bool whole = position >= line.size();
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -323,10 +323,10 @@
     SilentAgents()
     {
         for (std::uint32_t i = 0; i < daemonCount; ++i) {
-            daemons.push_back(std::make_unique<Harness>(records()));
-            daemons.back()->scheduler.setDaemons(daemonCount, i);
+            m_daemons.push_back(std::make_unique<Harness>(records()));
+            m_daemons.back()->scheduler.setDaemons(daemonCount, i);
             for (const BackendRecord &it : records())
-                daemons.back()->scheduler.agentHeard(it.id, start);
+                m_daemons.back()->scheduler.agentHeard(it.id, start);
         }
     }
 
@@ -341,11 +341,11 @@
         for (Duration at = 0ms; at < length; at += 10ms) {
             const Instant now = start + at;
             for (std::uint32_t i = 0; i < daemonCount; ++i) {
-                DirectScheduler &scheduler = daemons[i]->scheduler;
+                DirectScheduler &scheduler = m_daemons[i]->scheduler;
                 if (at % 20ms == Duration::zero())
                     scheduler.add(request(++sequence, 0, now));
-                for (const StartAction &it : daemons[i]->advance<StartAction>(now)) {
-                    running.push_back({i, it.request, now, false});
+                for (const StartAction &it : m_daemons[i]->advance<StartAction>(now)) {
+                    m_running.push_back({i, it.request, now, false});
                     ++started;
                 }
                 const Duration phase = reportInterval * i / daemonCount / 10ms * 10ms;
@@ -368,17 +368,17 @@
 
     void report(std::uint32_t sender, Instant now)
     {
-        const auto loads = daemons[sender]->scheduler.ownLoads(now);
+        const auto loads = m_daemons[sender]->scheduler.ownLoads(now);
         for (std::uint32_t i = 0; i < daemonCount; ++i) {
             if (i != sender)
-                daemons[i]->scheduler.peerReport(sender, loads, now);
+                m_daemons[i]->scheduler.peerReport(sender, loads, now);
         }
     }
 
     void finish(Instant now, std::optional<Duration> firstEventAfter)
     {
-        std::erase_if(running, [&](Running &it) {
-            DirectScheduler &scheduler = daemons[it.daemon]->scheduler;
+        std::erase_if(m_running, [&](Running &it) {
+            DirectScheduler &scheduler = m_daemons[it.daemon]->scheduler;
             const Duration age = now - it.startedAt;
             if (firstEventAfter && !it.heard && age >= *firstEventAfter) {
                 scheduler.firstEvent(it.id, now);
@@ -394,8 +394,8 @@
         });
     }
 
-    std::vector<std::unique_ptr<Harness>> daemons;
-    std::vector<Running> running;
+    std::vector<std::unique_ptr<Harness>> m_daemons;
+    std::vector<Running> m_running;
 };
 
 } // namespace
--- a/test/correctness/gatewayrollouts.cpp
+++ b/test/correctness/gatewayrollouts.cpp
@@ -49,7 +49,7 @@
 class Fleet
 {
 public:
-    explicit Fleet(const FleetSettings &given) : settings(given), random(given.seed)
+    explicit Fleet(const FleetSettings &given) : settings(given), m_random(given.seed)
     {
         for (std::size_t i = 0; i < settings.gateways; ++i)
             add();
@@ -93,7 +93,7 @@
     }
 
     double allowed() const { return 0.1 * requests + 50; }
-    const std::optional<RolloutStatus> &row() const { return status; }
+    const std::optional<RolloutStatus> &row() const { return m_status; }
 
     FleetSettings settings;
     std::vector<std::unique_ptr<GatewayRollouts>> gateways;
@@ -106,8 +106,8 @@
     void read(GatewayRollouts &gateway, Instant now) const
     {
         std::vector<RolloutStatus> statuses;
-        if (status)
-            statuses.push_back(*status);
+        if (m_status)
+            statuses.push_back(*m_status);
         gateway.setOrders({{"writer", "v2", settings.duration, orderVersion}}, statuses, now);
     }
 
@@ -122,7 +122,7 @@
 
     bool chance(double share)
     {
-        return std::uniform_real_distribution<double>(0, 1)(random) < share;
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
     }
 
     void report(std::size_t sender, Instant now)
@@ -140,10 +140,10 @@
         const RolloutTick result = gateway.tick(
                 [&](const std::string &, const std::string &) { return runningOld() == 0; }, now);
         for (RolloutStatus it : result.writes) {
-            if (it.rowVersion != (status ? status->rowVersion : 0))
+            if (it.rowVersion != (m_status ? m_status->rowVersion : 0))
                 continue; // the row has changed
-            it.rowVersion = nextVersion++;
-            status = it;
+            it.rowVersion = m_nextVersion++;
+            m_status = it;
             if (it.state == RolloutState::Running)
                 continue;
             ends.push_back(it.state);
@@ -154,25 +154,25 @@
 
     std::size_t runningOld() const
     {
-        return static_cast<std::size_t>(std::count_if(running.begin(), running.end(),
+        return static_cast<std::size_t>(std::count_if(m_running.begin(), m_running.end(),
                                                       [](const auto &it) { return !it.isNew; }));
     }
 
     void send(std::size_t gateway, Instant now)
     {
-        const std::string id = std::to_string(random());
+        const std::string id = std::to_string(m_random());
         const VersionChoice choice = gateways[gateway]->choose("writer", id, false, now);
         const bool isNew = choice.allows("v2") && !choice.allows("v1");
         ++requests;
         exposed += isNew ? 1 : 0;
         const bool bad = isNew && now >= settings.newVersion.badFrom;
         const Duration time = bad ? settings.newVersion.time : settings.oldTime;
-        running.push_back({gateway, chance(0.5) ? "long" : "short", isNew, now + time});
+        m_running.push_back({gateway, chance(0.5) ? "long" : "short", isNew, now + time});
     }
 
     void finish(Instant now)
     {
-        std::erase_if(running, [&](const Running &it) {
+        std::erase_if(m_running, [&](const Running &it) {
             if (!settings.answers || now < it.until)
                 return false;
             const bool bad = it.isNew && now >= settings.newVersion.badFrom;
@@ -186,10 +186,10 @@
         });
     }
 
-    std::mt19937_64 random;
-    std::vector<Running> running;
-    std::optional<RolloutStatus> status;
-    std::uint64_t nextVersion = orderVersion + 1;
+    std::mt19937_64 m_random;
+    std::vector<Running> m_running;
+    std::optional<RolloutStatus> m_status;
+    std::uint64_t m_nextVersion = orderVersion + 1;
 };
 
 using Ends = std::vector<RolloutState>;
