Soak: a fault that cannot be injected is reported, not an abort

An exception of the thread that harms processes ended the test without a reason. The reason itself is not known yet.

Change: it is reported as a problem with its text.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -243,9 +243,13 @@
             callers.emplace_back([this, n] { call(n); });
         std::this_thread::sleep_for(1s);
         const auto until = std::chrono::steady_clock::now() + faultTime;
-        const auto repeat = [until](const auto &inject) {
-            while (std::chrono::steady_clock::now() < until)
-                inject();
+        const auto repeat = [this, until](const auto &inject) {
+            try {
+                while (std::chrono::steady_clock::now() < until)
+                    inject();
+            } catch (const std::exception &error) {
+                report(std::string("no further faults: ") + error.what());
+            }
         };
         // A stop takes seconds; connections are harmed meanwhile.
         std::thread processFaults([&] { repeat([this] { harmProcess(); }); });
