Rollouts: a recorded end holds against a gateway's own verdict

Cause: found on reading the change. Being rolled back prevails in merges, so a gateway that had seen a bad answer late would keep to the old version's servers, which stop at `completed`, and write `rolled_back` over it.

Change: once the status row holds an end for the order, the share follows it, nothing is judged and nothing is written.

Before: the new test fails in 13 of its checks (both ways round); after: none.

--- a/src/gatewayrollouts.cpp
+++ b/src/gatewayrollouts.cpp
@@ -185,30 +185,46 @@
     }
 
     // What the status row says, if it was written for this order.
-    void follow(const std::string &name, Rollout &rollout, Instant now) const
+    static std::optional<RolloutState> recorded(const Rollout &rollout)
     {
         const auto &stored = rollout.stored;
-        if (!stored || stored->rowVersion < rollout.order.rowVersion
+        if (!stored || stored->rowVersion <= rollout.order.rowVersion
             || stored->version != rollout.order.version)
-            return;
-        const auto lastStage = static_cast<std::uint32_t>(rollout.policy.rampShares.size() + 1);
-        if (stored->state == RolloutState::Completed)
-            rollout.controller.mergeProgress(name, {lastStage, RolloutEnd::Done, "recorded"}, now);
-        else if (stored->state == RolloutState::RolledBack)
-            rollout.controller.mergeProgress(name, {0, RolloutEnd::RolledBack, "recorded"}, now);
+            return std::nullopt;
+        return stored->state;
     }
 
-    // Whether the status row already says so.
-    static bool isStored(const Rollout &rollout, RolloutState state)
+    // Of the service's requests to the new version. A recorded end holds against what was concluded
+    // here: the versions' servers stop by it.
+    static double shareOf(const Rollout &rollout)
     {
-        const auto &stored = rollout.stored;
-        return stored && stored->rowVersion > rollout.order.rowVersion
-                && stored->version == rollout.order.version && stored->state == state;
+        const auto state = recorded(rollout);
+        if (state == RolloutState::Completed)
+            return allTraffic;
+        if (state == RolloutState::RolledBack)
+            return 0;
+        return rollout.controller.shares().front().share;
+    }
+
+    static bool hasRecordedEnd(const Rollout &rollout)
+    {
+        const auto state = recorded(rollout);
+        return state && *state != RolloutState::Running;
+    }
+
+    // For the log, once for each step.
+    static void noteStep(Rollout &rollout, const RolloutProgress &progress, RolloutTick &result)
+    {
+        if (progress == rollout.logged)
+            return;
+        rollout.logged = progress;
+        result.steps.push_back({rollout.order.service, rollout.order.version, progress,
+                                evidenceText(rollout.controller.evidence())});
     }
 
     std::optional<RolloutStatus> dueWrite(Rollout &rollout, RolloutState state, Instant now) const
     {
-        if (isStored(rollout, state)) {
+        if (hasRecordedEnd(rollout) || recorded(rollout) == state) {
             rollout.wanted = std::nullopt;
             return std::nullopt;
         }
@@ -283,7 +299,6 @@
             if (status.service == order.service)
                 rollout.stored = status;
         }
-        d->follow(name, rollout, now);
     }
     d->statusesKnown = statuses.has_value();
     std::erase_if(d->rollouts, [&](const auto &it) { return !names.contains(it.first); });
@@ -311,7 +326,7 @@
         if (rollout.order.service != service)
             continue;
         const std::string &version = rollout.order.version;
-        const double share = rollout.controller.shares().front().share;
+        const double share = Private::shareOf(rollout);
         const std::uint32_t stage = rollout.controller.progress().at(name).stage;
         if (!repeat)
             ++rollout.requests;
@@ -395,6 +410,14 @@
         const RolloutOrder &order = rollout.order;
         d->plan(name, rollout, now);
         const bool leads = d->statusesKnown && d->heardPlace == 0;
+        if (Private::hasRecordedEnd(rollout)) {
+            const bool completed = Private::recorded(rollout) == RolloutState::Completed;
+            Private::noteStep(rollout,
+                              {rollout.controller.progress().at(name).stage,
+                               completed ? RolloutEnd::Done : RolloutEnd::RolledBack, "recorded"},
+                              result);
+            continue;
+        }
         for (const RolloutAction &action : rollout.controller.tick(now, leads, 1)) {
             const auto *step = std::get_if<WriteProgress>(&action);
             if (step == nullptr)
@@ -407,11 +430,7 @@
             rollout.controller.mergeProgress(name, step->progress, now);
         }
         const RolloutProgress progress = rollout.controller.progress().at(name);
-        if (progress != rollout.logged) {
-            rollout.logged = progress;
-            result.steps.push_back({order.service, order.version, progress,
-                                    evidenceText(rollout.controller.evidence())});
-        }
+        Private::noteStep(rollout, progress, result);
         const bool begun = progress.stage > 0 || progress.end != RolloutEnd::Open;
         if (!d->statusesKnown || !begun)
             continue;
--- a/test/correctness/gatewayrollouts.cpp
+++ b/test/correctness/gatewayrollouts.cpp
@@ -293,3 +293,32 @@
     CHECK_FALSE(joined.choose("writer", "r", false, now).allows("v1"));
     CHECK(joined.choose("other", "r", false, now) == VersionChoice {});
 }
+
+TEST_CASE("a recorded end holds against a verdict of one's own, and is never written over")
+{
+    const Duration duration = 12s;
+    const RolloutOrder order {"writer", "v2", duration, orderVersion};
+    for (const RolloutState recorded : {RolloutState::Completed, RolloutState::RolledBack}) {
+        const bool completed = recorded == RolloutState::Completed;
+        GatewayRollouts gateway(rolloutChart(), GatewayRolloutSettings {"g"});
+        BackendRecord oldServer;
+        oldServer.service = "writer";
+        oldServer.version = "v1";
+        BackendRecord newServer = oldServer;
+        newServer.version = "v2";
+        gateway.setBackends({oldServer, newServer});
+        gateway.setOrders({order}, std::vector<RolloutStatus> {}, start);
+        // What a peer tells is the other end than what another one recorded.
+        const RolloutEnd told = completed ? RolloutEnd::RolledBack : RolloutEnd::Done;
+        gateway.peerReport({"writer#40", 10s, {2, told, "told"}, {}}, start + 1s);
+        const RolloutStatus row {"writer", "v2", recorded, orderVersion + 5};
+        gateway.setOrders({order}, std::vector<RolloutStatus> {row}, start + 1s);
+        for (Duration at = 1s; at < duration; at += 100ms) {
+            const auto idle = [](const std::string &, const std::string &) { return true; };
+            CHECK(gateway.tick(idle, start + at).writes.empty());
+        }
+        const VersionChoice choice = gateway.choose("writer", "r", false, start + duration);
+        CHECK(choice.allows("v2") == completed);
+        CHECK(choice.allows("v1") == !completed);
+    }
+}
