Gateways' reports and reads of the store no longer grow with the fleet

Cause, cold servers: a gateway that starts applied its first state with the view of the gateways that it had before, which is itself alone, until the next tick 250 ms later. The state is now applied together with the view that includes its gateways.

Cause, reads of the store: each report went to all peers, every 10 ms for each peer. With 103 gateways that is every 1.03 s, longer than the time after which a peer counts as silent, and a proof of freshness needed an echo on top, so each gateway read the store for itself. Reports now go to five peers each 50 ms in a pseudo-random turn, the time after which a peer counts as silent follows from the cycle, and proofs are stated by the store's steady clock, so that any gateway can pass them on. The list of gateways is shared in the same way, its rows are written only if they are missing, and reports that show many changes at once cause a read each 100 ms at most.

Agents are looked for as soon as a server is listed, and later only where none was heard for 3 s, a sixteenth of the hosts at once.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -21,7 +21,8 @@
 
 struct GossipProof {
   lastChange @0 :UInt64;    # store version of the newest relevant change of the table
-  ageMicros @1 :Int64;      # age of the proof when the report was composed; -1: never read
+  ageMicros @1 :Int64;      # of earlier releases; always -1
+  storeTimeMicros @2 :Int64;  # time of the proof on the store's steady clock; 0: none
 }
 
 struct GossipEvidence {
@@ -41,7 +42,7 @@
   evidence @5 :List(GossipEvidence);  # only what the sender observed itself
 }
 
-struct GossipEcho {
+struct GossipEcho {          # of earlier releases; not sent
   peer @0 :UInt64;          # digest of the peer's name
   sequence @1 :UInt64;      # sequence number of the last report received from that peer
   incarnation @2 :UInt64;
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -68,7 +68,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(805803d5e6a051fd, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(805803d5e6a051fd, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -330,6 +330,8 @@
 
   inline  ::int64_t getAgeMicros() const;
 
+  inline  ::int64_t getStoreTimeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -364,6 +366,9 @@
   inline  ::int64_t getAgeMicros();
   inline void setAgeMicros( ::int64_t value);
 
+  inline  ::int64_t getStoreTimeMicros();
+  inline void setStoreTimeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -964,6 +969,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t GossipProof::Reader::getStoreTimeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipProof::Builder::getStoreTimeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipProof::Builder::setStoreTimeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipEvidence::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -8,8 +8,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace cornelshed {
 
@@ -21,9 +23,15 @@
 
 // Several renewals fit into the term of a lease, so that a few may be lost.
 constexpr Duration renewalInterval = 150ms;
-// Every so many renewals, a message is sent to the hosts of all backend servers, to find out which
-// of them run an agent.
-constexpr std::uint64_t renewalsPerDiscovery = 7;
+// A host from which no agent has been heard for this time gets an empty renewal, which an agent
+// answers. Shorter than the time after which an agent counts as absent (see backendliveness.cpp).
+constexpr Duration discoveryAge = 3s;
+// Time between two empty renewals to the same host.
+constexpr Duration discoveryInterval = 1s;
+// At most one host in this many, but minDiscoveries in any case, gets an empty renewal at once, so
+// that in a large fleet they do not delay other messages.
+constexpr std::size_t discoveryShareDivisor = 16;
+constexpr std::size_t minDiscoveries = 4;
 
 } // namespace
 
@@ -39,11 +47,18 @@
           agentPort(port), onGranted(std::move(grantCallback)), timer(ioContext)
     { }
 
+    struct Agent
+    {
+        Endpoint endpoint;
+        Instant heardAt = Instant::min();
+        Instant discoveryAt = Instant::min(); // of the last empty renewal
+    };
+
     void send(const std::string &backend, const AdmissionMessage &message)
     {
-        const auto endpoint = agentEndpoints.find(backend);
-        if (endpoint != agentEndpoints.end() && socket)
-            socket->send(message, endpoint->second);
+        const auto agent = agents.find(backend);
+        if (agent != agents.end() && socket)
+            socket->send(message, agent->second.endpoint);
     }
 
     void receive(const AdmissionMessage &message, const Endpoint &sender)
@@ -52,6 +67,8 @@
         if (backend == backendIdByAddress.end())
             return;
         const Instant now = monotonicNow();
+        if (const auto agent = agents.find(backend->second); agent != agents.end())
+            agent->second.heardAt = now;
         if (const auto *grant = std::get_if<SlotGranted>(&message)) {
             if (grant->key.gateway != incarnation)
                 return;
@@ -66,23 +83,31 @@
         }
     }
 
-    // Renews the leases of running requests and, every renewalsPerDiscovery calls, looks for agents
-    // on all hosts. Schedules its next call.
+    // Renews the leases of running requests and looks for agents. Schedules its next call.
     void renewAndDiscover()
     {
+        const Instant now = monotonicNow();
         const auto running = scheduler.runningByBackend();
-        const bool discover = ++renewalCount % renewalsPerDiscovery == 0;
-        for (const auto &[id, endpoint] : agentEndpoints) {
+        std::vector<Agent *> due;
+        for (auto &[id, agent] : agents) {
             const auto it = running.find(id);
-            if (it == running.end() && !discover)
-                continue;
-            SlotRenewal renewal {incarnation, {}};
             if (it != running.end()) {
+                SlotRenewal renewal {incarnation, {}};
                 for (const RequestId &request : it->second)
                     renewal.sequences.push_back(request.sequence);
+                socket->send(renewal, agent.endpoint);
+            } else if (isDiscoveryDue(agent, now)) {
+                due.push_back(&agent);
             }
-            socket->send(renewal, endpoint);
         }
+        // The longest untried first, so that hosts without an agent do not keep others waiting.
+        std::stable_sort(due.begin(), due.end(), [](const Agent *a, const Agent *b) {
+            return a->discoveryAt < b->discoveryAt;
+        });
+        due.resize(std::min(due.size(),
+                            std::max(minDiscoveries, agents.size() / discoveryShareDivisor)));
+        for (Agent *it : due)
+            discover(*it, now);
         timer.expires_after(renewalInterval);
         timer.async_wait([weak = weak_from_this()](auto ec) {
             const auto self = weak.lock();
@@ -91,6 +116,21 @@
         });
     }
 
+    static bool isDiscoveryDue(const Agent &agent, Instant now)
+    {
+        const auto isOlder = [now](Instant at, Duration age) {
+            return at == Instant::min() || now - at >= age;
+        };
+        return isOlder(agent.heardAt, discoveryAge)
+                && isOlder(agent.discoveryAt, discoveryInterval);
+    }
+
+    void discover(Agent &agent, Instant now)
+    {
+        agent.discoveryAt = now;
+        socket->send(SlotRenewal {incarnation, {}}, agent.endpoint);
+    }
+
     asio::io_context &context;
     DirectScheduler &scheduler;
     std::uint64_t incarnation;
@@ -98,9 +138,8 @@
     std::function<void()> onGranted;
     asio::steady_timer timer;
     std::shared_ptr<detail::AdmissionSocket> socket;                 // null until open() succeeds
-    std::map<std::string, Endpoint> agentEndpoints;                  // by id of the backend server
+    std::map<std::string, Agent> agents;                             // by id of the backend server
     std::unordered_map<std::string, std::string> backendIdByAddress; // by IP address of the host
-    std::uint64_t renewalCount = 0;
 };
 
 AdmissionClient::AdmissionClient(asio::io_context &context, DirectScheduler &scheduler,
@@ -135,15 +174,24 @@
 
 void AdmissionClient::setBackends(const std::vector<BackendRecord> &backends)
 {
-    d->agentEndpoints.clear();
+    const Instant now = monotonicNow();
+    const auto previous = std::exchange(d->agents, {});
     d->backendIdByAddress.clear();
     for (const BackendRecord &it : backends) {
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(it.address, ec);
         if (ec || d->agentPort == 0)
             continue;
-        d->agentEndpoints[it.id] = {address, d->agentPort};
+        Private::Agent &agent = d->agents[it.id];
+        const auto known = previous.find(it.id);
+        if (known != previous.end())
+            agent = known->second;
+        agent.endpoint = {address, d->agentPort};
         d->backendIdByAddress[it.address] = it.id;
+        // A gateway that has just started must learn at once which servers have agents: without
+        // their grants it would start requests on servers that others have filled.
+        if (known == previous.end() && d->socket)
+            d->discover(agent, now);
     }
 }
 
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -25,6 +25,8 @@
 constexpr Duration registrationGracePeriod = 2200ms;
 // The store counts as lost if no call has succeeded for this long.
 constexpr Duration storeLostTimeout = 1500ms;
+// Minimum time between two reads of one table that peers' reports cause.
+constexpr Duration minPromptedInterval = 100ms;
 constexpr std::size_t requiredTableCount = 3; // Orders, Backends and Gateways
 // Limits the retry delay, so that the recovery of the store is detected within a small part of
 // every bound on the time to apply changes.
@@ -84,8 +86,14 @@
     {
         // While calls fail, only the retry timer reads: reports of peers must not add load to a
         // store that rejects calls.
-        if (!m_callInProgress && m_hasSnapshot && m_consecutiveFailures == 0)
-            readChanges();
+        if (m_callInProgress || !m_hasSnapshot || m_consecutiveFailures > 0)
+            return;
+        // Many rows change at once when a zone fails or returns; one read gets them all.
+        const Duration sinceLast = timeSinceBoot() - m_promptedReadAt;
+        if (sinceLast >= minPromptedInterval)
+            readPromptedChanges();
+        else if (!std::exchange(m_promptedReadScheduled, true))
+            runAfter(minPromptedInterval - sinceLast, &TableReader::readPromptedChanges);
     }
 
     void setExtraReadDelay(Duration delay) { m_extraDelay = delay; }
@@ -132,6 +140,7 @@
         if (m_snapshotVersion == 0) {
             m_snapshotVersion = page.version;
             m_snapshotSentAt = sentAt;
+            m_snapshotStoreTime = page.storeTime;
         }
         for (StoredRow &it : page.rows)
             m_snapshotRows.push_back(std::move(it));
@@ -148,7 +157,7 @@
         recordChange(m_snapshotVersion);
         m_events.answered(m_snapshotSentAt);
         m_events.snapshotRead(std::exchange(m_snapshotRows, {}));
-        m_events.applied({m_snapshotSentAt, m_lastChange, m_feedVersion});
+        m_events.applied({m_snapshotSentAt, m_lastChange, m_feedVersion, m_snapshotStoreTime});
         readWhenDue();
     }
 
@@ -165,9 +174,16 @@
         runAfter(maxAge - age, &TableReader::readWhenDue);
     }
 
+    void readPromptedChanges()
+    {
+        m_promptedReadAt = timeSinceBoot();
+        readChanges();
+    }
+
     void readChanges()
     {
         m_callInProgress = true;
+        m_promptedReadScheduled = false;
         m_timer.cancel();
         const Duration sentAt = timeSinceBoot();
         m_store.changes(m_table, m_feedVersion, Duration::zero(),
@@ -194,7 +210,7 @@
         m_feedVersion = std::max(m_feedVersion, page.version);
         m_events.answered(sentAt);
         m_events.changesRead(std::move(page.rows));
-        m_events.applied({sentAt, m_lastChange, m_feedVersion});
+        m_events.applied({sentAt, m_lastChange, m_feedVersion, page.storeTime});
         // Not readWhenDue() directly: the proof is posted to the traffic thread, and provenAt()
         // does not include it yet.
         runAfter(m_interval + m_extraDelay, &TableReader::readWhenDue);
@@ -227,10 +243,14 @@
     std::uint64_t m_feedVersion = 0; // position in the change feed
     std::uint64_t m_lastChange = 0;  // version of the last change that peers must read
     Duration m_snapshotSentAt {};
+    Duration m_snapshotStoreTime {};
+    // Start of the last read that a peer's report caused, since boot.
+    Duration m_promptedReadAt = -minPromptedInterval;
     Duration m_extraDelay {}; // extra wait, so that a peer reads first
     int m_consecutiveFailures = 0;
     bool m_callInProgress = false;
     bool m_hasSnapshot = false;
+    bool m_promptedReadScheduled = false;
     bool m_stopped = false;
 };
 
@@ -415,22 +435,30 @@
 
     // --- gateways ---
 
-    void handleGateways(const std::vector<StoredRow> &rows)
+    void handleGateways(const std::vector<StoredRow> &rows, bool isSnapshot)
     {
-        bool changed = loadedTables.insert(RowTable::Gateways).second;
+        const auto previous = gateways;
+        if (isSnapshot)
+            gateways.clear();
         for (const StoredRow &row : rows) {
+            readerOf(RowTable::Gateways).recordChange(row.version);
             auto record = codec.decodeGateway(row.key, row.value);
-            if (row.removed) {
-                changed = gateways.erase(row.key) > 0 || changed;
-            } else if (auto *decoded = std::get_if<GatewayRecord>(&record)) {
+            if (row.removed)
+                gateways.erase(row.key);
+            else if (auto *decoded = std::get_if<GatewayRecord>(&record))
                 gateways[row.key] = *decoded;
-                changed = true;
-            }
         }
-        if (changed)
+        const bool isFirst = loadedTables.insert(RowTable::Gateways).second;
+        if (isFirst || gateways != previous)
             publish();
+        const auto own = gateways.find(self.name);
+        if (own != gateways.end() && own->second == self)
+            registering = false;
+        else if (!std::exchange(registering, true))
+            registerSelf();
     }
 
+    // Writes this gateway's row until the store has accepted it.
     void registerSelf()
     {
         store.put(RowTable::Gateways, self.name, codec.encodeGateway(self), std::nullopt,
@@ -519,12 +547,12 @@
     bool statusesLoaded = false;
     BackendRegistry registry;
     std::map<std::string, GatewayRecord> gateways;
+    bool registering = false; // registerSelf() was called, and its row has not been read back yet
     std::set<std::string> loggedUnreadableRows; // keys of rows whose fault has been logged
     asio::steady_timer expiryTimer;
     asio::steady_timer registerTimer;
     std::vector<std::shared_ptr<TableReader>> readers; // indexed by RowTable
     Duration lastAnsweredAt {}; // start of the last successful call for any table, since boot
-    Duration gatewaysReadAt {}; // since boot
     Duration statusesReadAt {}; // since boot
     bool storeLost = false;
 };
@@ -569,13 +597,11 @@
             {[state](const Rows &rows) { state->handleAllBackends(rows); },
              [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
              read(RowTable::Backends), failed("backends"), provenAt(RowTable::Backends)}));
-    // Each gateway reads this table itself: reads are rare, and their proofs are not shared.
-    d->readers.push_back(
-            d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
-                      {[state](const Rows &rows) { state->handleGateways(rows); },
-                       [state](const Rows &rows) { state->handleGateways(rows); }, answered,
-                       [state](const ReadProof &it) { state->gatewaysReadAt = it.sentAt; },
-                       failed("gateways"), [state] { return state->gatewaysReadAt; }}));
+    d->readers.push_back(d->reader(
+            RowTable::Gateways, d->settings.gatewaysInterval,
+            {[state](const Rows &rows) { state->handleGateways(rows, true); },
+             [state](const Rows &rows) { state->handleGateways(rows, false); }, answered,
+             read(RowTable::Gateways), failed("gateways"), provenAt(RowTable::Gateways)}));
     for (const auto &it : d->readers)
         it->start();
     // Without rollouts provenAt returns the present time, so that a read is never due.
@@ -588,7 +614,6 @@
                        [state] {
                            return state->rollouts.empty() ? timeSinceBoot() : state->statusesReadAt;
                        }}));
-    d->registerSelf();
 }
 
 void DeploymentWatcher::readChangesNow(RowTable table)
@@ -605,6 +630,7 @@
 {
     d->readerOf(RowTable::Orders).setExtraReadDelay(delay);
     d->readerOf(RowTable::Backends).setExtraReadDelay(delay);
+    d->readerOf(RowTable::Gateways).setExtraReadDelay(delay);
 }
 
 } // namespace cornelshed
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -18,7 +18,7 @@
 
 // The load of a peer is dropped if its last report is older than this: it has stopped or is cut
 // off.
-constexpr Duration peerReportTimeout = 2s;
+constexpr Duration minPeerReportTimeout = 2s;
 // A backend server that broke a connection may have restarted. Until its record shows that, it is
 // limited to the rate of a cold one for this time.
 constexpr Duration restartHoldTime = 3s;
@@ -502,6 +502,7 @@
     std::uint64_t arrivalCount = 0;
     std::uint32_t gatewayCount = 1;
     std::uint32_t gatewayIndex = 0;
+    Duration peerReportTimeout = minPeerReportTimeout;
 };
 
 DirectScheduler::DirectScheduler(const DirectSettings &settings)
@@ -566,10 +567,11 @@
     d->withdrawnZones = std::move(zones);
 }
 
-void DirectScheduler::setGateways(std::uint32_t count, std::uint32_t index)
+void DirectScheduler::setGateways(std::uint32_t count, std::uint32_t index, Duration heardTimeout)
 {
     d->gatewayCount = std::max(count, 1U);
     d->gatewayIndex = index;
+    d->peerReportTimeout = std::max<Duration>(minPeerReportTimeout, heardTimeout);
 }
 
 void DirectScheduler::peerReport(std::uint64_t peer, const std::vector<PeerLoad> &loads,
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -161,9 +161,10 @@
                      const std::map<std::string, double> &coldRateOfService, Instant now);
     void setWithdrawnZones(std::set<std::string> zones);
 
-    // The number of gateways that may be sending to the backend servers, including this one, and
-    // the index of this one in an order that all agree on.
-    void setGateways(std::uint32_t count, std::uint32_t index);
+    // The number of gateways that may be sending to the backend servers, including this one, the
+    // index of this one in an order that all agree on, and the time without a report after which a
+    // peer counts as silent.
+    void setGateways(std::uint32_t count, std::uint32_t index, Duration heardTimeout = {});
 
     void peerReport(std::uint64_t peer, const std::vector<PeerLoad> &loads, Instant now);
     std::vector<PeerLoad> ownLoads(Instant now) const;
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -8,42 +8,85 @@
 
 namespace {
 
+// Upper bound on the difference in rate between this host's clock and the store's: one part in
+// this many.
+constexpr std::int64_t clockDriftDivisor = 1000;
+// The store states its time in whole milliseconds.
+constexpr Duration storeClockResolution = std::chrono::milliseconds(1);
+
 std::size_t indexOf(RowTable table)
 {
     return static_cast<std::size_t>(table);
 }
 
+Duration driftOver(Duration elapsed)
+{
+    return std::max(elapsed, -elapsed) / clockDriftDivisor;
+}
+
 } // namespace
 
 void FreshnessTracker::recordOwnRead(RowTable table, const ReadProof &proof)
 {
     TableState &state = m_tableStates.at(indexOf(table));
-    state.provenAt = std::max(state.provenAt.value_or(proof.sentAt), proof.sentAt);
     state.lastChange = std::max(state.lastChange, proof.lastChange);
     state.appliedUpTo = std::max(state.appliedUpTo, proof.appliedUpTo);
+    if (proof.storeTime != Duration::zero())
+        updateAnchor(proof);
+    if (state.provenAt && proof.sentAt <= *state.provenAt)
+        return;
+    state.provenAt = proof.sentAt;
+    state.provenStoreTime = std::max(state.provenStoreTime, proof.storeTime);
+}
+
+// Keeps the anchor that gives the later local times, which waste less of each proof.
+void FreshnessTracker::updateAnchor(const ReadProof &proof)
+{
+    const auto known = earliestLocalTime(proof.storeTime, Duration::max());
+    if (!known || *known <= proof.sentAt)
+        m_anchor = {proof.sentAt, proof.storeTime};
+}
+
+std::optional<Duration> FreshnessTracker::earliestLocalTime(Duration storeTime,
+                                                            Duration sinceBoot) const
+{
+    if (!m_anchor)
+        return std::nullopt;
+    const Duration elapsed = storeTime - m_anchor->storeTime;
+    const Duration local = m_anchor->sentAt + elapsed - driftOver(elapsed) - storeClockResolution;
+    // A read that would lie in the future shows that the store's clock has jumped forward.
+    return local <= sinceBoot ? std::optional(local) : std::nullopt;
 }
 
 ProofUse FreshnessTracker::recordPeerRead(RowTable table, const SharedProof &proof,
-                                          Duration acknowledgedReportSentAt)
+                                          Duration sinceBoot)
 {
     TableState &state = m_tableStates.at(indexOf(table));
     if (!state.provenAt)
         return ProofUse::None; // this daemon has not read the table yet
     if (state.appliedUpTo < proof.lastChange)
         return ProofUse::Behind;
-    const Duration provenAt = acknowledgedReportSentAt - proof.age;
-    if (provenAt <= *state.provenAt)
+    const auto provenAt = earliestLocalTime(proof.storeTime, sinceBoot);
+    if (!provenAt) {
+        m_anchor.reset();
+        return ProofUse::None;
+    }
+    if (*provenAt <= *state.provenAt)
         return ProofUse::None;
     state.provenAt = provenAt;
+    state.provenStoreTime = std::max(state.provenStoreTime, proof.storeTime);
     return ProofUse::Extended;
 }
 
-std::optional<SharedProof> FreshnessTracker::share(RowTable table, Duration sinceBoot) const
+SharedProofs FreshnessTracker::share() const
 {
-    const TableState &state = m_tableStates.at(indexOf(table));
-    if (!state.provenAt)
-        return std::nullopt;
-    return SharedProof {state.lastChange, sinceBoot - *state.provenAt};
+    SharedProofs proofs;
+    for (std::size_t i = 0; i < sharedTables.size(); ++i) {
+        const TableState &state = m_tableStates[i];
+        if (state.provenStoreTime != Duration::zero())
+            proofs[i] = SharedProof {state.lastChange, state.provenStoreTime};
+    }
+    return proofs;
 }
 
 std::optional<Duration> FreshnessTracker::provenAt(RowTable table) const
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -3,11 +3,10 @@
 //
 // A read proves the state of a table at the moment at which the call was sent. A peer's read counts
 // as a proof for this daemon too if this daemon has applied every change that the peer's read
-// showed: in that case nothing newer existed at that moment. The moment is bounded without
-// synchronised clocks: the peer echoes the last report that it received from this daemon, so the
-// peer's read happened no earlier than the sending of that report minus the age that the peer
-// states for its read. Thus the reads of one daemon serve all, and the others need not call the
-// store.
+// showed: in that case nothing newer existed at that moment. The moment is stated by the store's
+// steady clock, which each response carries and which this daemon relates to its own clock by its
+// own reads. A proof therefore does not depend on who passed it on, or how often: the reads of one
+// daemon serve all, in fleets in which two given daemons rarely exchange messages directly.
 
 #ifndef CORNELSHED_FRESHNESS_H
 #define CORNELSHED_FRESHNESS_H
@@ -22,7 +21,8 @@
 namespace cornelshed {
 
 // Tables whose read proofs are shared with peers.
-constexpr std::array<RowTable, 2> sharedTables {RowTable::Orders, RowTable::Backends};
+constexpr std::array<RowTable, 3> sharedTables {RowTable::Orders, RowTable::Backends,
+                                                RowTable::Gateways};
 
 // What a read of a table proved. Versions are those of the store.
 struct ReadProof
@@ -30,6 +30,7 @@
     Duration sentAt {};            // time since boot at which the call was sent
     std::uint64_t lastChange = 0;  // newest change relevant to this daemon
     std::uint64_t appliedUpTo = 0; // every change up to this version is applied
+    Duration storeTime {};         // on the store's steady clock, of the response; 0: not stated
 
     bool operator==(const ReadProof &) const = default;
 };
@@ -38,11 +39,13 @@
 struct SharedProof
 {
     std::uint64_t lastChange = 0;
-    Duration age {}; // of the read, when the report was composed
+    Duration storeTime {}; // of the read, on the store's steady clock
 
     bool operator==(const SharedProof &) const = default;
 };
 
+using SharedProofs = std::array<std::optional<SharedProof>, sharedTables.size()>;
+
 enum class ProofUse : std::uint8_t {
     None,     // proves nothing beyond what is known
     Extended, // the copy is proven fresh at a later time than before
@@ -54,24 +57,35 @@
 public:
     void recordOwnRead(RowTable table, const ReadProof &proof);
 
-    // acknowledgedReportSentAt: time since boot at which this daemon sent the report that the peer
-    // echoes.
-    ProofUse recordPeerRead(RowTable table, const SharedProof &proof,
-                            Duration acknowledgedReportSentAt);
+    // sinceBoot: the present time.
+    ProofUse recordPeerRead(RowTable table, const SharedProof &proof, Duration sinceBoot);
+
+    SharedProofs share() const; // in order of sharedTables; empty for tables never read
 
-    // Both return nothing if the table was never read.
-    std::optional<SharedProof> share(RowTable table, Duration sinceBoot) const;
-    std::optional<Duration> provenAt(RowTable table) const;
+    std::optional<Duration> provenAt(RowTable table) const; // time since boot; empty if never read
 
 private:
     struct TableState
     {
         std::optional<Duration> provenAt; // time since boot
+        Duration provenStoreTime {};
         std::uint64_t lastChange = 0;
         std::uint64_t appliedUpTo = 0;
     };
+    // A moment known on both clocks: the store's clock showed storeTime no earlier than sentAt.
+    struct ClockAnchor
+    {
+        Duration sentAt {};
+        Duration storeTime {};
+    };
+
+    // Latest time since boot at which the store's clock cannot have passed storeTime yet; empty if
+    // the clocks have not been related, or no longer agree.
+    std::optional<Duration> earliestLocalTime(Duration storeTime, Duration sinceBoot) const;
+    void updateAnchor(const ReadProof &proof);
 
     std::array<TableState, sharedTables.size()> m_tableStates; // by RowTable
+    std::optional<ClockAnchor> m_anchor;
 };
 
 } // namespace cornelshed
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -45,8 +45,6 @@
 constexpr Duration shutdownMargin = 300ms;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
-// Minimum interval between reports to peers that include rollout evidence.
-constexpr Duration rolloutReportInterval = 200ms;
 
 std::string retryAfterText(Duration duration)
 {
@@ -360,15 +358,6 @@
 
     // --- rollouts ---
 
-    std::vector<RolloutReport> dueRolloutReports()
-    {
-        const Instant now = monotonicNow();
-        if (!rollouts.active() || now < rolloutsReportedAt + rolloutReportInterval)
-            return {};
-        rolloutsReportedAt = now;
-        return rollouts.reports(now);
-    }
-
     void tickRollouts(Instant now)
     {
         if (!rollouts.active())
@@ -534,7 +523,6 @@
     DurationSummary &answerTimes;
     detail::GatewayAdmission admission;
     GatewayRollouts rollouts;
-    Instant rolloutsReportedAt {};
     std::function<void(const RolloutStatus &)> writeRolloutStatus;
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
     std::shared_ptr<const DeploymentState> state;
@@ -599,8 +587,9 @@
     d->settings.answeredLogInterval = settings.answeredLogInterval;
 }
 
-void Gateway::applyState(std::shared_ptr<const DeploymentState> state)
+void Gateway::applyState(std::shared_ptr<const DeploymentState> state, const GossipView &view)
 {
+    setView(view);
     const Instant now = monotonicNow();
     const bool newRoutes = !d->state || d->state->routes != state->routes;
     d->state = std::move(state);
@@ -625,7 +614,6 @@
 
 GossipReport Gateway::composeReport() const
 {
-    const Duration sinceBoot = timeSinceBoot();
     return {d->settings.name,
             d->settings.incarnation,
             ++d->lastReportNumber,
@@ -633,22 +621,23 @@
             monotonicNow() - d->startedAt,
             d->scheduler.ownLoads(monotonicNow()),
             d->admission.allowances().ownTotals(),
-            {d->freshness.share(RowTable::Orders, sinceBoot),
-             d->freshness.share(RowTable::Backends, sinceBoot)},
-            d->dueRolloutReports()};
+            d->freshness.share(),
+            d->rollouts.active() ? d->rollouts.reports(monotonicNow())
+                                 : std::vector<RolloutReport> {}};
 }
 
-std::vector<RowTable> Gateway::applyPeerReport(const GossipReport &report,
-                                               std::optional<Duration> acknowledgedReportSentAt)
+std::vector<RowTable> Gateway::applyPeerReport(const GossipReport &report)
 {
     std::vector<RowTable> tablesBehind;
-    for (std::size_t i = 0; i < sharedTables.size() && acknowledgedReportSentAt; ++i) {
+    const Duration sinceBoot = timeSinceBoot();
+    for (std::size_t i = 0; i < sharedTables.size(); ++i) {
         if (!report.proofs[i])
             continue;
         const RowTable table = sharedTables[i];
-        const ProofUse use =
-                d->freshness.recordPeerRead(table, *report.proofs[i], *acknowledgedReportSentAt);
-        if (use == ProofUse::Behind)
+        const ProofUse use = d->freshness.recordPeerRead(table, *report.proofs[i], sinceBoot);
+        // Gateways announce themselves to their peers; their registry is read at its own interval,
+        // or a restart of the fleet would cause each gateway to read each registration.
+        if (use == ProofUse::Behind && table != RowTable::Gateways)
             tablesBehind.push_back(table);
         else if (use == ProofUse::Extended)
             d->publishProof(table);
@@ -668,10 +657,10 @@
 void Gateway::setView(const GossipView &view)
 {
     d->view = view;
-    d->scheduler.setGateways(view.possiblyAliveCount, view.rank);
+    d->scheduler.setGateways(view.possiblyAliveCount, view.rank, view.heardTimeout);
     d->rollouts.setGateways(view.possiblyAliveCount, view.rankAmongHeard);
     d->admission.allowances().setGateways(view.heardCount, view.possiblyAliveCount);
-    // The lag is on average half a report interval longer than the interval itself.
+    // The lag is on average half an interval longer than the interval itself.
     d->admission.allowances().setReportLag(view.interval * 3 / 2);
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -77,8 +77,10 @@
     // cannot change while the gateway runs.
     void reload(const GatewayTrafficSettings &settings);
 
-    // Applies a new configuration, list of backend servers and list of rollouts.
-    void applyState(std::shared_ptr<const DeploymentState> state);
+    // Applies a new configuration, list of backend servers and list of rollouts. The view must
+    // include the gateways of this state: with an older one, a gateway that has just started would
+    // claim the shares of all others.
+    void applyState(std::shared_ptr<const DeploymentState> state, const GossipView &view);
     // Records that this gateway has read the table. Called after applyState() with what was read.
     void recordTableRead(RowTable table, const ReadProof &proof);
 
@@ -88,11 +90,9 @@
 
     GossipReport composeReport() const; // for the peers
 
-    // Applies a peer's report. acknowledgedReportSentAt: when this gateway sent the last of its own
-    // reports that the peer had received, since boot; nothing if it had received none. Returns the
-    // tables for which the peer knows of a change that has not been applied here.
-    std::vector<RowTable> applyPeerReport(const GossipReport &report,
-                                          std::optional<Duration> acknowledgedReportSentAt);
+    // Applies a peer's report. Returns the tables for which the peer knows of a change that has not
+    // been applied here.
+    std::vector<RowTable> applyPeerReport(const GossipReport &report);
     // Sets which gateways are heard from and which may be alive.
     void setView(const GossipView &view);
 
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -44,7 +44,7 @@
 // reports the result to its peers. Each of the others delays its own read by one more step, so that
 // it takes over soon after those before it have failed.
 constexpr Duration storeReadDelayStep = 60ms;
-constexpr std::uint32_t maxStoreReadDelaySteps = 6;
+constexpr std::uint32_t maxStoreReadDelaySteps = 12;
 constexpr Duration settingsCheckInterval = 1s;
 
 GatewayTrafficSettings trafficSettings(const GatewaySettings &settings, std::uint64_t incarnation)
@@ -83,9 +83,8 @@
                   std::move(rolloutChart), metrics),
           gossip(
                   trafficContext, ownRecord(), [this] { return gateway.composeReport(); },
-                  [this](const GossipReport &report,
-                         std::optional<Duration> acknowledgedReportSentAt) {
-                      readChangedTables(gateway.applyPeerReport(report, acknowledgedReportSentAt));
+                  [this](const GossipReport &report) {
+                      readChangedTables(gateway.applyPeerReport(report));
                   }),
           admin(trafficContext, adminHandlers("/ready")),
           readiness(trafficContext, adminHandlers(settings.readinessPath)),
@@ -150,7 +149,7 @@
         return {[this](std::shared_ptr<const DeploymentState> state) {
                     asio::post(trafficContext, [this, state = std::move(state)] {
                         gossip.setRegisteredGateways(state->gateways);
-                        gateway.applyState(state);
+                        gateway.applyState(state, gossip.view());
                     });
                 },
                 [this](RowTable table, const ReadProof &proof) {
@@ -178,7 +177,8 @@
         const GossipView view = gossip.view();
         gateway.setView(view);
         const bool rollouts = gateway.tickRollouts();
-        const Duration delay = storeReadDelayStep * std::min(view.rank, maxStoreReadDelaySteps);
+        const Duration delay =
+                storeReadDelayStep * std::min(view.rankAmongHeard, maxStoreReadDelaySteps);
         asio::post(controlContext, [this, delay] { watcher->setExtraReadDelay(delay); });
         viewTimer.expires_after(rollouts ? rolloutInterval : viewInterval);
         viewTimer.async_wait([this](auto ec) {
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -5,7 +5,7 @@
 #include "datagramcodec.h"
 #include "eventlog.h"
 #include "monotonicclock.h"
-#include "stabledigest.h"
+#include "reportschedule.h"
 
 #include "gossip.capnp.h"
 
@@ -26,18 +26,11 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t maxDatagramBytes = 60000;
-// The interval between reports grows with the number of peers, so that the outgoing traffic of one
-// gateway stays constant in large fleets.
-constexpr Duration minReportInterval = 20ms;
-constexpr Duration reportIntervalPerPeer = 10ms;
-// A peer counts as heard from while its last report is younger than this.
-constexpr Duration heardTimeout = 1s;
 // A peer that is not heard from counts as possibly alive until its last report, or its registration
 // in the store, is older than this.
 constexpr Duration mayBeAliveTimeout = 30s;
-// Number of own reports whose sending times are kept to match acknowledgements. A later
-// acknowledgement of an older report would prove too little freshness to be useful.
-constexpr std::size_t maxSentTimes = 64;
+// Minimum interval between two reports to the same peer that include rollout evidence.
+constexpr Duration rolloutReportInterval = 200ms;
 
 // Values that a newer release may send are treated as None.
 ReportedLiveness decodeSign(std::uint8_t value)
@@ -93,7 +86,7 @@
 
 } // namespace
 
-std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes)
+std::string encodeGossip(const GossipReport &report)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::GossipReport>();
@@ -120,26 +113,18 @@
     for (unsigned i = 0; i < proofs.size(); ++i) {
         const auto &proof = report.proofs[i];
         proofs[i].setLastChange(proof ? proof->lastChange : 0);
-        proofs[i].setAgeMicros(proof ? proof->age.count() : -1);
+        proofs[i].setAgeMicros(-1);
+        proofs[i].setStoreTimeMicros(proof ? proof->storeTime.count() : 0);
     }
     auto rollouts = root.initRollouts(static_cast<unsigned>(report.rollouts.size()));
     for (unsigned i = 0; i < rollouts.size(); ++i)
         encodeRollout(report.rollouts[i], rollouts[i]);
-    auto sentEchoes = root.initEchoes(static_cast<unsigned>(echoes.size()));
-    n = 0;
-    for (const auto &[peer, echo] : echoes) {
-        sentEchoes[n].setPeer(peer);
-        sentEchoes[n].setIncarnation(echo.incarnation);
-        sentEchoes[n].setSequence(echo.sequence);
-        ++n;
-    }
     return detail::packDatagram(message);
 }
 
-std::optional<DecodedGossip> decodeGossip(const std::string &datagram)
+std::optional<GossipReport> decodeGossip(const std::string &datagram)
 {
-    DecodedGossip decoded;
-    GossipReport &report = decoded.report;
+    GossipReport report;
     const bool valid = detail::unpackDatagram(datagram, [&](capnp::MessageReader &message) {
         const auto root = message.getRoot<wire::GossipReport>();
         report.name = root.getName().cStr();
@@ -152,21 +137,19 @@
                                     decodeSign(it.getSign())});
         for (const auto it : root.getAllowances())
             report.consumedTokens[it.getOrganisation()] = it.getTaken();
-        for (const auto it : root.getEchoes())
-            decoded.echoes[it.getPeer()] = {it.getIncarnation(), it.getSequence()};
         const std::string sender = report.name + "#" + std::to_string(report.incarnation);
         for (const auto it : root.getRollouts())
             report.rollouts.push_back(decodeRollout(it, sender));
         const auto proofs = root.getProofs();
         for (unsigned i = 0; i < proofs.size() && i < report.proofs.size(); ++i) {
-            if (proofs[i].getAgeMicros() >= 0)
-                report.proofs[i] =
-                        SharedProof {proofs[i].getLastChange(), Duration(proofs[i].getAgeMicros())};
+            if (proofs[i].getStoreTimeMicros() > 0)
+                report.proofs[i] = SharedProof {proofs[i].getLastChange(),
+                                                Duration(proofs[i].getStoreTimeMicros())};
         }
     });
     if (!valid || report.name.empty())
         return std::nullopt;
-    return decoded;
+    return report;
 }
 
 class PeerGossip::Private : public std::enable_shared_from_this<Private>
@@ -182,17 +165,21 @@
         Instant heardAt = Instant::min();
         // When the row in the store was first seen with its present endpoint.
         Instant registeredAt = Instant::min();
+        bool registered = false; // has a row in the store
+        Instant rolloutsSentAt = Instant::min();
     };
 
     Private(asio::io_context &context, GatewayRecord gateway, ReportComposer reportComposer,
             ReportHandler reportHandler)
         : ownRecord(std::move(gateway)), composeReport(std::move(reportComposer)),
-          handleReport(std::move(reportHandler)), socket(context), timer(context)
+          handleReport(std::move(reportHandler)), socket(context), timer(context),
+          schedule(ownRecord.name)
     { }
 
-    static bool heardRecently(const Peer &peer, Instant now)
+    bool heardRecently(const Peer &peer, Instant now) const
     {
-        return !peer.leaving && peer.heardAt != Instant::min() && now - peer.heardAt < heardTimeout;
+        return !peer.leaving && peer.heardAt != Instant::min()
+                && now - peer.heardAt < schedule.timing().heardTimeout;
     }
 
     static bool isPossiblyAlive(const Peer &peer, Instant now)
@@ -215,11 +202,11 @@
 
     void handleDatagram(const std::string &datagram)
     {
-        const auto decoded = decodeGossip(datagram);
-        if (!decoded || decoded->report.name == ownRecord.name)
+        const auto report = decodeGossip(datagram);
+        if (!report || report->name == ownRecord.name)
             return;
-        const GossipReport *report = &decoded->report;
-        Peer &peer = peers[report->name];
+        const auto [it, added] = peers.try_emplace(report->name);
+        Peer &peer = it->second;
         // Ignore duplicated and reordered datagrams.
         if (peer.incarnation == report->incarnation && report->sequence <= peer.sequence)
             return;
@@ -228,26 +215,26 @@
         peer.sequence = report->sequence;
         peer.leaving = report->leaving;
         peer.heardAt = monotonicNow();
-        handleReport(*report, acknowledgedReportSentAt(decoded->echoes));
-    }
-
-    std::optional<Duration> acknowledgedReportSentAt(const GossipEchoes &echoes) const
-    {
-        const auto echo = echoes.find(stableDigest(ownRecord.name));
-        if (echo == echoes.end() || echo->second.incarnation != incarnation)
-            return std::nullopt;
-        const auto sent = sentTimes.find(echo->second.sequence);
-        return sent == sentTimes.end() ? std::nullopt : std::optional(sent->second);
+        if (added)
+            updateSchedule(peer.heardAt);
+        handleReport(*report);
     }
 
-    GossipEchoes echoes() const
+    // Removes peers that are neither registered nor possibly alive, and schedules the others.
+    void updateSchedule(Instant now)
     {
-        GossipEchoes result;
+        std::erase_if(peers, [&](const auto &it) {
+            return !it.second.registered && !isPossiblyAlive(it.second, now);
+        });
+        std::vector<std::string> names;
         for (const auto &[name, peer] : peers) {
-            if (peer.incarnation != 0)
-                result[stableDigest(name)] = {peer.incarnation, peer.sequence};
+            if (isPossiblyAlive(peer, now))
+                names.push_back(name);
         }
-        return result;
+        if (names == scheduledNames)
+            return;
+        schedule.setPeers(names);
+        scheduledNames = std::move(names);
     }
 
     void logChanges(Instant now)
@@ -260,36 +247,34 @@
         }
     }
 
-    void send()
+    void send(const std::vector<std::string> &recipients)
     {
         const Instant now = monotonicNow();
-        logChanges(now);
-        const GossipReport report = composeReport();
-        incarnation = report.incarnation;
-        sentTimes[report.sequence] = timeSinceBoot();
-        if (sentTimes.size() > maxSentTimes)
-            sentTimes.erase(sentTimes.begin());
-        const std::string datagram = encodeGossip(report, echoes());
-        if (datagram.size() > maxDatagramBytes)
-            return;
-        for (const auto &[name, peer] : peers) {
-            if (!isPossiblyAlive(peer, now))
+        GossipReport report = composeReport();
+        const std::string complete = encodeGossip(report);
+        const bool hasRollouts = !report.rollouts.empty();
+        report.rollouts.clear();
+        const std::string withoutRollouts = hasRollouts ? encodeGossip(report) : complete;
+        for (const std::string &name : recipients) {
+            Peer &peer = peers.at(name);
+            const bool due = hasRollouts && now >= peer.rolloutsSentAt + rolloutReportInterval;
+            if (due)
+                peer.rolloutsSentAt = now;
+            const std::string &datagram = due ? complete : withoutRollouts;
+            if (datagram.size() > maxDatagramBytes)
                 continue;
             boost::system::error_code ignored; // the next report replaces a lost one
             socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
         }
     }
 
-    Duration interval() const
-    {
-        return std::max(minReportInterval,
-                        reportIntervalPerPeer * static_cast<std::int64_t>(peers.size()));
-    }
-
     void sendPeriodically()
     {
-        send();
-        timer.expires_after(interval());
+        const Instant now = monotonicNow();
+        logChanges(now);
+        updateSchedule(now);
+        send(schedule.nextRecipients());
+        timer.expires_after(schedule.timing().interval);
         timer.async_wait([self = shared_from_this()](auto ec) {
             if (!ec)
                 self->sendPeriodically();
@@ -304,9 +289,8 @@
     udp::endpoint sender;
     std::array<char, maxDatagramBytes + 8> buf {};
     std::map<std::string, Peer> peers; // by name
-    std::uint64_t incarnation = 0;     // of this gateway
-    // Time since boot at which the latest own reports were sent, by sequence number.
-    std::map<std::uint64_t, Duration> sentTimes;
+    ReportSchedule schedule;
+    std::vector<std::string> scheduledNames; // peers that schedule knows; all are in peers
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, GatewayRecord self, ReportComposer composeReport,
@@ -344,12 +328,15 @@
 void PeerGossip::setRegisteredGateways(const std::vector<GatewayRecord> &gateways)
 {
     const Instant now = monotonicNow();
+    for (auto &[name, peer] : d->peers)
+        peer.registered = false;
     for (const GatewayRecord &it : gateways) {
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(it.address, ec);
         if (ec || it.name == d->ownRecord.name)
             continue;
         auto &peer = d->peers[it.name];
+        peer.registered = true;
         const udp::endpoint endpoint(address, it.port);
         // An unchanged row does not show that the gateway is alive.
         if (peer.endpoint == endpoint)
@@ -357,20 +344,23 @@
         peer.endpoint = endpoint;
         peer.registeredAt = now;
     }
+    d->updateSchedule(now);
 }
 
 void PeerGossip::sendNow()
 {
-    d->send();
+    d->send(d->scheduledNames);
 }
 
 GossipView PeerGossip::view() const
 {
     const Instant now = monotonicNow();
     GossipView view;
-    view.interval = d->interval();
+    const ReportTiming timing = d->schedule.timing();
+    view.interval = timing.cycle;
+    view.heardTimeout = timing.heardTimeout;
     for (const auto &[name, peer] : d->peers) {
-        const bool isHeard = Private::heardRecently(peer, now);
+        const bool isHeard = d->heardRecently(peer, now);
         view.heardCount += isHeard ? 1 : 0;
         view.rankAmongHeard += isHeard && name < d->ownRecord.name ? 1 : 0;
         if (!Private::isPossiblyAlive(peer, now))
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -1,7 +1,7 @@
 // Exchanges periodic UDP reports between gateways. A report carries the sender's load on every
 // backend server, the tokens consumed by organisations, the state of rollouts, and how fresh its
 // copies of the store's tables are. Every report is complete, so the next one replaces a lost one.
-// Runs on the traffic thread.
+// Which peers get which report is decided in reportschedule.h. Runs on the traffic thread.
 
 #ifndef CORNELSHED_PEERGOSSIP_H
 #define CORNELSHED_PEERGOSSIP_H
@@ -12,7 +12,6 @@
 #include "rowstore.h"
 #include "types.h"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -37,49 +36,29 @@
     std::vector<PeerLoad> loads;
     // Tokens consumed since the start, by stableDigest() of the organisation's name.
     std::map<std::uint64_t, double> consumedTokens;
-    std::array<std::optional<SharedProof>, sharedTables.size()> proofs; // in order of sharedTables
+    SharedProofs proofs;
     std::vector<RolloutReport> rollouts;
 
     bool operator==(const GossipReport &) const = default;
 };
 
-// Identifies the last report that a gateway received from a peer. It is sent back to the peer as an
-// acknowledgement.
-struct GossipEcho
-{
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-
-    auto operator<=>(const GossipEcho &) const = default;
-};
-
-// Key: stableDigest() of the peer's name.
-using GossipEchoes = std::map<std::uint64_t, GossipEcho>;
-
-std::string encodeGossip(const GossipReport &report, const GossipEchoes &echoes);
-
-struct DecodedGossip
-{
-    GossipReport report;
-    GossipEchoes echoes;
-
-    bool operator==(const DecodedGossip &) const = default;
-};
+std::string encodeGossip(const GossipReport &report);
 
 // Returns nullopt if the datagram is not a valid report.
-std::optional<DecodedGossip> decodeGossip(const std::string &datagram);
+std::optional<GossipReport> decodeGossip(const std::string &datagram);
 
 // Counts of the gateways in the cluster, and the rank of this gateway among them. A gateway that
 // was not heard from recently may still be alive: it may be partitioned from this one.
 struct GossipView
 {
-    // Gateways heard from within the last second, including this one.
+    // Gateways heard from within heardTimeout, including this one.
     std::uint32_t heardCount = 1;
     // Gateways heard from, or newly registered in the store, within the last 30 seconds, including
     // this one.
     std::uint32_t possiblyAliveCount = 1;
-    Duration interval {};   // between reports
-    std::uint32_t rank = 0; // rank of this gateway by name among those possibly alive, from 0
+    Duration interval {};     // between two reports to the same peer
+    Duration heardTimeout {}; // a peer without a report for this time counts as silent
+    std::uint32_t rank = 0;   // rank of this gateway by name among those possibly alive, from 0
     std::uint32_t rankAmongHeard = 0; // rank of this gateway by name among those heard from, from 0
 
     bool operator==(const GossipView &) const = default;
@@ -89,11 +68,7 @@
 {
 public:
     using ReportComposer = std::function<GossipReport()>;
-    // acknowledgedReportSentAt: time since boot at which this gateway sent the report that the peer
-    // acknowledges; nullopt if the peer has received none of this incarnation, or only one too old
-    // to be kept.
-    using ReportHandler = std::function<void(const GossipReport &,
-                                             std::optional<Duration> acknowledgedReportSentAt)>;
+    using ReportHandler = std::function<void(const GossipReport &)>;
 
     PeerGossip(boost::asio::io_context &context, GatewayRecord self, ReportComposer composeReport,
                ReportHandler handleReport);
@@ -107,7 +82,7 @@
     // Sets the gateways registered in the store. The entry of this gateway is ignored.
     void setRegisteredGateways(const std::vector<GatewayRecord> &gateways);
 
-    // Sends a report immediately, for example to announce a shutdown.
+    // Sends a report to all peers immediately, for example to announce a shutdown.
     void sendNow();
 
     GossipView view() const;
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -40,6 +40,7 @@
     std::vector<StoredRow> rows;
     std::uint64_t version = 0; // newest version of the store, from which changes can be read on
     bool more = false;
+    Duration storeTime {}; // on the store's steady clock, of the response; 0: not stated
 
     bool operator==(const RowsPage &) const = default;
 };
