No request is started after its caller's deadline

Cause: a traffic thread that is held up learns of a free slot, or of an agent's grant, when the deadline of the waiting request has passed, and the scheduler looked for a free server before it looked at the time.

Change: a request carries its caller's deadline, and neither a free server nor a grant starts it later; a grant is given back.

Result: the test starts such a request without the change in both ways, and refuses it now.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -344,9 +344,9 @@
         for (auto it = service.queue.begin(); it != service.queue.end();) {
             QueuedRequest &queued = it->second;
             const DirectRequest &request = queued.request;
-            Backend *backend = request.reservedSlots < blockedReserve
-                    ? chooseBackend(service, request, now)
-                    : nullptr;
+            // A thread that was held up may only now learn of a free slot.
+            const bool mayStart = request.deadline > now && request.reservedSlots < blockedReserve;
+            Backend *backend = mayStart ? chooseBackend(service, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
@@ -643,7 +643,8 @@
     Private::Service &service = d->services[it->second.first];
     const auto entry = service.queue.find(it->second.second);
     const DirectRequest request = entry->second.request;
-    if (!entry->second.slotRequests.contains(backend) || !d->isUsable(target->second)) {
+    if (!entry->second.slotRequests.contains(backend) || !d->isUsable(target->second)
+        || request.deadline <= now) {
         d->pendingActions.emplace_back(ReleaseSlotAction {id, backend});
         entry->second.slotRequests.erase(backend);
         return;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -49,7 +49,8 @@
     std::uint32_t reservedSlots =
             0; // slots of a backend server to leave free for higher priorities
     Instant arrivedAt {};
-    Instant waitUntil {}; // refused if not started by then
+    Instant waitUntil {};            // refused if not started by then
+    Instant deadline = instantNever; // of the caller; never started after it
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     std::string sessionAffinityKey; // requests with the same value share cached memory
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -148,6 +148,7 @@
         request.arrivedAt = now;
         const Instant waitUntil = (retry ? now : admitted.request.receivedAt) + wait;
         request.waitUntil = std::min(waitUntil, admitted.deadline);
+        request.deadline = admitted.deadline;
         request.promptTokens = admitted.metadata.promptTokens;
         request.outputTokens = admitted.metadata.outputTokens;
         request.sessionAffinityKey = admitted.metadata.sessionAffinityKey;
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -124,6 +124,38 @@
     CHECK(harness.scheduler.waiting() == 0);
 }
 
+TEST_CASE(
+        "busiest seconds: a gateway that was held up starts no request after its caller's deadline")
+{
+    Harness harness({server("a", 1)});
+    harness.scheduler.add(request(1, 0, start));
+    CHECK(harness.started(start) == Sequences {1});
+    DirectRequest waiting = request(2, 0, start);
+    waiting.waitUntil = start + 100ms;
+    waiting.deadline = start + 100ms;
+    harness.scheduler.add(waiting);
+    CHECK(harness.started(start + 1ms).empty());
+    // Held up from here on: the end of the first request is noticed only after the deadline.
+    harness.scheduler.ended({1, 1}, {AttemptOutcome::Answered, 200ms, {}}, start + 200ms);
+    const auto actions = harness.scheduler.advance(start + 200ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::holds_alternative<RefuseAction>(actions[0]));
+
+    // The same for the grant of an agent.
+    harness.scheduler.agentResponded("a", start + 200ms);
+    DirectRequest asking = request(3, 0, start + 200ms);
+    asking.deadline = asking.waitUntil = start + 300ms;
+    harness.scheduler.add(asking);
+    CHECK(harness.advance<RequestSlotAction>(start + 200ms).size() == 1);
+    harness.scheduler.slotGranted({1, 3}, "a", start + 400ms);
+    const auto afterGrant = harness.scheduler.advance(start + 400ms);
+    CHECK(std::count(afterGrant.begin(), afterGrant.end(),
+                     DirectAction(ReleaseSlotAction {{1, 3}, "a"}))
+          == 1);
+    for (const DirectAction &it : afterGrant)
+        CHECK_FALSE(std::holds_alternative<StartAction>(it));
+}
+
 TEST_CASE("slots that peers use are not assigned until the reports of the peers expire")
 {
     Harness harness({server("s", 2)});
