Restarted agents of cold servers grant half of the bound's spare part

Cause: after a power loss of the whole fleet, servers return cold beside agents that have just started. An agent granted two slots in its first second, and the gateways' share beside it is used only where it is not reached; most of the bound was nobody's.

Change: what the bound leaves beyond the cold rate is divided between the restarted agent and the gateways that do not reach it; both numbers come from coldLimitsWithAgent(), and the agent gets its own with the request for a slot.

--- a/schema/admission.capnp
+++ b/schema/admission.capnp
@@ -13,6 +13,8 @@
   slots @3 :UInt32;        # number of slots of the backend server
   coldRate @4 :Float64;    # request starts per second allowed while it is cold; 0: not cold
   waitMicros @5 :Int64;    # the ask expires when it has waited for this time
+  restartStarts @6 :UInt32;  # starts that an agent which restarted may grant in its first second
+                             # while the backend server is cold; 0: the agent's default
 }
 
 struct AdmissionMessage {
--- a/schema/admission.capnp.h
+++ b/schema/admission.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f818f0aa759255bf, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f818f0aa759255bf, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -110,6 +110,8 @@
 
   inline  ::int64_t getWaitMicros() const;
 
+  inline  ::uint32_t getRestartStarts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -156,6 +158,9 @@
   inline  ::int64_t getWaitMicros();
   inline void setWaitMicros( ::int64_t value);
 
+  inline  ::uint32_t getRestartStarts();
+  inline void setRestartStarts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -485,6 +490,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t AdmissionAsk::Reader::getRestartStarts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdmissionAsk::Builder::getRestartStarts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionAsk::Builder::setRestartStarts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cornelshed::wire::AdmissionMessage::Which AdmissionMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -203,7 +203,8 @@
                          action.request.reservedSlots,
                          action.backend.slots,
                          action.coldRate,
-                         action.request.waitUntil - now});
+                         action.request.waitUntil - now,
+                         action.coldRestartLimit});
 }
 
 void AdmissionClient::release(const ReleaseSlotAction &action)
--- a/src/admissionmessages.cpp
+++ b/src/admissionmessages.cpp
@@ -22,6 +22,7 @@
     out.setSlots(request.slots);
     out.setColdRate(request.coldRate);
     out.setWaitMicros(request.timeout.count());
+    out.setRestartStarts(request.coldRestartLimit);
 }
 
 void write(const SlotRelease &release, Builder root)
@@ -65,7 +66,8 @@
             in.getLeaveFree(),
             in.getSlots(),
             in.getColdRate(),
-            Duration(in.getWaitMicros())};
+            Duration(in.getWaitMicros()),
+            in.getRestartStarts()};
 }
 
 std::optional<AdmissionMessage> readMessage(wire::AdmissionMessage::Reader root)
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -49,9 +49,8 @@
 constexpr Duration slotRequestInterval = 20ms;
 // Without agents, all gateways together use this multiple of a cold backend server's rate.
 constexpr double coldRateFactor = 1.25;
-// With agents, they use what the bound leaves beside the agent's grants, less this many requests
-// per second, which an agent may grant again after a restart.
-constexpr double agentRestartMargin = 3;
+// Requests per second by which grants that are sent late may exceed the limits.
+constexpr double coldMargin = 1;
 constexpr double initialServiceSeconds = 0.3;
 
 double secondsOf(Duration duration)
@@ -181,9 +180,10 @@
     std::uint32_t coldShare(const Backend &backend, double coldRate) const
     {
         const double bound = coldRate * settings.coldOver + settings.coldConstant;
-        const double usable = settings.agents ? bound - coldRate - agentRestartMargin
-                                              : std::min(bound - 1, coldRate * coldRateFactor);
-        const auto limit = static_cast<std::uint32_t>(std::max(usable, 0.0));
+        const double usable = std::min(bound - coldMargin, coldRate * coldRateFactor);
+        const std::uint32_t limit = settings.agents
+                ? coldLimitsWithAgent(settings, coldRate).gateways
+                : static_cast<std::uint32_t>(std::max(usable, 0.0));
         if (limit >= gatewayCount)
             return limit / gatewayCount;
         // More gateways than requests: only some gateways, a different set for each backend server,
@@ -397,7 +397,10 @@
     {
         const auto service = services.find(request.service);
         const bool cold = service != services.end() && backend.coldUntil > now;
-        return {request, backend.record, cold ? service->second.coldRate : 0};
+        if (!cold)
+            return {request, backend.record, 0, 0};
+        const double rate = service->second.coldRate;
+        return {request, backend.record, rate, coldLimitsWithAgent(settings, rate).agentRestart};
     }
 
     // Requests slots of the best backend servers from which none was requested yet: of several at
@@ -505,6 +508,13 @@
     Duration peerReportTimeout = minPeerReportTimeout;
 };
 
+ColdLimits coldLimitsWithAgent(const DirectSettings &settings, double coldRate)
+{
+    const double bound = coldRate * settings.coldOver + settings.coldConstant;
+    const auto spare = static_cast<std::uint32_t>(std::max(bound - coldRate - coldMargin, 0.0));
+    return {spare / 2, spare - spare / 2};
+}
+
 DirectScheduler::DirectScheduler(const DirectSettings &settings)
     : d(std::make_unique<Private>(settings))
 { }
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -121,7 +121,8 @@
 {
     DirectRequest request;
     BackendRecord backend;
-    double coldRate = 0; // limit on requests per second while cold; 0: not cold
+    double coldRate = 0;                // limit on requests per second while cold; 0: not cold
+    std::uint32_t coldRestartLimit = 0; // see SlotRequest
 
     bool operator==(const RequestSlotAction &) const = default;
 };
@@ -148,6 +149,20 @@
     bool operator==(const DirectSettings &) const = default;
 };
 
+// How the requests per second that a cold backend server sustains are divided where it has an
+// agent. The agent grants up to the cold rate. What the bound leaves beyond that is shared by an
+// agent that has restarted, and may grant again what it granted before, and by the gateways that do
+// not reach the agent.
+struct ColdLimits
+{
+    std::uint32_t agentRestart = 0; // grants of an agent in its first second
+    std::uint32_t gateways = 0;     // requests per second of all gateways without a grant
+
+    bool operator==(const ColdLimits &) const = default;
+};
+
+ColdLimits coldLimitsWithAgent(const DirectSettings &settings, double coldRate);
+
 class DirectScheduler
 {
 public:
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -18,9 +18,9 @@
 // After the agent starts, gateways report the requests that they run within this time.
 constexpr Duration recoveryDuration = 250ms;
 constexpr std::size_t queueLimit = 500;
-// A restarted agent does not know the grants of the last second. During its first second it
-// therefore grants at most this many slots of a cold backend server.
-constexpr std::uint32_t coldGrantsAfterRestart = 2;
+// Slots of a cold backend server that an agent grants in its first second if the gateway states no
+// limit.
+constexpr std::uint32_t minColdRestartLimit = 2;
 
 } // namespace
 
@@ -132,7 +132,9 @@
 std::uint32_t SlotAllocator::coldLimit(const SlotRequest &request, Instant now) const
 {
     const auto rate = static_cast<std::uint32_t>(std::max(request.coldRate, 1.0));
-    return now < m_startedAt + 1s ? std::min(coldGrantsAfterRestart, rate) : rate;
+    return now < m_startedAt + 1s
+            ? std::min(std::max(minColdRestartLimit, request.coldRestartLimit), rate)
+            : rate;
 }
 
 } // namespace cornelshed
--- a/src/slotallocator.h
+++ b/src/slotallocator.h
@@ -36,6 +36,9 @@
     std::uint32_t slots = 1;         // capacity of the backend server
     double coldRate = 0;             // limit on requests per second during warm-up; 0: not cold
     Duration timeout {};             // the request leaves the queue after this time
+    // Slots of a cold backend server that an agent may grant in the first second after its own
+    // start, when it does not know what was granted in the second before; 0: a fixed minimum.
+    std::uint32_t coldRestartLimit = 0;
 
     bool operator==(const SlotRequest &) const = default;
 };
