Give a restarted agent three quarters of the spare part of the cold bound

Change: agents are found within a round trip of a gateway's start, so the gateways' part is rarely used; a quarter of the spare part stays with them.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -512,7 +512,9 @@
 {
     const double bound = coldRate * settings.coldOver + settings.coldConstant;
     const auto spare = static_cast<std::uint32_t>(std::max(bound - coldRate - coldMargin, 0.0));
-    return {spare / 2, spare - spare / 2};
+    // Gateways find an agent within a round trip of its start, so most of the rest is the agent's.
+    const std::uint32_t gateways = spare / 4;
+    return {spare - gateways, gateways};
 }
 
 DirectScheduler::DirectScheduler(const DirectSettings &settings)
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -288,7 +288,7 @@
             allocator.requestSlot({{1, i}, 0, 0, 1000, rate, 5s, restartLimit}, now);
             granted += allocator.advance(now).size();
         }
-        CHECK(granted >= rate / 3);
+        CHECK(granted >= rate / 2);
         CHECK(granted <= rate);
     }
 }
