--- a/test/error/callerinterface.cpp
+++ b/test/error/callerinterface.cpp
@@ -190,10 +190,9 @@
     EntrySettings settings = entrySettings();
     settings.headerTimeoutMs = 50;
     Fixture fixture(settings);
-    const std::vector<std::string> starts {
-            "POST /v1/completions HTTP/1.1\r\nContent-",
-            "POST /v1/completions HTTP/1.1\r\n" + organisationHeader
-                    + "\r\nContent-Length: 60000\r\n\r\npart"};
+    const std::vector<std::string> starts {"POST /v1/completions HTTP/1.1\r\nContent-",
+                                           "POST /v1/completions HTTP/1.1\r\n" + organisationHeader
+                                                   + "\r\nContent-Length: 60000\r\n\r\npart"};
     for (const std::string &it : starts) {
         Caller caller(fixture.entry.port());
         caller.send(it);
