Test of shared answer memory: the organisation's allowance no longer refuses part of its callers

Traced by its log: six of the sixteen requests got 429, as they are sent within a millisecond of the gateway's start, when its buckets are nearly empty; the ten others fit into 32 MiB, so none was ended early.

Change: the organisation of this test has an allowance that all sixteen fit into; the checks are the same.

--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -484,7 +484,11 @@
     GatewayRunner runner;
     BackendRecord record = gatewayBackend("i-1", server.port());
     record.slots = 32;
-    runner.configure(gatewayRouteTable(), {record});
+    // All requests are sent at once, which the allowance of a gateway that has just started is too
+    // small for.
+    RouteTableContent content = gatewayRouteTable();
+    content.organisations = {{"acme", {"key-1"}, 0, 1e9, 1e9, false, 100}};
+    runner.configure(content, {record});
     std::vector<std::unique_ptr<Caller>> callers;
     for (int i = 0; i < 16; ++i) { // 48 MB in all; 32 MiB are allowed
         callers.push_back(std::make_unique<Caller>(runner.port()));
