Log what a backend server was doing when its connection was cut

Cause: attempt_repeated and request_ended name the backend server and the problem; whether the content of a request or the server is to blame for a crash cannot be told from them.

Change: attempt_cut names the shared parts of the prompt, whether the head had arrived and the number of complete events. CallerMetadata has the ids of the parts before the last one.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -40,6 +40,14 @@
     return text.data();
 }
 
+std::string joinedParts(const std::vector<std::string> &parts)
+{
+    std::string joined;
+    for (const std::string &it : parts)
+        joined += (joined.empty() ? "" : ",") + it;
+    return joined;
+}
+
 const char *nameOf(BackendError error)
 {
     switch (error) {
@@ -326,10 +334,25 @@
     m_problem = nameOf(error);
     const bool sent = error != BackendError::NotSent;
     const bool broken = error == BackendError::NotSent || error == BackendError::Cut;
+    if (error == BackendError::Cut)
+        logCut();
     endAttempt(sent ? AttemptEnd::MayHaveRun : AttemptEnd::NotRun,
                broken ? AttemptOutcome::Broken : AttemptOutcome::Failed);
 }
 
+// Shows what the backend server was doing when it was lost, and for which prompt.
+void GatewayExchange::logCut() const
+{
+    EventLog("attempt_cut", EventLevel::Warning)
+            .field("request", m_admitted.metadata.requestId)
+            .field("backend", m_backendId)
+            .field("sent_ms", attemptAge() / 1ms)
+            .field("head_received", m_status ? "yes" : "no")
+            .field("events", m_eventSplitter ? m_eventSplitter->count() : 0)
+            .field("event_cut", m_eventSplitter && m_eventSplitter->pending() ? "yes" : "no")
+            .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts));
+}
+
 Duration GatewayExchange::attemptAge() const
 {
     return monotonicNow() - m_attemptStart;
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -120,6 +120,7 @@
     void handleBody(const std::string &data);
     void handleFinished();
     void handleFailed(BackendError error);
+    void logCut() const;
     bool isStreamedResponse() const;
     void forwardEvents(std::string_view data);
     void bufferBody(const std::string &data);
--- a/src/ingressprotocol.h
+++ b/src/ingressprotocol.h
@@ -25,6 +25,8 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; // upper limit
     std::string sessionAffinityKey; // last part of the prompt; equal for requests of one session
+    // Ids of the parts of the prompt before the last one, in order. Other requests may share them.
+    std::vector<std::string> sharedPromptParts;
     std::optional<std::uint64_t> resumeAfter; // id of the last event that the caller has
 
     bool operator==(const CallerMetadata &) const = default;
