Keep the limit that a backend server names, over all gateways

Cause: Server-Limit was passed on to callers and read by nobody. Evidence: no code named the header; two gateways sent 371 requests in 4 s at a limit of 2.

Change: the adapter reads the limit (NamedLimit keeps the newest statement), gateways report what they heard to their peers, slot requests carry it to the agent, which grants at that rate over all gateways; without an agent each gateway takes a share of the requests of 4 s. A grant that is not used is given back, so releases say whether the request was sent (the check of the release in correctness.directscheduler names that too). The wait at a limited server counts in the choice, and limits count in the expected wait.

--- a/schema/admission.capnp
+++ b/schema/admission.capnp
@@ -15,6 +15,9 @@
   waitMicros @5 :Int64;    # the ask expires when it has waited for this time
   restartStarts @6 :UInt32;  # starts that an agent which restarted may grant in its first second
                              # while the backend server is cold; 0: the agent's default
+  limit @7 :Float64 = -1;    # requests per second that the backend server names as its limit;
+                             # negative: none
+  limitAgeMicros @8 :Int64 = -1;  # since the answer that named it, or named none; -1: none known
 }
 
 struct AdmissionMessage {
@@ -28,6 +31,7 @@
     queued @5 :AdmissionQueued;    # from the agent: the ask's place in its queue
     present @6 :Void;              # from the agent: reply to any running list: the agent is alive
   }
+  unused @7 :Bool;         # of release: the request was not sent to the backend server
 }
 
 struct AdmissionQueued {
--- a/schema/admission.capnp.h
+++ b/schema/admission.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f818f0aa759255bf, 6, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f818f0aa759255bf, 8, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,6 +112,10 @@
 
   inline  ::uint32_t getRestartStarts() const;
 
+  inline double getLimit() const;
+
+  inline  ::int64_t getLimitAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -161,6 +165,12 @@
   inline  ::uint32_t getRestartStarts();
   inline void setRestartStarts( ::uint32_t value);
 
+  inline double getLimit();
+  inline void setLimit(double value);
+
+  inline  ::int64_t getLimitAgeMicros();
+  inline void setLimitAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -228,6 +238,8 @@
   inline bool isPresent() const;
   inline  ::capnp::Void getPresent() const;
 
+  inline bool getUnused() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -297,6 +309,9 @@
   inline  ::capnp::Void getPresent();
   inline void setPresent( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool getUnused();
+  inline void setUnused(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -504,6 +519,34 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline double AdmissionAsk::Reader::getLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double AdmissionAsk::Builder::getLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void AdmissionAsk::Builder::setLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
+inline  ::int64_t AdmissionAsk::Reader::getLimitAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t AdmissionAsk::Builder::getLimitAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void AdmissionAsk::Builder::setLimitAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::cornelshed::wire::AdmissionMessage::Which AdmissionMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -773,6 +816,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AdmissionMessage::Reader::getUnused() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdmissionMessage::Builder::getUnused() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionMessage::Builder::setUnused(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AdmissionQueued::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -12,6 +12,9 @@
   promptTokens @2 :UInt64;  # prompt tokens of those requests that have not had a first event yet
   sign @3 :UInt8;           # 0: nothing to report, 1: answers although its agent is silent,
                             # 2: silent as well (ReportedLiveness in src/backendliveness.h)
+  limit @4 :Float64 = -1;   # requests per second that the backend server named to the sender as its
+                            # limit; negative: none
+  limitAgeMicros @5 :Int64 = -1;  # since the answer that named it, or named none; -1: none known
 }
 
 struct GossipAllowance {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -40,7 +40,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da793db429c6b3c3, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(da793db429c6b3c3, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -194,6 +194,10 @@
 
   inline  ::uint8_t getSign() const;
 
+  inline double getLimit() const;
+
+  inline  ::int64_t getLimitAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -234,6 +238,12 @@
   inline  ::uint8_t getSign();
   inline void setSign( ::uint8_t value);
 
+  inline double getLimit();
+  inline void setLimit(double value);
+
+  inline  ::int64_t getLimitAgeMicros();
+  inline void setLimitAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1152,6 +1162,34 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline double GossipLoad::Reader::getLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double GossipLoad::Builder::getLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void GossipLoad::Builder::setLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
+inline  ::int64_t GossipLoad::Reader::getLimitAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t GossipLoad::Builder::getLimitAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void GossipLoad::Builder::setLimitAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t GossipAllowance::Reader::getOrganisation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -95,7 +95,7 @@
             return;
         }
         if (const auto *release = std::get_if<SlotRelease>(&message)) {
-            allocator.release(release->key);
+            allocator.release(release->key, release->unused);
         } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
             trackGateway(renewal->gateway, sender, now);
             allocator.renew(renewal->gateway, renewal->sequences, now);
--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -204,12 +204,13 @@
                          action.backend.slots,
                          action.coldRate,
                          action.request.waitUntil - now,
-                         action.coldRestartLimit});
+                         action.coldRestartLimit,
+                         action.namedLimit});
 }
 
 void AdmissionClient::release(const ReleaseSlotAction &action)
 {
-    d->send(action.backend, SlotRelease {{d->incarnation, action.request.sequence}});
+    d->send(action.backend, SlotRelease {{d->incarnation, action.request.sequence}, action.unused});
 }
 
 } // namespace cornelshed
--- a/src/admissionmessages.cpp
+++ b/src/admissionmessages.cpp
@@ -23,12 +23,17 @@
     out.setColdRate(request.coldRate);
     out.setWaitMicros(request.timeout.count());
     out.setRestartStarts(request.coldRestartLimit);
+    if (request.namedLimit) {
+        out.setLimit(request.namedLimit->perSecond.value_or(-1));
+        out.setLimitAgeMicros(request.namedLimit->age.count());
+    }
 }
 
 void write(const SlotRelease &release, Builder root)
 {
     root.setGateway(release.key.gateway);
     root.setRelease(release.key.sequence);
+    root.setUnused(release.unused);
 }
 
 void write(const SlotRenewal &renewal, Builder root)
@@ -67,7 +72,8 @@
             in.getSlots(),
             in.getColdRate(),
             Duration(in.getWaitMicros()),
-            in.getRestartStarts()};
+            in.getRestartStarts(),
+            decodeNamedLimit(in.getLimit(), in.getLimitAgeMicros())};
 }
 
 std::optional<AdmissionMessage> readMessage(wire::AdmissionMessage::Reader root)
@@ -77,7 +83,7 @@
     case wire::AdmissionMessage::ASK:
         return readSlotRequest(gateway, root.getAsk());
     case wire::AdmissionMessage::RELEASE:
-        return SlotRelease {{gateway, root.getRelease()}};
+        return SlotRelease {{gateway, root.getRelease()}, root.getUnused()};
     case wire::AdmissionMessage::RUNNING: {
         const auto list = root.getRunning();
         SlotRenewal renewal {gateway, {}};
--- a/src/admissionmessages.h
+++ b/src/admissionmessages.h
@@ -22,6 +22,7 @@
 struct SlotRelease
 {
     SlotKey key;
+    bool unused = false; // it was not sent to the backend server
 
     auto operator<=>(const SlotRelease &) const = default;
 };
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -52,6 +52,13 @@
 // Requests per second by which grants that are sent late may exceed the limits.
 constexpr double coldMargin = 1;
 constexpr double initialServiceSeconds = 0.3;
+// Window over which gateways without a grant share a named limit. Where there are agents, these use
+// up the limit, and the gateways that do not reach them get a part of what may go beyond it.
+constexpr Duration namedLimitWindow = 4s;
+constexpr double namedLimitPartBesideAgents = 0.25;
+// Part of the mean time between the requests that a limit allows which counts as a wait when a
+// backend server is chosen: those without a limit come first.
+constexpr double namedLimitWaitShare = 0.25;
 
 double secondsOf(Duration duration)
 {
@@ -93,7 +100,8 @@
         Instant coldUntil {};
         Instant fullUntil {};
         bool misdirected = false; // another one has its address; reset when its record changes
-        std::deque<Instant> recentStarts; // of this gateway, in the last second
+        std::deque<Instant> recentStarts; // of this gateway, in the last namedLimitWindow
+        NamedLimit namedLimit;
         BackendLiveness liveness;
     };
     // A slot request that was sent to an agent and is not granted yet.
@@ -184,21 +192,37 @@
         const std::uint32_t limit = settings.agents
                 ? coldLimitsWithAgent(settings, coldRate).gateways
                 : static_cast<std::uint32_t>(std::max(usable, 0.0));
-        if (limit >= gatewayCount)
-            return limit / gatewayCount;
-        // More gateways than requests: only some gateways, a different set for each backend server,
-        // may send one.
-        const std::uint64_t turn = (gatewayIndex + backend.digest) % gatewayCount;
-        return turn < limit ? 1 : 0;
+        // The set of gateways that may send one more differs between backend servers.
+        return limit >= gatewayCount ? limit / gatewayCount
+                                     : shareOf(limit, gatewayCount, gatewayIndex, backend.digest);
     }
 
-    bool withinColdLimit(Backend &backend, const Service &service, Instant now) const
+    static std::size_t startsWithin(const Backend &backend, Duration time, Instant now)
     {
-        if (service.coldRate <= 0 || backend.coldUntil <= now)
+        return static_cast<std::size_t>(std::count_if(backend.recentStarts.begin(),
+                                                      backend.recentStarts.end(),
+                                                      [&](Instant it) { return it + time > now; }));
+    }
+
+    bool withinColdLimit(const Backend &backend, const Service &service, Instant now) const
+    {
+        return service.coldRate <= 0 || backend.coldUntil <= now
+                || startsWithin(backend, 1s, now) < coldShare(backend, service.coldRate);
+    }
+
+    bool withinNamedLimit(const Backend &backend, Instant now) const
+    {
+        const auto perSecond = backend.namedLimit.perSecond();
+        if (!perSecond)
             return true;
-        while (!backend.recentStarts.empty() && backend.recentStarts.front() + 1s <= now)
-            backend.recentStarts.pop_front();
-        return backend.recentStarts.size() < coldShare(backend, service.coldRate);
+        const double requests = *perSecond * secondsOf(namedLimitWindow)
+                * (settings.agents ? namedLimitPartBesideAgents : 1);
+        const auto turn = backend.digest
+                + static_cast<std::uint64_t>(now.time_since_epoch() / namedLimitWindow);
+        const std::uint32_t share =
+                shareOf(static_cast<std::uint32_t>(std::clamp(requests, 1.0, 1e6)), gatewayCount,
+                        gatewayIndex, turn);
+        return startsWithin(backend, namedLimitWindow, now) < share;
     }
 
     bool isUsable(const Backend &backend) const
@@ -226,7 +250,7 @@
             return false;
         const OutlierState state = outliers.state(backend.outlierSlot);
         return (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
-                && withinColdLimit(backend, service, now);
+                && withinColdLimit(backend, service, now) && withinNamedLimit(backend, now);
     }
 
     // Time from the last missing response to this gateway's turn to probe the backend server.
@@ -248,8 +272,8 @@
 
     // Expected seconds to the first event, plus the cost of the delay for streams in the same batch
     // and of another availability zone, both expressed as time.
-    double cost(const Backend &backend, const DirectRequest &request,
-                const Backend *sessionBackend) const
+    double cost(const Backend &backend, const DirectRequest &request, const Backend *sessionBackend,
+                Instant now) const
     {
         const double uncachedShare = sessionBackend == &backend ? uncachedPromptShare : 1;
         const double prefillTokens = static_cast<double>(backend.pendingPrefillTokens)
@@ -261,7 +285,19 @@
                 * (prefillTokens / settings.promptTokensPerSecond + occupancy * fullBatchSeconds);
         if (backend.record.availabilityZone != settings.availabilityZone)
             seconds += crossZoneSeconds;
-        return seconds;
+        return seconds + namedLimitWait(backend, now);
+    }
+
+    // Nothing while this gateway has not used its part of the limit: without a request, nobody
+    // would learn that the backend server no longer names one.
+    double namedLimitWait(const Backend &backend, Instant now) const
+    {
+        const auto perSecond = backend.namedLimit.perSecond();
+        if (!perSecond)
+            return 0;
+        const Duration ownInterval =
+                std::min<Duration>(durationOf(gatewayCount / *perSecond), namedLimitWindow);
+        return startsWithin(backend, ownInterval, now) > 0 ? namedLimitWaitShare / *perSecond : 0;
     }
 
     // The backend server that requests of the session prefer, because it caches their prompts. By
@@ -292,7 +328,7 @@
         for (Backend *it : service.backends) {
             if (!canStart(*it, service, request, now))
                 continue;
-            const double seconds = cost(*it, request, sessionBackend);
+            const double seconds = cost(*it, request, sessionBackend, now);
             if (chosen == nullptr || seconds < least) {
                 chosen = it;
                 least = seconds;
@@ -307,7 +343,7 @@
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
         backend.recentStarts.push_back(now);
-        while (backend.recentStarts.front() + 1s <= now)
+        while (backend.recentStarts.front() + namedLimitWindow <= now)
             backend.recentStarts.pop_front();
         StartedRequest started {backend.record.id, request.service, request.promptTokens,
                                 request.outputTokens};
@@ -316,18 +352,21 @@
         startedRequests.emplace(request.id, std::move(started));
     }
 
-    // Expected wait of a request behind this many others, by this gateway's share of the slots.
+    // Expected wait of a request behind this many others, by this gateway's share of what the
+    // backend servers do.
     Duration expectedWait(const Service &service, std::size_t ahead) const
     {
-        double slotShare = 0;
+        double perSecond = 0;
         for (const Backend *it : service.backends) {
-            if (isUsable(*it))
-                slotShare += it->record.slots;
+            if (!isUsable(*it))
+                continue;
+            const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
+            perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
         }
-        slotShare /= gatewayCount;
-        if (slotShare <= 0)
+        perSecond /= gatewayCount;
+        if (perSecond <= 0)
             return 1s;
-        return durationOf(static_cast<double>(ahead + 1) * service.serviceSeconds / slotShare);
+        return durationOf(static_cast<double>(ahead + 1) / perSecond);
     }
 
     bool anyBackendUsable(const Service &service) const
@@ -397,10 +436,12 @@
     {
         const auto service = services.find(request.service);
         const bool cold = service != services.end() && backend.coldUntil > now;
+        const auto limit = backend.namedLimit.newest(now);
         if (!cold)
-            return {request, backend.record, 0, 0};
+            return {request, backend.record, 0, 0, limit};
         const double rate = service->second.coldRate;
-        return {request, backend.record, rate, coldLimitsWithAgent(settings, rate).agentRestart};
+        return {request, backend.record, rate, coldLimitsWithAgent(settings, rate).agentRestart,
+                limit};
     }
 
     // Requests slots of the best backend servers from which none was requested yet: of several at
@@ -417,7 +458,7 @@
         std::vector<std::pair<double, Backend *>> candidates;
         for (Backend *it : service.backends) {
             if (canRequestSlot(*it, queued, now))
-                candidates.emplace_back(cost(*it, queued.request, sessionBackend), it);
+                candidates.emplace_back(cost(*it, queued.request, sessionBackend, now), it);
         }
         const std::size_t n = std::min(newRequests, candidates.size());
         std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
@@ -464,7 +505,7 @@
         const RequestId id = it->second.request.id;
         for (const auto &[backend, slotRequest] : it->second.slotRequests) {
             if (backend != grantedBy)
-                pendingActions.emplace_back(ReleaseSlotAction {id, backend});
+                pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
         }
         queueKeys.erase(id);
         return service.queue.erase(it);
@@ -552,6 +593,7 @@
             }
             d->outliers.add(backend.outlierSlot, d->serviceOf(record.service).group);
             backend.slowness = 1;
+            backend.namedLimit = {};
         }
         if (added || restarted || backend.record != record) {
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
@@ -595,8 +637,11 @@
     d->applyPeer(state, 1);
     for (const PeerLoad &load : loads) {
         const auto it = d->backendOfDigest.find(load.backendDigest);
-        if (it != d->backendOfDigest.end())
-            it->second->liveness.peerReported(load.liveness, now);
+        if (it == d->backendOfDigest.end())
+            continue;
+        it->second->liveness.peerReported(load.liveness, now);
+        if (load.namedLimit)
+            it->second->namedLimit.merge(*load.namedLimit, now);
     }
 }
 
@@ -605,9 +650,10 @@
     std::vector<PeerLoad> loads;
     for (const auto &[id, backend] : d->backends) {
         const ReportedLiveness report = backend.liveness.ownReport(now);
-        if (backend.running > 0 || report != ReportedLiveness::None)
+        const auto limit = backend.namedLimit.ownReport(now);
+        if (backend.running > 0 || report != ReportedLiveness::None || limit)
             loads.push_back(
-                    {backend.digest, backend.running, backend.pendingPrefillTokens, report});
+                    {backend.digest, backend.running, backend.pendingPrefillTokens, report, limit});
     }
     return loads;
 }
@@ -639,6 +685,20 @@
     it->second.liveness.agentResponded(now);
 }
 
+void DirectScheduler::answered(const std::string &backend, std::optional<double> requestsPerSecond,
+                               Instant now)
+{
+    const auto it = d->backends.find(backend);
+    if (it != d->backends.end())
+        it->second.namedLimit.recordAnswer(requestsPerSecond, now);
+}
+
+std::optional<double> DirectScheduler::namedLimit(const std::string &backend) const
+{
+    const auto it = d->backends.find(backend);
+    return it == d->backends.end() ? std::nullopt : it->second.namedLimit.perSecond();
+}
+
 void DirectScheduler::slotGranted(const RequestId &id, const std::string &backend, Instant now)
 {
     agentResponded(backend, now);
@@ -649,7 +709,7 @@
         // repeated one for the attempt that runs there.
         const auto started = d->startedRequests.find(id);
         if (started == d->startedRequests.end() || started->second.backend != backend)
-            d->pendingActions.emplace_back(ReleaseSlotAction {id, backend});
+            d->pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
         return;
     }
     Private::Service &service = d->services[it->second.first];
@@ -657,7 +717,7 @@
     const DirectRequest request = entry->second.request;
     if (!entry->second.slotRequests.contains(backend) || !d->isUsable(target->second)
         || request.deadline <= now) {
-        d->pendingActions.emplace_back(ReleaseSlotAction {id, backend});
+        d->pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
         entry->second.slotRequests.erase(backend);
         return;
     }
@@ -672,7 +732,7 @@
     agentResponded(backend, now);
     const auto it = d->queueKeys.find(id);
     if (it == d->queueKeys.end()) {
-        d->pendingActions.emplace_back(ReleaseSlotAction {id, backend});
+        d->pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
         return;
     }
     auto &slotRequests = d->services[it->second.first].queue.at(it->second.second).slotRequests;
@@ -759,7 +819,8 @@
         backend.liveness.streamTimedOut(now);
     }
     if (backend.liveness.hadAgent())
-        d->pendingActions.emplace_back(ReleaseSlotAction {id, started.backend});
+        d->pendingActions.emplace_back(ReleaseSlotAction {
+                id, started.backend, report.outcome == AttemptOutcome::NeverSent});
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullBackoff;
     if (report.outcome == AttemptOutcome::Misdirected)
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -15,6 +15,7 @@
 
 #include "backendliveness.h"
 #include "backendrecord.h"
+#include "namedlimit.h"
 #include "types.h"
 
 #include <cstdint>
@@ -68,6 +69,7 @@
     std::uint32_t running = 0;
     std::uint64_t promptTokens = 0; // of requests before their first event
     ReportedLiveness liveness = ReportedLiveness::None;
+    std::optional<NamedLimitReport> namedLimit {}; // that the sender heard from the backend server
 
     auto operator<=>(const PeerLoad &) const = default;
 };
@@ -123,6 +125,7 @@
     BackendRecord backend;
     double coldRate = 0;                // limit on requests per second while cold; 0: not cold
     std::uint32_t coldRestartLimit = 0; // see SlotRequest
+    std::optional<NamedLimitReport> namedLimit {};
 
     bool operator==(const RequestSlotAction &) const = default;
 };
@@ -132,6 +135,7 @@
 {
     RequestId request;
     std::string backend; // id
+    bool unused = false; // the request was not sent to the backend server
 
     bool operator==(const ReleaseSlotAction &) const = default;
 };
@@ -192,6 +196,13 @@
     // A message of the backend server's agent arrived.
     void agentResponded(const std::string &backend, Instant now);
 
+    // An answer of the backend server arrived, with the requests per second that it named as its
+    // limit.
+    void answered(const std::string &backend, std::optional<double> requestsPerSecond, Instant now);
+
+    // The limit in force, in requests per second over all gateways; nothing: none.
+    std::optional<double> namedLimit(const std::string &backend) const;
+
     // The agent granted a slot, or reported how many slot requests are queued before this one.
     void slotGranted(const RequestId &id, const std::string &backend, Instant now);
     void slotRequestQueued(const RequestId &id, const std::string &backend, std::uint32_t ahead,
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -338,6 +338,21 @@
             recordCrash(*it->second, now);
     }
 
+    void replied(const std::string &backend, const BackendReply &reply) override
+    {
+        // Only the backend server itself can lift its limit.
+        const bool isOwn = !reply.misdirected && (reply.authenticated || reply.notRun);
+        if (!isOwn)
+            return;
+        const auto before = scheduler.namedLimit(backend);
+        scheduler.answered(backend, reply.requestsPerSecond, monotonicNow());
+        const auto after = scheduler.namedLimit(backend);
+        if (before.has_value() != after.has_value())
+            EventLog(after ? "backend_limit_named" : "backend_limit_lifted")
+                    .field("backend", backend)
+                    .field("requests_per_second", after.value_or(0));
+    }
+
     // --- prompts that crash backend servers ---
 
     bool isSuspect(const PromptIdentity &prompt) const override
--- a/src/ingressprotocol.h
+++ b/src/ingressprotocol.h
@@ -52,6 +52,9 @@
     bool encoded = false; // has a content encoding: the backend server did not write this body
     std::optional<std::uint32_t> running; // number of requests, as counted by the backend server
     std::optional<std::uint32_t> waiting;
+    // Requests per second that the backend server takes from all gateways together, if it names a
+    // limit; not negative.
+    std::optional<double> requestsPerSecond;
 
     bool operator==(const BackendReply &) const = default;
 };
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -145,6 +145,10 @@
         loads[i].setRunning(report.loads[i].running);
         loads[i].setPromptTokens(report.loads[i].promptTokens);
         loads[i].setSign(static_cast<std::uint8_t>(report.loads[i].liveness));
+        if (const auto &limit = report.loads[i].namedLimit) {
+            loads[i].setLimit(limit->perSecond.value_or(-1));
+            loads[i].setLimitAgeMicros(limit->age.count());
+        }
     }
     auto allowances = root.initAllowances(static_cast<unsigned>(report.consumedTokens.size()));
     unsigned n = 0;
@@ -181,7 +185,8 @@
         report.uptime = Duration(root.getUptimeMicros());
         for (const auto it : root.getLoads())
             report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens(),
-                                    decodeSign(it.getSign())});
+                                    decodeSign(it.getSign()),
+                                    decodeNamedLimit(it.getLimit(), it.getLimitAgeMicros())});
         for (const auto it : root.getAllowances())
             report.consumedTokens[it.getOrganisation()] = it.getTaken();
         const std::string sender = report.name + "#" + std::to_string(report.incarnation);
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -21,15 +21,19 @@
 // Slots of a cold backend server that an agent grants in its first second if the gateway states no
 // limit.
 constexpr std::uint32_t minColdRestartLimit = 2;
+// Grants that may follow each other at once while a limit is named, after a pause.
+constexpr double limitedGrantsLimit = 2;
 
 } // namespace
 
 SlotAllocator::SlotAllocator(Instant now)
-    : m_startedAt(now), m_recoveryEndsAt(now + recoveryDuration)
+    : m_limitedGrantsAt(now), m_startedAt(now), m_recoveryEndsAt(now + recoveryDuration)
 { }
 
 void SlotAllocator::requestSlot(const SlotRequest &request, Instant now)
 {
+    if (request.namedLimit)
+        m_namedLimit.merge(*request.namedLimit, now);
     if (m_leases.contains(request.key)) {
         m_regrants.push_back(request.key);
         return;
@@ -41,9 +45,10 @@
     m_queueKeys[request.key] = queueKey;
 }
 
-void SlotAllocator::release(const SlotKey &key)
+void SlotAllocator::release(const SlotKey &key, bool unused)
 {
-    m_leases.erase(key);
+    if (m_leases.erase(key) > 0 && unused)
+        m_limitedGrants = std::min(m_limitedGrants + 1, limitedGrantsLimit);
     const auto it = m_queueKeys.find(key);
     if (it == m_queueKeys.end())
         return;
@@ -76,7 +81,11 @@
         return granted;
     // Requests that leave at least this many slots free wait behind one that was not granted.
     std::uint32_t blockedReserve = UINT32_MAX;
+    const auto limit = m_namedLimit.perSecond();
+    accrueLimitedGrants(limit.value_or(0), now);
     for (auto it = m_queue.begin(); it != m_queue.end() && blockedReserve > 0;) {
+        if (limit && m_limitedGrants < 1)
+            break;
         const SlotRequest &request = it->second.request;
         if (request.reservedSlots >= blockedReserve) {
             ++it;
@@ -90,6 +99,8 @@
         }
         m_leases[request.key] = {now + grantConfirmationTimeout, now};
         m_recentGrants.push_back(now);
+        if (limit)
+            m_limitedGrants -= 1;
         granted.push_back(request.key);
         m_queueKeys.erase(request.key);
         it = m_queue.erase(it);
@@ -120,6 +131,15 @@
         m_recentGrants.pop_front();
 }
 
+// perSecond: 0 while no limit is named. Then nothing accrues, so that the first grants under a new
+// limit are spread, too.
+void SlotAllocator::accrueLimitedGrants(double perSecond, Instant now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_limitedGrantsAt).count();
+    m_limitedGrantsAt = now;
+    m_limitedGrants = std::min(m_limitedGrants + seconds * perSecond, limitedGrantsLimit);
+}
+
 bool SlotAllocator::withinColdLimit(const SlotRequest &request, Instant now)
 {
     if (request.coldRate <= 0)
--- a/src/slotallocator.h
+++ b/src/slotallocator.h
@@ -9,6 +9,7 @@
 #ifndef CORNELSHED_SLOTALLOCATOR_H
 #define CORNELSHED_SLOTALLOCATOR_H
 
+#include "namedlimit.h"
 #include "types.h"
 
 #include <cstdint>
@@ -39,6 +40,8 @@
     // Slots of a cold backend server that an agent may grant in the first second after its own
     // start, when it does not know what was granted in the second before; 0: a fixed minimum.
     std::uint32_t coldRestartLimit = 0;
+    // What the gateway knows of the limit that the backend server names.
+    std::optional<NamedLimitReport> namedLimit {};
 
     bool operator==(const SlotRequest &) const = default;
 };
@@ -52,7 +55,8 @@
     // Queues the request; a repeated request that already holds a slot is granted again. The
     // request is dropped if the queue is full.
     void requestSlot(const SlotRequest &request, Instant now);
-    void release(const SlotKey &key);
+    // unused: the request was not sent, so that a grant does not count against a named limit.
+    void release(const SlotKey &key, bool unused = false);
 
     // Renews the leases of the listed requests, which are all that the gateway runs here, and frees
     // its other slots, except those granted too recently to be in the list.
@@ -83,6 +87,7 @@
     using QueueKey = std::pair<std::uint64_t, std::uint64_t>; // order, arrival
 
     void expire(Instant now);
+    void accrueLimitedGrants(double perSecond, Instant now);
     bool withinColdLimit(const SlotRequest &request, Instant now);
     std::uint32_t coldLimit(const SlotRequest &request, Instant now) const;
 
@@ -92,6 +97,9 @@
     std::deque<Instant> m_recentGrants;      // of the last second
     std::vector<SlotKey> m_regrants; // requested again while holding a slot; the grant is resent
     std::uint64_t m_arrivalCount = 0;
+    NamedLimit m_namedLimit;
+    double m_limitedGrants = 0; // that a named limit allows now
+    Instant m_limitedGrantsAt;  // when m_limitedGrants was brought up to date
     Instant m_startedAt;
     Instant m_recoveryEndsAt;
 };
--- a/test/correctness/directscheduler.cpp
+++ b/test/correctness/directscheduler.cpp
@@ -150,7 +150,7 @@
     harness.scheduler.slotGranted({1, 3}, "a", start + 400ms);
     const auto afterGrant = harness.scheduler.advance(start + 400ms);
     CHECK(std::count(afterGrant.begin(), afterGrant.end(),
-                     DirectAction(ReleaseSlotAction {{1, 3}, "a"}))
+                     DirectAction(ReleaseSlotAction {{1, 3}, "a", true}))
           == 1);
     for (const DirectAction &it : afterGrant)
         CHECK_FALSE(std::holds_alternative<StartAction>(it));
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -22,7 +22,7 @@
     report.uptime = Duration(12345);
     report.loads = {{11, 2, 300, ReportedLiveness::Unresponsive},
                     {12, 1, 0, ReportedLiveness::Responsive},
-                    {13, 1, 0}};
+                    {13, 1, 0, ReportedLiveness::None, NamedLimitReport {1.5, Duration(9)}}};
     report.consumedTokens = {{21, 1000.5}};
     report.proofs[0] = SharedProof {9, Duration(1500)};
     RolloutReport rollout {"w#7", Duration(900), {1, RolloutEnd::RolledBack, "bad"}, {}};
@@ -37,8 +37,8 @@
 
 std::vector<AdmissionMessage> sampleMessages()
 {
-    return {SlotRequest {{1, 2}, 3, 4, 5, 6.5, Duration(7), 8},
-            SlotRelease {{1, 2}},
+    return {SlotRequest {{1, 2}, 3, 4, 5, 6.5, Duration(7), 8, NamedLimitReport {2.5, Duration(4)}},
+            SlotRelease {{1, 2}, true},
             SlotRenewal {1, {2, 3, 4}},
             SlotGranted {{1, 2}},
             SlotQueued {{1, 2}, 3},
