Soak: prompts that crash backend servers, and a server that names a limit

Cause: no stand-in of the soak failed because of a prompt or named a limit, so it could not find either fault.

Change: one stream in ten holds a part under which a backend server breaks off after the head, and the first server names 5 requests a second; both bounds are checked in the four calm seconds after the faults.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -1,5 +1,6 @@
 // Guards against requests that are executed twice, requests that are refused as not run although
-// they ran, responses that belong to another request, and truncated streams, while several faults
+// they ran, responses that belong to another request, truncated streams, prompts that go on
+// crashing backend servers, and limits of backend servers that are not kept, while several faults
 // overlap: processes are killed, stopped and paused, and connections are disturbed. Real gateways
 // and admission agents run as processes in front of scripted backend servers and a scripted store.
 // Faults are injected by signals and by loopback proxies.
@@ -41,6 +42,15 @@
 constexpr int callerCount = 8;
 constexpr auto faultDuration = 5s;    // while faults are injected
 constexpr auto recoveryDuration = 2s; // for the system to recover afterwards
+constexpr auto calmDuration = 4s;     // after that, while the bounds of a calm system are checked
+// One in this many streams has a prompt that crashes backend servers.
+constexpr int deadlyInterval = 10;
+constexpr const char *deadlyPart = "dead";
+// Requests per second that the first backend server names as its limit.
+constexpr int namedLimit = 5;
+// What the users allow in calmDuration: half more, and five; and of the deadly prompts.
+constexpr int limitedRequestsAllowed = namedLimit * 6 + 5;
+constexpr int deadlyRequestsAllowed = 3;
 
 std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
 {
@@ -102,12 +112,30 @@
     std::map<std::string, int> m_counts; // by request id
 };
 
-BackendStub::Handler backendScript(ExecutionCounts &executions)
+// Arrivals at backend servers that a bound applies to.
+struct BoundedArrivals
 {
-    return [&executions](const StubRequest &request, StubReply &reply) {
+    std::atomic<int> limited {0}; // at the server that names a limit
+    std::atomic<int> deadly {0};  // with a prompt that crashes servers
+};
+
+BackendStub::Handler backendScript(ExecutionCounts &executions, BoundedArrivals &arrivals,
+                                   bool isLimited)
+{
+    return [&executions, &arrivals, isLimited](const StubRequest &request, StubReply &reply) {
         const std::string id = header(request, "X-Request-Id");
         executions.add(id);
-        const std::string commonHeaders = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
+        arrivals.limited += isLimited ? 1 : 0;
+        std::string commonHeaders = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
+        if (isLimited)
+            commonHeaders += "Server-Limit: " + std::to_string(namedLimit) + "\r\n";
+        if (header(request, "X-Prefix-Hash").find(deadlyPart) != std::string::npos) {
+            ++arrivals.deadly;
+            reply.send("HTTP/1.1 200 OK\r\n" + commonHeaders
+                       + "Transfer-Encoding: chunked\r\n\r\n");
+            reply.close();
+            return;
+        }
         // Long enough that connection faults often occur while a request is running.
         std::this_thread::sleep_for(
                 10ms + std::chrono::milliseconds(std::hash<std::string> {}(id) % 50));
@@ -223,7 +251,8 @@
     {
         std::vector<std::uint16_t> ports;
         for (int n = 0; n < backendCount; ++n) {
-            m_backends.push_back(std::make_unique<BackendStub>(backendScript(m_executions)));
+            m_backends.push_back(
+                    std::make_unique<BackendStub>(backendScript(m_executions, m_arrivals, n == 0)));
             m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0." + std::to_string(n + 2),
                                                              m_backends.back()->port()));
             ports.push_back(m_proxies.back()->port());
@@ -268,8 +297,12 @@
             it->signal(SIGCONT);
         std::this_thread::sleep_for(recoveryDuration);
         const int answeredBefore = m_answered;
-        std::this_thread::sleep_for(1s);
+        const int limitedBefore = m_arrivals.limited;
+        const int deadlyBefore = m_arrivals.deadly;
+        std::this_thread::sleep_for(calmDuration);
         m_recovered = m_answered > answeredBefore + 10;
+        m_limitedWhileCalm = m_arrivals.limited - limitedBefore;
+        m_deadlyWhileCalm = m_arrivals.deadly - deadlyBefore;
         m_stopped = true;
         for (std::thread &it : callers)
             it.join();
@@ -278,6 +311,8 @@
 
     int answered() const { return m_answered; }
     bool recovered() const { return m_recovered; }
+    int limitedWhileCalm() const { return m_limitedWhileCalm; }
+    int deadlyWhileCalm() const { return m_deadlyWhileCalm; }
     std::vector<std::string> problems() const { return m_problems; }
     void keepLogs() { m_folder.keep(); }
 
@@ -369,8 +404,11 @@
                                                       gatewayAddress((n + i) % gatewayCount));
                 std::string text = "POST ";
                 text.append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ");
-                text.append(id).append("\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
-                                       "Content-Length: 2\r\n\r\nab");
+                const bool isDeadly = path == "/quote/" && i % deadlyInterval == 2;
+                text.append(id).append(
+                        "\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\nX-Prefix-Hash: ");
+                text.append(isDeadly ? std::string("aa:60,") + deadlyPart + ":80," : "aa:60,");
+                text.append(id).append(":40\r\nContent-Length: 2\r\n\r\nab");
                 if (path == "/order/") {
                     const std::lock_guard lock(m_mutex);
                     m_nonIdempotentIds.push_back(id);
@@ -378,6 +416,8 @@
                 caller->send(text);
                 const CallerAnswer answer = caller->receive();
                 check(id, path, answer);
+                if (isDeadly && answer.status == 200)
+                    report(id + " was answered though no backend server can");
                 if (answer.status == 0 || !answer.keepAlive)
                     caller = nullptr;
             } catch (const std::exception &) {
@@ -431,6 +471,7 @@
     SeededRandom m_proxyRandom;
     demo::TemporaryFolder m_folder;
     ExecutionCounts m_executions;
+    BoundedArrivals m_arrivals;
     std::vector<std::unique_ptr<BackendStub>> m_backends;
     std::unique_ptr<Store> m_store;
     std::unique_ptr<BackendStub> m_storeServer;
@@ -439,6 +480,8 @@
     std::uint16_t m_basePort = 0;
     std::atomic<bool> m_stopped {false};
     std::atomic<int> m_answered {0};
+    int m_limitedWhileCalm = 0;
+    int m_deadlyWhileCalm = 0;
     bool m_recovered = false; // requests were answered again after the faults
     std::mutex m_mutex;       // guards the members below
     std::vector<std::string> m_nonIdempotentIds;
@@ -458,9 +501,13 @@
         soak.run();
         for (const std::string &it : soak.problems())
             FAIL_CHECK(it);
-        if (!soak.problems().empty() || !soak.recovered())
+        const bool isWithinBounds = soak.limitedWhileCalm() <= limitedRequestsAllowed
+                && soak.deadlyWhileCalm() <= deadlyRequestsAllowed;
+        if (!soak.problems().empty() || !soak.recovered() || !isWithinBounds)
             soak.keepLogs();
         CHECK(soak.answered() > 50);
         CHECK(soak.recovered());
+        CHECK(soak.limitedWhileCalm() <= limitedRequestsAllowed);
+        CHECK(soak.deadlyWhileCalm() <= deadlyRequestsAllowed);
     }
 }
