Reports about prompt parts settle once nothing new is known

Cause: found by reading. A peer's older statement that a part was cleared was applied again with each report while there was evidence against it, which announced the part anew and could move the time forward by the reports' way. For each crash in a report, all parts were searched.

Change: only a newer statement is applied; the backend servers whose crashes are explained are collected once for each report.

--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -19,6 +19,7 @@
 // Reports convert times to ages and back, and take some time to arrive. Times that differ by less
 // belong to the same event.
 constexpr Duration timeTolerance = 1s;
+constexpr Duration clearedTolerance = 200ms;
 // A change is in every report for this time, so that it also reaches peers in a large fleet.
 constexpr Duration announceTime = 3s;
 // Otherwise, a report with all that is known is sent at this interval, for gateways that start.
@@ -50,8 +51,7 @@
     struct Part
     {
         std::uint32_t position = 0;
-        std::vector<Crash>
-                crashes; // of different backend servers, oldest first, crashLimit at most
+        std::vector<Crash> crashes; // of different backend servers, oldest first
         std::optional<Instant> quarantinedAt;
         Duration quarantine {};
         std::optional<Instant> clearedAt; // the last answer that went on
@@ -87,12 +87,17 @@
         });
     }
 
-    // Whether a quarantined part other than this one explains the crash.
-    bool isExplained(std::uint64_t part, std::uint64_t backend) const
+    // Backend servers whose crashes a quarantined part explains.
+    std::set<std::uint64_t> explainedBackends() const
     {
-        return std::any_of(parts.begin(), parts.end(), [&](const auto &it) {
-            return it.first != part && it.second.quarantinedAt && hasCrash(it.second, backend);
-        });
+        std::set<std::uint64_t> backends;
+        for (const auto &[id, part] : parts) {
+            for (const Crash &it : part.crashes) {
+                if (part.quarantinedAt)
+                    backends.insert(it.backend);
+            }
+        }
+        return backends;
     }
 
     static bool hasCrash(const Part &part, std::uint64_t backend)
@@ -232,15 +237,16 @@
     // An answer to a prompt with the part went on at that time.
     void clear(Part &part, Instant at, Instant now)
     {
-        const bool hadEvidence = part.quarantinedAt || !part.crashes.empty();
         const bool isNews = !part.clearedAt || *part.clearedAt + clearedAnnounceInterval <= at;
         part.clearedAt = std::max(part.clearedAt.value_or(at), at);
-        std::erase_if(part.crashes, [&](const Crash &it) { return it.sentAt < at; });
-        if (part.quarantinedAt && isContradicted(part, *part.quarantinedAt))
+        const auto removed =
+                std::erase_if(part.crashes, [&](const Crash &it) { return it.sentAt < at; });
+        const bool released = part.quarantinedAt && isContradicted(part, *part.quarantinedAt);
+        if (released)
             part.quarantinedAt.reset();
-        if (hadEvidence)
+        if (removed > 0 || released)
             part.evidenceAt = now;
-        if (hadEvidence || isNews)
+        if (removed > 0 || released || isNews)
             part.changedAt = now;
     }
 
@@ -281,10 +287,11 @@
         return report;
     }
 
-    void merge(const PromptPartReport &report, Instant now)
+    void merge(const PromptPartReport &report, const std::set<std::uint64_t> &explained,
+               Instant now)
     {
         for (const PromptCrashReport &it : report.crashes) {
-            if (!isExplained(report.part, it.backend))
+            if (!explained.contains(it.backend))
                 addCrash(report.part, report.position,
                          {it.backend, it.session, now - it.sentAge, now - it.crashAge}, now);
         }
@@ -305,9 +312,7 @@
 
     void mergeCleared(Part &part, Instant clearedAt, Instant now)
     {
-        const bool isNews = !part.clearedAt || clearedAt > *part.clearedAt + timeTolerance;
-        const bool hasEvidence = part.quarantinedAt || !part.crashes.empty();
-        if (isNews || hasEvidence)
+        if (!part.clearedAt || clearedAt > *part.clearedAt + clearedTolerance)
             clear(part, clearedAt, now);
     }
 
@@ -435,8 +440,9 @@
 
 void PromptQuarantine::merge(const std::vector<PromptPartReport> &reports, Instant now)
 {
+    const std::set<std::uint64_t> explained = d->explainedBackends();
     for (const PromptPartReport &it : reports)
-        d->merge(it, now);
+        d->merge(it, explained, now);
     // Only now: the evidence against the parts of one prompt must be compared as a whole.
     d->convict(now);
 }
