An agent does not keep the limit of an engine's earlier run

Callers would have seen an engine that came back stay at the rate that it named before.

Cause: gateways forget the limit when the engine starts again, and an answer that names none was no statement to them, so that slot requests carried nothing newer than what the agent held.

Change: each answer is a statement, also one without a limit; peers still hear only of limits and of their end. Result: the new test failed before (no grant in a second) and passes.

--- a/src/namedlimit.cpp
+++ b/src/namedlimit.cpp
@@ -33,8 +33,11 @@
 void NamedLimit::recordAnswer(std::optional<double> perSecond, Instant now)
 {
     const Statement &newest = newestStatement();
-    if (!perSecond && (!newest.perSecond || now < newest.at + liftDelay))
+    const bool lifts = !perSecond && newest.perSecond;
+    if (lifts && now < newest.at + liftDelay)
         return;
+    if (lifts)
+        m_liftedAt = now;
     m_own = {perSecond, now};
 }
 
@@ -53,7 +56,8 @@
 
 std::optional<NamedLimitReport> NamedLimit::ownReport(Instant now) const
 {
-    if (m_own.at == Instant::min() || (!m_own.perSecond && m_own.at + liftedAnnounceTime < now))
+    const bool liftedRecently = m_liftedAt && *m_liftedAt + liftedAnnounceTime >= now;
+    if (!m_own.perSecond && !liftedRecently)
         return std::nullopt;
     return NamedLimitReport {m_own.perSecond, now - m_own.at};
 }
--- a/src/namedlimit.h
+++ b/src/namedlimit.h
@@ -48,7 +48,8 @@
     // that the limit was lifted is old news.
     std::optional<NamedLimitReport> ownReport(Instant now) const;
 
-    // The newest statement, own or of a peer; nothing if there was none.
+    // The newest statement, own or of a peer, also one that names no limit: an agent may hold one
+    // of an earlier run of the backend server. Nothing if there was no answer yet.
     std::optional<NamedLimitReport> newest(Instant now) const;
 
 private:
@@ -61,7 +62,8 @@
     const Statement &newestStatement() const;
 
     Statement m_own;
-    Statement m_ofPeers; // the newest one
+    Statement m_ofPeers;               // the newest one
+    std::optional<Instant> m_liftedAt; // when an own answer last lifted the limit
 };
 
 // This gateway's part of a number of requests that all gateways may send together. If there are
--- a/test/correctness/namedlimit.cpp
+++ b/test/correctness/namedlimit.cpp
@@ -99,6 +99,33 @@
     CHECK(*limit.perSecond() * 4 <= 1);
 }
 
+TEST_CASE("a limit of an engine's earlier run does not stay with its agent")
+{
+    SlotAllocator agent(start);
+    NamedLimit gateway;
+    gateway.recordAnswer(0.5, start);
+    std::uint64_t sequence = 0;
+    // Requests that end at once, one each 10 ms.
+    const auto grants = [&](Instant from, Duration length, bool limited) {
+        std::size_t n = 0;
+        for (Instant now = from; now < from + length; now += 10ms) {
+            SlotRequest request {{1, ++sequence}, 0, 0, 6, 0, 50ms};
+            request.namedLimit = gateway.newest(now);
+            agent.requestSlot(request, now);
+            for (const SlotKey &key : agent.advance(now)) {
+                ++n;
+                agent.release(key);
+                gateway.recordAnswer(limited ? std::optional(0.5) : std::nullopt, now);
+            }
+        }
+        return n;
+    };
+    CHECK(grants(start + 1s, 8s, true) <= 6);
+    gateway = {}; // the engine has started again and names no limit
+    grants(start + 9s, 4s, false);
+    CHECK(grants(start + 13s, 1s, false) > 50);
+}
+
 TEST_CASE("property: the gateways' shares add up to the whole")
 {
     CHECK(rc::check([] {
