--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -338,7 +338,7 @@
             recordCrash(*it->second, now);
     }
 
-    void replied(const std::string &backend, const BackendReply &reply) override
+    void replyReceived(const std::string &backend, const BackendReply &reply) override
     {
         // Only the backend server itself can lift its limit.
         const bool isOwn = !reply.misdirected && (reply.authenticated || reply.notRun);
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -240,7 +240,7 @@
     m_status = status;
     m_reply = m_services.protocol().decodeReply(status, headers);
     m_responseHeaders = std::move(headers);
-    m_services.replied(m_backendId, m_reply);
+    m_services.replyReceived(m_backendId, m_reply);
     if (isStreamedResponse())
         m_eventSplitter.emplace(m_lastEventId);
 }
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -37,7 +37,7 @@
     virtual bool tryTakeRetry(const std::string &service) = 0;
 
     // The head of an answer of the backend server arrived.
-    virtual void replied(const std::string &backend, const BackendReply &reply) = 0;
+    virtual void replyReceived(const std::string &backend, const BackendReply &reply) = 0;
 
     // Whether the prompt may be what crashes backend servers.
     virtual bool isSuspect(const PromptIdentity &prompt) const = 0;
--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -32,7 +32,7 @@
 constexpr Duration trialTurn = 4s;
 // A part without any evidence is remembered for this time after the last crash, so that peers learn
 // that it was cleared.
-constexpr Duration clearedMemory = 10s;
+constexpr Duration clearedRetention = 10s;
 // Time between two announcements that a part without evidence still serves well.
 constexpr Duration clearedAnnounceInterval = 500ms;
 
@@ -173,8 +173,8 @@
         std::erase_if(parts, [&](const auto &it) {
             const Part &part = it.second;
             if (part.quarantinedAt)
-                return part.evidenceAt + part.quarantine + settings.memory <= now;
-            return part.evidenceAt + (part.crashes.empty() ? clearedMemory : settings.memory)
+                return part.evidenceAt + part.quarantine + settings.retention <= now;
+            return part.evidenceAt + (part.crashes.empty() ? clearedRetention : settings.retention)
                     <= now;
         });
     }
--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -38,7 +38,7 @@
     Duration firstQuarantine = std::chrono::minutes(1); // doubles with each failed trial
     Duration longestQuarantine = std::chrono::hours(1);
     // What is known of a part is dropped when nothing new was learnt for this time.
-    Duration memory = std::chrono::minutes(10);
+    Duration retention = std::chrono::minutes(10);
     std::size_t partLimit = 512; // number of parts that are remembered
 
     bool operator==(const PromptQuarantineSettings &) const = default;
--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -267,6 +267,7 @@
         m_basePort = static_cast<std::uint16_t>(
                 21000 + (static_cast<std::uint64_t>(::getpid()) * 16 + seed * 8) % 10000);
         std::vector<GatewayRecord> gateways;
+        gateways.reserve(gatewayCount);
         for (int n = 0; n < gatewayCount; ++n)
             gateways.push_back({gatewayName(n), gatewayAddress(n), m_basePort});
         m_store = std::make_unique<Store>(ports, gateways);
