A stopping gateway answers connections that wait to be accepted

Callers saw a connection reset at the moment of a planned stop: connections that the kernel had established, with a whole request on them, were reset when the listener closed, and one whose accept had completed was dropped. The listener now accepts what is waiting before it closes, and the shutdown looks for the last connections before it ends.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -585,8 +585,17 @@
             if (const auto channel = it.lock())
                 channel->closeWhenIdle();
         }
-        if (exchanges.empty())
-            finishDrain();
+        // The listener still passes on connections that it has accepted.
+        checkDrainedLater();
+    }
+
+    void checkDrainedLater()
+    {
+        drainTimer.expires_after(drainCheckInterval);
+        drainTimer.async_wait([self = shared_from_this()](auto ec) {
+            if (!ec)
+                self->finishDrain();
+        });
     }
 
     // Completes the shutdown once every response is written and its connection closed, or the drain
@@ -601,11 +610,7 @@
                 done();
             return;
         }
-        drainTimer.expires_after(drainCheckInterval);
-        drainTimer.async_wait([self = shared_from_this()](auto ec) {
-            if (!ec)
-                self->finishDrain();
-        });
+        checkDrainedLater();
     }
 
     void accept(asio::ip::tcp::socket socket)
@@ -627,6 +632,8 @@
         std::erase_if(channels, [](const auto &it) { return it.expired(); });
         channels.push_back(channel);
         channel->start();
+        if (closing)
+            channel->closeWhenIdle();
     }
 
     CallerLimits limits() const
--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -55,12 +55,27 @@
 void Listener::stop()
 {
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        self->acceptWaiting();
         boost::system::error_code ec;
         self->m_acceptor.close(ec);
         self->m_retryTimer.cancel();
     });
 }
 
+// Accepts the connections that the kernel has established: closing the acceptor would reset them.
+void Listener::acceptWaiting()
+{
+    boost::system::error_code ec;
+    if (m_acceptor.is_open())
+        m_acceptor.non_blocking(true, ec);
+    while (m_acceptor.is_open() && !ec) {
+        asio::io_context &context = *m_contexts[m_nextContext++ % m_contexts.size()];
+        Socket socket = m_acceptor.accept(asio::any_io_executor(context.get_executor()), ec);
+        if (!ec)
+            m_acceptHandler(std::move(socket));
+    }
+}
+
 void Listener::acceptNext()
 {
     if (!m_acceptor.is_open())
@@ -74,13 +89,13 @@
 
 void Listener::handleAccept(const boost::system::error_code &ec, Socket socket)
 {
-    if (!m_acceptor.is_open())
-        return;
     if (!ec) {
         m_acceptHandler(std::move(socket));
         acceptNext();
         return;
     }
+    if (!m_acceptor.is_open())
+        return;
     EventLog("accept_failed", EventLevel::Warning).field("reason", ec.message());
     m_retryTimer.expires_after(retryDelay);
     m_retryTimer.async_wait([self = shared_from_this()](auto) { self->acceptNext(); });
--- a/src/listener.h
+++ b/src/listener.h
@@ -31,9 +31,12 @@
     std::optional<std::string> listen(const std::string &address, std::uint16_t port,
                                       AcceptHandler acceptHandler);
     std::uint16_t port() const;
-    void stop(); // thread-safe
+
+    // Passes on the connections that are established already, then accepts no more. Thread-safe.
+    void stop();
 
 private:
+    void acceptWaiting();
     void acceptNext();
     void handleAccept(const boost::system::error_code &ec, Socket socket);
 
--- /dev/null
+++ b/test/error/callerchannel.cpp
@@ -0,0 +1,131 @@
+// Tests the gateway's side of a caller's connection over loopback. Guards against requests that get
+// neither an answer nor a refusal because the connection is closed around them: during a planned
+// stop, beside a change of the limits, or when the thread was late.
+
+#include "callerchannel.h"
+#include "gatewayrunner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace cornelshed;
+using namespace cornelshed::detail;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+std::string requestText(const std::string &path, const std::string &body = {})
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + path
+            + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 2000\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// One connection whose requests are answered at once with their target, except those to /stream,
+// whose response stays open until finishStream().
+class ChannelFixture
+{
+public:
+    ChannelFixture()
+    {
+        asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
+        caller = std::make_unique<Caller>(acceptor.local_endpoint().port());
+        m_channel = CallerChannel::create(
+                acceptor.accept(),
+                [this](const IngressRequest &request,
+                       const std::shared_ptr<CallerChannel> &channel) {
+                    return handle(request, channel);
+                },
+                [this] { return limits; });
+        m_channel->start();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~ChannelFixture()
+    {
+        run([this] { m_channel = nullptr; });
+        m_context.stop();
+        m_thread.join();
+    }
+
+    ChannelFixture(const ChannelFixture &) = delete;
+    ChannelFixture &operator=(const ChannelFixture &) = delete;
+
+    // Runs the function on the thread of the channel and waits until it returns.
+    template<typename Function> void run(Function function)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    CallerChannel &channel() { return *m_channel; }
+    void finishStream()
+    {
+        run([this] {
+            m_channel->writeStreamChunk("end");
+            m_channel->endStream();
+        });
+    }
+
+    CallerLimits limits {2048, 4096, 400ms, 300ms};
+    std::string answerBody; // instead of the target, if not empty
+    std::unique_ptr<Caller> caller;
+
+private:
+    class Request final : public IngressExchange
+    {
+        void callerDisconnected() override { }
+    };
+
+    std::shared_ptr<IngressExchange> handle(const IngressRequest &request,
+                                            const std::shared_ptr<CallerChannel> &channel)
+    {
+        if (request.target == "/stream") {
+            channel->beginStream(200, {});
+            return std::make_shared<Request>();
+        }
+        channel->respond(200, {}, answerBody.empty() ? request.target : answerBody);
+        return nullptr;
+    }
+
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work = make_work_guard(m_context);
+    std::shared_ptr<CallerChannel> m_channel;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against connections that are reset because they were established, but not accepted yet,
+// when the shutdown closed the listener.
+TEST_CASE("requests on connections that wait to be accepted when the listener stops are answered")
+{
+    GatewayRunner runner;
+    std::vector<std::unique_ptr<Caller>> callers;
+    runner.runOnTrafficThread([&] {
+        for (int n = 0; n < 5; ++n) {
+            callers.push_back(std::make_unique<Caller>(runner.port()));
+            callers.back()->send(requestText("/early"));
+        }
+        runner.gateway().drain(0ms, 3s, [] {});
+        std::this_thread::sleep_for(20ms);
+    });
+    for (const auto &it : callers)
+        CHECK(it->receive().status == 503); // there is no configuration
+}
