A complete answer of the largest size reaches its caller

An answer of nearly 4 MiB, the most that is buffered of one, was dropped and the connection closed without a word, since head and body together exceeded what may wait to be written. The limit now applies to what waits already. The exchange is told of the close after it has returned from writing; it ended twice before.

Test: an answer as large as the write limit reaches the caller (before: no answer).

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -34,8 +34,8 @@
 constexpr std::chrono::milliseconds lingerTimeout {500};
 // TCP_USER_TIMEOUT: a connection whose sent data stays unacknowledged this long is closed.
 constexpr int callerUserTimeoutMs = 4000;
-// Limit of the response data buffered for a caller that reads slowly; beyond it the connection is
-// closed.
+// While more response data than this is buffered for a caller that reads slowly, a further write
+// closes the connection.
 constexpr std::size_t pendingWriteLimitBytes = std::size_t {4} << 20U;
 constexpr std::string_view headTerminator = "\r\n\r\n";
 
@@ -336,8 +336,9 @@
     {
         const auto exchange = std::exchange(m_exchange, nullptr);
         closeNow();
+        // Posted, because the exchange may be writing.
         if (exchange)
-            exchange->callerDisconnected();
+            asio::post(m_socket.get_executor(), [exchange] { exchange->callerDisconnected(); });
     }
 
     // --- writing ---
@@ -363,11 +364,11 @@
 
     void write(std::string text)
     {
-        m_pendingBytes += text.size();
         if (m_pendingBytes > pendingWriteLimitBytes) {
             handleDisconnect();
             return;
         }
+        m_pendingBytes += text.size();
         m_writes.push_back(std::move(text));
         if (m_writes.size() == 1)
             writeNext();
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -129,3 +129,14 @@
     for (const auto &it : callers)
         CHECK(it->receive().status == 503); // there is no configuration
 }
+// Guards against a complete answer that is dropped because it is as large as all that may be
+// buffered for a caller.
+TEST_CASE("an answer as large as the write limit reaches the caller")
+{
+    ChannelFixture fixture;
+    fixture.answerBody = std::string(std::size_t {4} << 20U, 'x');
+    fixture.caller->send(requestText("/large"));
+    const CallerAnswer answer = fixture.caller->receive();
+    CHECK(answer.status == 200);
+    CHECK(answer.body.size() == fixture.answerBody.size());
+}
