Log why the gateway closes a caller's connection around a request

The log had no line when a connection was closed without an answer, so a caller that left could not be told from a limit, a stop or an aborted response. caller_connection_closed names the reason and whether the request was incomplete or unanswered; closing between requests is not logged.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -4,6 +4,7 @@
 
 #include "callerchannel.h"
 
+#include "eventlog.h"
 #include "monotonicclock.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -154,7 +155,7 @@
         finishRequest();
     }
 
-    void abort() override { closeNow(); }
+    void abort() override { closeNow("response_aborted"); }
 
     void announceClose() override { m_announceClose = true; }
 
@@ -164,7 +165,7 @@
         m_closeAfterResponse = true;
         // While lingering, the connection is closed once the last response has been written.
         if (!m_requestInProgress && !m_lingering && m_buffer.size() == 0)
-            closeNow();
+            closeNow("shutdown");
     }
 
 private:
@@ -203,7 +204,7 @@
         if (m_receivedAt)
             rejectRequest(408, "the request did not arrive in time");
         else
-            closeNow();
+            closeNow(m_closeAfterResponse ? "shutdown" : "idle");
     }
 
     void readSome()
@@ -332,10 +333,12 @@
             m_exchange = std::move(exchange);
     }
 
-    void handleDisconnect()
+    void handleDisconnect() { disconnect("caller_left"); }
+
+    void disconnect(const char *reason)
     {
         const auto exchange = std::exchange(m_exchange, nullptr);
-        closeNow();
+        closeNow(reason);
         // Posted, because the exchange may be writing.
         if (exchange)
             asio::post(m_socket.get_executor(), [exchange] { exchange->callerDisconnected(); });
@@ -365,7 +368,7 @@
     void write(std::string text)
     {
         if (m_pendingBytes > pendingWriteLimitBytes) {
-            handleDisconnect();
+            disconnect("write_limit");
             return;
         }
         m_pendingBytes += text.size();
@@ -398,6 +401,7 @@
         m_exchange = nullptr;
         m_requestInProgress = false;
         m_streaming = false;
+        m_receivedAt.reset();
         if (m_closeAfterResponse || m_announceClose) {
             m_lingering = true;
             if (m_writes.empty())
@@ -423,15 +427,26 @@
         m_timer.expires_after(lingerTimeout);
         m_timer.async_wait([self = self()](auto ec) {
             if (!ec)
-                self->closeNow();
+                self->closeNow("answered");
         });
     }
 
-    void closeNow()
+    void closeNow(const char *reason)
     {
         if (m_closed)
             return;
         m_closed = true;
+        // Closing between requests is routine.
+        if (m_requestInProgress || m_receivedAt) {
+            EventLog("caller_connection_closed", EventLevel::Warning)
+                    .field("reason", reason)
+                    .field("request", m_requestInProgress ? "unanswered" : "incomplete")
+                    .field("response_begun", m_streaming ? "yes" : "no")
+                    .field("age_ms",
+                           m_receivedAt
+                                   ? (monotonicNow() - *m_receivedAt) / std::chrono::milliseconds(1)
+                                   : 0);
+        }
         m_exchange = nullptr;
         m_timer.cancel();
         boost::system::error_code ignored;
