Limits in force when a request arrives apply to it

A connection took the limits of the configuration at the end of its last request. After a change that raised them, a proper request got 413, and a connection that callers may use by the new idle time was closed under their next request. Limits of size are now read when the first byte arrives, and the idle time again when it passes; a time that was lowered keeps its old value for connections that wait already.

Test: a request on an idle connection is subject to the limits that are in force when it arrives (before: no answer).

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -181,10 +181,9 @@
         m_parser.emplace();
         m_parser->eager(true);
         const CallerLimits limits = m_limits();
-        m_parser->header_limit(limits.headerBytes);
-        m_parser->body_limit(limits.bodyBytes);
         m_headParsed = false;
         m_receivedAt.reset();
+        m_waitingSince = monotonicNow();
         setTimer(limits.idleTimeout);
     }
 
@@ -203,8 +202,16 @@
             return;
         if (m_receivedAt)
             rejectRequest(408, "the request did not arrive in time");
+        else if (const Duration left = idleTimeLeft(); left > Duration::zero())
+            setTimer(left);
         else
-            closeNow(m_closeAfterResponse ? "shutdown" : "idle");
+            closeNow("idle");
+    }
+
+    // The limit may have been raised while the connection was idle.
+    Duration idleTimeLeft() const
+    {
+        return m_waitingSince + m_limits().idleTimeout - monotonicNow();
     }
 
     void readSome()
@@ -273,6 +280,9 @@
         const CallerLimits limits = m_limits();
         if (!m_receivedAt) {
             m_receivedAt = monotonicNow();
+            // The limits may have changed while the connection was idle.
+            m_parser->header_limit(limits.headerBytes);
+            m_parser->body_limit(limits.bodyBytes);
             setTimer(limits.headerTimeout);
         }
         const HeadCheck check = checkHead(bufferedData());
@@ -461,6 +471,7 @@
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<Instant> m_receivedAt;
+    Instant m_waitingSince {}; // start of the wait for that byte
     std::shared_ptr<IngressExchange> m_exchange;
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -140,3 +140,17 @@
     CHECK(answer.status == 200);
     CHECK(answer.body.size() == fixture.answerBody.size());
 }
+
+// Guards against limits that are read when a connection becomes idle and applied to a request that
+// arrives after they were raised.
+TEST_CASE("a request on an idle connection is subject to the limits that are in force when it "
+          "arrives")
+{
+    ChannelFixture fixture;
+    fixture.caller->send(requestText("/first"));
+    CHECK(fixture.caller->receive().status == 200);
+    fixture.run([&] { fixture.limits = {2048, 100000, 400ms, 2s}; });
+    std::this_thread::sleep_for(500ms); // longer than the earlier idle limit
+    fixture.caller->send(requestText("/large", std::string(50000, 'x')));
+    CHECK(fixture.caller->receive().status == 200);
+}
