A time limit does not close a connection on which a request waits to be read

A thread that was late by more than the rest of the idle time closed connections on which a whole request had arrived; callers saw a reset. Before a limit takes effect, the socket is now looked at, and a handler of a limit that was replaced while it was queued does nothing; it could also answer 408 after another answer.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -33,6 +33,8 @@
 // After the last response, incoming data is read and discarded for this long. Closing a socket with
 // unread data sends a reset, which may reach the caller before it has read the response.
 constexpr std::chrono::milliseconds lingerTimeout {500};
+// A time limit that passes while received data is still unread is checked again after this time.
+constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
 // TCP_USER_TIMEOUT: a connection whose sent data stays unacknowledged this long is closed.
 constexpr int callerUserTimeoutMs = 4000;
 // While more response data than this is buffered for a caller that reads slowly, a further write
@@ -123,12 +125,7 @@
         finishRequest();
     }
 
-    bool isClosedByCaller() override
-    {
-        char next = 0;
-        const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
+    bool isClosedByCaller() override { return peek() == SocketState::Closed; }
 
     void beginStream(std::uint32_t status, Headers headers) override
     {
@@ -169,6 +166,8 @@
     }
 
 private:
+    enum class SocketState { Empty, HasData, Closed };
+
     std::shared_ptr<Channel> self()
     {
         return std::static_pointer_cast<Channel>(shared_from_this());
@@ -198,9 +197,18 @@
 
     void handleTimeout()
     {
-        if (m_closed || m_requestInProgress)
-            return;
-        if (m_receivedAt)
+        // The handler of an earlier limit may have been queued when the timer was set again.
+        const bool expired = m_timer.expiry() <= asio::steady_timer::clock_type::now();
+        if (expired && !m_closed && !m_requestInProgress && !m_lingering)
+            endWait();
+    }
+
+    // Ends the wait for a request, or for the rest of one, unless there is a reason to go on.
+    void endWait()
+    {
+        if (peek() == SocketState::HasData)
+            setTimer(unreadDataCheckInterval);
+        else if (m_receivedAt)
             rejectRequest(408, "the request did not arrive in time");
         else if (const Duration left = idleTimeLeft(); left > Duration::zero())
             setTimer(left);
@@ -214,6 +222,17 @@
         return m_waitingSince + m_limits().idleTimeout - monotonicNow();
     }
 
+    // The state of the socket, which the read loop may not have processed yet.
+    SocketState peek()
+    {
+        char next = 0;
+        const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n > 0)
+            return SocketState::HasData;
+        const bool isEmpty = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return isEmpty ? SocketState::Empty : SocketState::Closed;
+    }
+
     void readSome()
     {
         if (m_reading || m_closed)
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -154,3 +154,20 @@
     fixture.caller->send(requestText("/large", std::string(50000, 'x')));
     CHECK(fixture.caller->receive().status == 200);
 }
+
+// Guards against a time limit that closes a connection whose request has arrived, but was not read
+// in time because the thread was blocked.
+TEST_CASE("a request that arrived while the thread was blocked is answered")
+{
+    ChannelFixture fixture;
+    for (int n = 0; n < 5; ++n) {
+        fixture.caller->send(requestText("/first"));
+        CHECK(fixture.caller->receive().status == 200);
+        fixture.run([&] {
+            std::this_thread::sleep_for(200ms);
+            fixture.caller->send(requestText("/waiting"));
+            std::this_thread::sleep_for(150ms); // the idle limit passes
+        });
+        CHECK(fixture.caller->receive().status == 200);
+    }
+}
