A planned stop does not cut off a request that is half received

The stop took a connection for idle when its buffer was empty, also when the parser held the head and a part of the body. Callers saw their request end without an answer. It is now received, answered and only then is the connection closed; a request that waits in the socket is read too.

Test: a request of which a part has arrived when the shutdown closes idle connections is answered (before: no answer).

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -160,9 +160,11 @@
     {
         m_announceClose = true;
         m_closeAfterResponse = true;
-        // While lingering, the connection is closed once the last response has been written.
-        if (!m_requestInProgress && !m_lingering && m_buffer.size() == 0)
-            closeNow("shutdown");
+        // A request that is being received is answered first. While lingering, the connection is
+        // closed once the last response has been written.
+        if (!m_closed && !m_requestInProgress && !m_lingering && !m_receivedAt
+            && m_buffer.size() == 0)
+            endWait();
     }
 
 private:
@@ -213,12 +215,14 @@
         else if (const Duration left = idleTimeLeft(); left > Duration::zero())
             setTimer(left);
         else
-            closeNow("idle");
+            closeNow(m_closeAfterResponse ? "shutdown" : "idle");
     }
 
     // The limit may have been raised while the connection was idle.
     Duration idleTimeLeft() const
     {
+        if (m_closeAfterResponse)
+            return Duration::zero();
         return m_waitingSince + m_limits().idleTimeout - monotonicNow();
     }
 
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -171,3 +171,22 @@
         CHECK(fixture.caller->receive().status == 200);
     }
 }
+
+// Guards against a request that is cut off because the shutdown takes a connection on which only
+// a part of it has arrived for an idle one.
+TEST_CASE("a request of which a part has arrived when the shutdown closes idle connections is "
+          "answered")
+{
+    const std::string text = requestText("/late", "abcd");
+    for (const std::size_t sentBefore : {std::size_t {5}, text.size() - 2}) {
+        CAPTURE(sentBefore);
+        ChannelFixture fixture;
+        fixture.caller->send(text.substr(0, sentBefore));
+        std::this_thread::sleep_for(30ms);
+        fixture.run([&] { fixture.channel().closeWhenIdle(); });
+        fixture.caller->send(text.substr(sentBefore));
+        const CallerAnswer answer = fixture.caller->receive();
+        CHECK(answer.status == 200);
+        CHECK_FALSE(answer.keepAlive);
+    }
+}
