--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -4,6 +4,7 @@
 
 #include "callerchannel.h"
 
+#include "eventlog.h"
 #include "monotonicclock.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -32,10 +33,15 @@
 // After the last response, incoming data is read and discarded for this long. Closing a socket with
 // unread data sends a reset, which may reach the caller before it has read the response.
 constexpr std::chrono::milliseconds lingerTimeout {500};
+// A connection that is to be closed although no response has announced it stays open for the next
+// request for this long: the caller may have sent it already.
+constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
+// A time limit that passes while received data is still unread is checked again after this time.
+constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
 // TCP_USER_TIMEOUT: a connection whose sent data stays unacknowledged this long is closed.
 constexpr int callerUserTimeoutMs = 4000;
-// Limit of the response data buffered for a caller that reads slowly; beyond it the connection is
-// closed.
+// While more response data than this is buffered for a caller that reads slowly, a further write
+// closes the connection.
 constexpr std::size_t pendingWriteLimitBytes = std::size_t {4} << 20U;
 constexpr std::string_view headTerminator = "\r\n\r\n";
 
@@ -122,12 +128,7 @@
         finishRequest();
     }
 
-    bool isClosedByCaller() override
-    {
-        char next = 0;
-        const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
+    bool isClosedByCaller() override { return peek() == SocketState::Closed; }
 
     void beginStream(std::uint32_t status, Headers headers) override
     {
@@ -154,7 +155,7 @@
         finishRequest();
     }
 
-    void abort() override { closeNow(); }
+    void abort() override { closeNow("response_aborted"); }
 
     void announceClose() override { m_announceClose = true; }
 
@@ -162,12 +163,19 @@
     {
         m_announceClose = true;
         m_closeAfterResponse = true;
-        // While lingering, the connection is closed once the last response has been written.
-        if (!m_requestInProgress && !m_lingering && m_buffer.size() == 0)
-            closeNow();
+        // A request that is being received is answered first. While lingering, the connection is
+        // closed once the last response has been written.
+        if (m_closed || m_requestInProgress || m_lingering || m_receivedAt || m_buffer.size() > 0)
+            return;
+        if (m_isFirstRequest)
+            setTimer(unannouncedCloseDelay);
+        else
+            endWait();
     }
 
 private:
+    enum class SocketState { Empty, HasData, Closed };
+
     std::shared_ptr<Channel> self()
     {
         return std::static_pointer_cast<Channel>(shared_from_this());
@@ -180,11 +188,11 @@
         m_parser.emplace();
         m_parser->eager(true);
         const CallerLimits limits = m_limits();
-        m_parser->header_limit(limits.headerBytes);
-        m_parser->body_limit(limits.bodyBytes);
         m_headParsed = false;
         m_receivedAt.reset();
-        setTimer(limits.idleTimeout);
+        m_closeAnnounced = false;
+        m_waitingSince = monotonicNow();
+        setTimer(m_closeAfterResponse ? unannouncedCloseDelay : limits.idleTimeout);
     }
 
     void setTimer(Duration limit)
@@ -198,12 +206,42 @@
 
     void handleTimeout()
     {
-        if (m_closed || m_requestInProgress)
-            return;
-        if (m_receivedAt)
+        // The handler of an earlier limit may have been queued when the timer was set again.
+        const bool expired = m_timer.expiry() <= asio::steady_timer::clock_type::now();
+        if (expired && !m_closed && !m_requestInProgress && !m_lingering)
+            endWait();
+    }
+
+    // Ends the wait for a request, or for the rest of one, unless there is a reason to go on.
+    void endWait()
+    {
+        if (peek() == SocketState::HasData)
+            setTimer(unreadDataCheckInterval);
+        else if (m_receivedAt)
             rejectRequest(408, "the request did not arrive in time");
+        else if (const Duration left = idleTimeLeft(); left > Duration::zero())
+            setTimer(left);
         else
-            closeNow();
+            closeNow(m_closeAfterResponse ? "shutdown" : "idle");
+    }
+
+    // The limit may have been raised while the connection was idle.
+    Duration idleTimeLeft() const
+    {
+        if (m_closeAfterResponse)
+            return Duration::zero();
+        return m_waitingSince + m_limits().idleTimeout - monotonicNow();
+    }
+
+    // The state of the socket, which the read loop may not have processed yet.
+    SocketState peek()
+    {
+        char next = 0;
+        const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n > 0)
+            return SocketState::HasData;
+        const bool isEmpty = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return isEmpty ? SocketState::Empty : SocketState::Closed;
     }
 
     void readSome()
@@ -272,6 +310,9 @@
         const CallerLimits limits = m_limits();
         if (!m_receivedAt) {
             m_receivedAt = monotonicNow();
+            // The limits may have changed while the connection was idle.
+            m_parser->header_limit(limits.headerBytes);
+            m_parser->body_limit(limits.bodyBytes);
             setTimer(limits.headerTimeout);
         }
         const HeadCheck check = checkHead(bufferedData());
@@ -326,29 +367,34 @@
         m_isHeadRequest = message.method() == http::verb::head;
         m_closeAfterResponse = m_closeAfterResponse || !m_parser->keep_alive();
         m_requestInProgress = true;
+        m_isFirstRequest = false;
         m_timer.cancel();
         auto exchange = m_handler(std::move(request), shared_from_this());
         if (m_requestInProgress && !m_closed)
             m_exchange = std::move(exchange);
     }
 
-    void handleDisconnect()
+    void handleDisconnect() { disconnect("caller_left"); }
+
+    void disconnect(const char *reason)
     {
         const auto exchange = std::exchange(m_exchange, nullptr);
-        closeNow();
+        closeNow(reason);
+        // Posted, because the exchange may be writing.
         if (exchange)
-            exchange->callerDisconnected();
+            asio::post(m_socket.get_executor(), [exchange] { exchange->callerDisconnected(); });
     }
 
     // --- writing ---
 
-    std::string formatHead(std::uint32_t status, const Headers &headers) const
+    std::string formatHead(std::uint32_t status, const Headers &headers)
     {
         std::string text = "HTTP/1.1 " + std::to_string(status) + ' '
                 + std::string(http::obsolete_reason(http::int_to_status(status))) + "\r\n";
         for (const auto &[name, value] : headers)
             text.append(name).append(": ").append(value).append("\r\n");
-        if (m_announceClose || m_closeAfterResponse)
+        m_closeAnnounced = m_announceClose || m_closeAfterResponse;
+        if (m_closeAnnounced)
             text += "Connection: close\r\n";
         return text;
     }
@@ -363,11 +409,11 @@
 
     void write(std::string text)
     {
-        m_pendingBytes += text.size();
         if (m_pendingBytes > pendingWriteLimitBytes) {
-            handleDisconnect();
+            disconnect("write_limit");
             return;
         }
+        m_pendingBytes += text.size();
         m_writes.push_back(std::move(text));
         if (m_writes.size() == 1)
             writeNext();
@@ -397,7 +443,8 @@
         m_exchange = nullptr;
         m_requestInProgress = false;
         m_streaming = false;
-        if (m_closeAfterResponse || m_announceClose) {
+        m_receivedAt.reset();
+        if (m_closeAnnounced) {
             m_lingering = true;
             if (m_writes.empty())
                 linger();
@@ -422,15 +469,26 @@
         m_timer.expires_after(lingerTimeout);
         m_timer.async_wait([self = self()](auto ec) {
             if (!ec)
-                self->closeNow();
+                self->closeNow("answered");
         });
     }
 
-    void closeNow()
+    void closeNow(const char *reason)
     {
         if (m_closed)
             return;
         m_closed = true;
+        // Closing between requests is routine.
+        if (m_requestInProgress || m_receivedAt) {
+            EventLog("caller_connection_closed", EventLevel::Warning)
+                    .field("reason", reason)
+                    .field("request", m_requestInProgress ? "unanswered" : "incomplete")
+                    .field("response_begun", m_streaming ? "yes" : "no")
+                    .field("age_ms",
+                           m_receivedAt
+                                   ? (monotonicNow() - *m_receivedAt) / std::chrono::milliseconds(1)
+                                   : 0);
+        }
         m_exchange = nullptr;
         m_timer.cancel();
         boost::system::error_code ignored;
@@ -445,6 +503,7 @@
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<Instant> m_receivedAt;
+    Instant m_waitingSince {}; // start of the wait for that byte
     std::shared_ptr<IngressExchange> m_exchange;
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
@@ -453,9 +512,11 @@
     bool m_requestInProgress = false; // a request awaits the end of its response
     bool m_streaming = false;
     bool m_isHeadRequest = false;
+    bool m_isFirstRequest = true; // none has been received completely
     bool m_announceClose = false;
     bool m_closeAfterResponse = false;
-    bool m_lingering = false; // last response queued; incoming data is discarded
+    bool m_closeAnnounced = false; // by the head of the current response
+    bool m_lingering = false;      // last response queued; incoming data is discarded
     bool m_closed = false;
 };
 
--- /dev/null
+++ b/test/error/callerchannel.cpp
@@ -0,0 +1,218 @@
+// Tests the gateway's side of a caller's connection over loopback. Guards against requests that get
+// neither an answer nor a refusal because the connection is closed around them: during a planned
+// stop, beside a change of the limits, or when the thread was late.
+
+#include "callerchannel.h"
+#include "gatewayrunner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace cornelshed;
+using namespace cornelshed::detail;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+std::string requestText(const std::string &path, const std::string &body = {})
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + path
+            + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 2000\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// One connection whose requests are answered at once with their target, except those to /stream,
+// whose response stays open until finishStream().
+class ChannelFixture
+{
+public:
+    ChannelFixture()
+    {
+        asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
+        caller = std::make_unique<Caller>(acceptor.local_endpoint().port());
+        m_channel = CallerChannel::create(
+                acceptor.accept(),
+                [this](const IngressRequest &request,
+                       const std::shared_ptr<CallerChannel> &channel) {
+                    return handle(request, channel);
+                },
+                [this] { return limits; });
+        m_channel->start();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~ChannelFixture()
+    {
+        run([this] { m_channel = nullptr; });
+        m_context.stop();
+        m_thread.join();
+    }
+
+    ChannelFixture(const ChannelFixture &) = delete;
+    ChannelFixture &operator=(const ChannelFixture &) = delete;
+
+    // Runs the function on the thread of the channel and waits until it returns.
+    template<typename Function> void run(Function function)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    CallerChannel &channel() { return *m_channel; }
+    void finishStream()
+    {
+        run([this] {
+            m_channel->writeStreamChunk("end");
+            m_channel->endStream();
+        });
+    }
+
+    CallerLimits limits {2048, 4096, 400ms, 300ms};
+    std::string answerBody; // instead of the target, if not empty
+    std::unique_ptr<Caller> caller;
+
+private:
+    class Request final : public IngressExchange
+    {
+        void callerDisconnected() override { }
+    };
+
+    std::shared_ptr<IngressExchange> handle(const IngressRequest &request,
+                                            const std::shared_ptr<CallerChannel> &channel)
+    {
+        if (request.target == "/stream") {
+            channel->beginStream(200, {});
+            return std::make_shared<Request>();
+        }
+        channel->respond(200, {}, answerBody.empty() ? request.target : answerBody);
+        return nullptr;
+    }
+
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work = make_work_guard(m_context);
+    std::shared_ptr<CallerChannel> m_channel;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against connections that are reset because they were established, but not accepted yet,
+// when the shutdown closed the listener.
+TEST_CASE("requests on connections that wait to be accepted when the listener stops are answered")
+{
+    GatewayRunner runner;
+    std::vector<std::unique_ptr<Caller>> callers;
+    runner.runOnTrafficThread([&] {
+        for (int n = 0; n < 5; ++n) {
+            callers.push_back(std::make_unique<Caller>(runner.port()));
+            callers.back()->send(requestText("/early"));
+        }
+        runner.gateway().drain(0ms, 3s, [] {});
+        std::this_thread::sleep_for(20ms);
+    });
+    for (const auto &it : callers)
+        CHECK(it->receive().status == 503); // there is no configuration
+}
+// Guards against a complete answer that is dropped because it is as large as all that may be
+// buffered for a caller.
+TEST_CASE("an answer as large as the write limit reaches the caller")
+{
+    ChannelFixture fixture;
+    fixture.answerBody = std::string(std::size_t {4} << 20U, 'x');
+    fixture.caller->send(requestText("/large"));
+    const CallerAnswer answer = fixture.caller->receive();
+    CHECK(answer.status == 200);
+    CHECK(answer.body.size() == fixture.answerBody.size());
+}
+
+// Guards against limits that are read when a connection becomes idle and applied to a request that
+// arrives after they were raised.
+TEST_CASE("a request on an idle connection is subject to the limits that are in force when it "
+          "arrives")
+{
+    ChannelFixture fixture;
+    fixture.caller->send(requestText("/first"));
+    CHECK(fixture.caller->receive().status == 200);
+    fixture.run([&] { fixture.limits = {2048, 100000, 400ms, 2s}; });
+    std::this_thread::sleep_for(500ms); // longer than the earlier idle limit
+    fixture.caller->send(requestText("/large", std::string(50000, 'x')));
+    CHECK(fixture.caller->receive().status == 200);
+}
+
+// Guards against a time limit that closes a connection whose request has arrived, but was not read
+// in time because the thread was blocked.
+TEST_CASE("a request that arrived while the thread was blocked is answered")
+{
+    ChannelFixture fixture;
+    for (int n = 0; n < 5; ++n) {
+        fixture.caller->send(requestText("/first"));
+        CHECK(fixture.caller->receive().status == 200);
+        fixture.run([&] {
+            std::this_thread::sleep_for(200ms);
+            fixture.caller->send(requestText("/waiting"));
+            std::this_thread::sleep_for(150ms); // the idle limit passes
+        });
+        CHECK(fixture.caller->receive().status == 200);
+    }
+}
+
+// Guards against a request that is cut off because the shutdown takes a connection on which only
+// a part of it has arrived for an idle one.
+TEST_CASE("a request of which a part has arrived when the shutdown closes idle connections is "
+          "answered")
+{
+    const std::string text = requestText("/late", "abcd");
+    for (const std::size_t sentBefore : {std::size_t {5}, text.size() - 2}) {
+        CAPTURE(sentBefore);
+        ChannelFixture fixture;
+        fixture.caller->send(text.substr(0, sentBefore));
+        std::this_thread::sleep_for(30ms);
+        fixture.run([&] { fixture.channel().closeWhenIdle(); });
+        fixture.caller->send(text.substr(sentBefore));
+        const CallerAnswer answer = fixture.caller->receive();
+        CHECK(answer.status == 200);
+        CHECK_FALSE(answer.keepAlive);
+    }
+}
+
+// Guards against a request that is discarded on a connection whose last response did not say that
+// it closes.
+TEST_CASE("a request after a stream that began before the shutdown is answered")
+{
+    for (const bool isClosing : {false, true}) {
+        CAPTURE(isClosing);
+        ChannelFixture fixture;
+        fixture.caller->send(requestText("/stream"));
+        std::this_thread::sleep_for(30ms);
+        fixture.run([&] {
+            fixture.channel().announceClose();
+            if (isClosing)
+                fixture.channel().closeWhenIdle();
+        });
+        fixture.finishStream();
+        const CallerAnswer stream = fixture.caller->receive();
+        CHECK(stream.status == 200);
+        CHECK(stream.keepAlive);
+        fixture.caller->send(requestText("/next"));
+        const CallerAnswer next = fixture.caller->receive();
+        CHECK(next.status == 200);
+        CHECK(next.body == "/next");
+        CHECK_FALSE(next.keepAlive);
+    }
+}
