A silent attempt keeps its request until a place elsewhere is found

Callers saw streams cut and requests end with 502 although the backend server was at work on them: it had been silent for a second and would have gone on.

Cause: when a resumable stream or an idempotent request had been silent for its limit, the attempt was cancelled first and a place looked for afterwards. Without a free place within 0.75 of the objective, or with servers that refused the request, the response was aborted.

The attempt now runs on while the request is queued for another one, under an id of its own, because agents lease slots and the scheduler counts running requests by id. Only when the scheduler has found a place is the old attempt cancelled and the retry taken from the budget. If the attempt makes progress first, the place in the queue is withdrawn and its slot requests are released. A refused search is repeated 100 ms later. A stream that has begun and has no attempt is queued again as long as time and attempts allow, also at servers that refused it before.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -149,8 +149,7 @@
         exchanges.emplace(stored.id, exchange);
         exchange->start();
         retryBudget(stored.service).firstAttempt(now);
-        scheduler.add(directRequest(*exchange, now, false));
-        advance(now);
+        enqueue(*exchange, stored.id, now);
         return exchange;
     }
 
@@ -163,13 +162,24 @@
         return prompt;
     }
 
-    DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool retry)
+    // Each place in the queue has an id of its own: agents lease slots by it, and a request may
+    // have one while an attempt is running.
+    void enqueue(GatewayExchange &exchange, const RequestId &id, Instant now)
+    {
+        exchange.setQueued(id);
+        queued.emplace(id, exchange.shared_from_this());
+        scheduler.add(directRequest(exchange, id, now));
+        advance(now);
+    }
+
+    DirectRequest directRequest(const GatewayExchange &exchange, const RequestId &id, Instant now)
     {
         const AdmittedRequest &admitted = exchange.admitted();
+        const bool retry = !exchange.triedBackends().empty();
         const auto wait = std::chrono::duration_cast<Duration>(admitted.route.objective
                                                                * maxWaitObjectiveShare);
         DirectRequest request;
-        request.id = admitted.id;
+        request.id = id;
         request.service = admitted.service;
         request.order = admitted.order;
         request.reservedSlots = retry ? 0 : admitted.reservedSlots;
@@ -180,7 +190,7 @@
         request.promptTokens = admitted.metadata.promptTokens;
         request.outputTokens = admitted.metadata.outputTokens;
         request.sessionAffinityKey = admitted.metadata.sessionAffinityKey;
-        request.excluded = exchange.triedBackends();
+        request.excluded = exchange.excludedBackends();
         request.version =
                 rollouts.choose(admitted.service, admitted.metadata.requestId, retry, now);
         request.isRetry = retry;
@@ -236,17 +246,19 @@
 
     void startRequest(const StartAction &action)
     {
-        const auto found = exchanges.find(action.request);
+        const auto found = queued.find(action.request);
         const auto record = scheduler.backend(action.backend);
         const auto entry = backends.find(action.backend);
-        if (found == exchanges.end() || !record || entry == backends.end()) {
-            // The caller disconnected after the scheduler had chosen the backend server.
-            scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
+        if (found == queued.end() || !record || entry == backends.end()) {
+            // The place was withdrawn after the scheduler had chosen the backend server.
+            neverSent(action.request);
             return;
         }
-        const auto exchange = found->second; // a copy: ending an exchange erases it from exchanges
+        const auto exchange = found->second; // a copy, as ending an exchange releases it
+        queued.erase(found);
+        exchange->leftQueue();
         if (exchange->isClosedByCaller()) {
-            scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
+            neverSent(action.request);
             exchange->callerDisconnected();
             return;
         }
@@ -256,19 +268,31 @@
                 ? std::nullopt
                 : quarantine.refusalAtStart(exchange->admitted().prompt, monotonicNow());
         if (untilTrial) {
-            scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
+            neverSent(action.request);
             exchange->endQuarantined(*untilTrial);
             return;
         }
-        exchange->startAttempt(*record, *entry->second.client);
+        if (!exchange->takeRetry()) {
+            neverSent(action.request);
+            return;
+        }
+        exchange->startAttempt(action.request, *record, *entry->second.client);
+    }
+
+    // The scheduler started the request, but it was not sent.
+    void neverSent(const RequestId &id)
+    {
+        scheduler.ended(id, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
     }
 
     void refuseRequest(const RefuseAction &action)
     {
-        const auto found = exchanges.find(action.request);
-        if (found == exchanges.end())
+        const auto found = queued.find(action.request);
+        if (found == queued.end())
             return;
-        const auto exchange = found->second; // a copy: ending an exchange erases it from exchanges
+        const auto exchange = found->second; // a copy, as ending an exchange releases it
+        queued.erase(found);
+        exchange->leftQueue();
         exchange->handleRefusal(action);
     }
 
@@ -300,6 +324,11 @@
     const IngressProtocol &protocol() const override { return ingressProtocol; }
     asio::io_context &context() override { return ioContext; }
 
+    bool hasRetry(const std::string &service) override
+    {
+        return retryBudget(service).hasRetry(view.possiblyAliveCount, monotonicNow());
+    }
+
     bool tryTakeRetry(const std::string &service) override
     {
         const bool allowed =
@@ -312,30 +341,33 @@
 
     void requeue(GatewayExchange &exchange) override
     {
-        const Instant now = monotonicNow();
-        scheduler.add(directRequest(exchange, now, true));
-        advance(now);
+        enqueue(exchange, {settings.incarnation, ++lastRequestNumber}, monotonicNow());
+    }
+
+    void withdraw(GatewayExchange &exchange) override
+    {
+        const RequestId id = *exchange.queuedId();
+        exchange.leftQueue();
+        queued.erase(id);
+        scheduler.remove(id);
+        advance(monotonicNow());
     }
 
-    void firstEvent(const RequestId &id) override
+    void firstEvent(const GatewayExchange &exchange) override
     {
-        scheduler.firstEvent(id, monotonicNow());
-        const auto it = exchanges.find(id);
-        if (rollouts.active() && it != exchanges.end())
-            recordOutcome(*it->second, {AttemptOutcome::Answered, it->second->attemptAge(), {}},
-                          false);
+        scheduler.firstEvent(exchange.attemptId(), monotonicNow());
+        if (rollouts.active())
+            recordOutcome(exchange, {AttemptOutcome::Answered, exchange.attemptAge(), {}}, false);
     }
 
-    void attemptEnded(const RequestId &id, const AttemptReport &report) override
+    void attemptEnded(const GatewayExchange &exchange, const AttemptReport &report) override
     {
-        const auto it = exchanges.find(id);
-        if (rollouts.active() && it != exchanges.end())
-            recordOutcome(*it->second, report, it->second->answerStarted());
+        if (rollouts.active())
+            recordOutcome(exchange, report, exchange.answerStarted());
         const Instant now = monotonicNow();
-        scheduler.ended(id, report, now);
-        if (it != exchanges.end() && report.outcome == AttemptOutcome::Broken
-            && it->second->answerJustBegun())
-            recordCrash(*it->second, now);
+        scheduler.ended(exchange.attemptId(), report, now);
+        if (report.outcome == AttemptOutcome::Broken && exchange.answerJustBegun())
+            recordCrash(exchange, now);
     }
 
     void replyReceived(const std::string &backend, const BackendReply &reply) override
@@ -434,7 +466,6 @@
     {
         const Instant now = monotonicNow();
         const AdmittedRequest &admitted = exchange.admitted();
-        scheduler.remove(admitted.id);
         if (!exchange.everSent() && admitted.allowanceCost > 0)
             admission.allowances().refund(admitted.organisation, admitted.allowanceCost);
         recordCompletion(exchange, status, now);
@@ -653,7 +684,9 @@
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
     AdmissionClient agents;
-    std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges;
+    std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges; // by admitted().id
+    // By id of the place in the scheduler's queue; holds those of exchanges with a queuedId().
+    std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> queued;
     std::vector<std::weak_ptr<CallerChannel>> channels;
     GossipView view;
     FreshnessTracker freshness;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -20,13 +20,17 @@
 
 // A request with less time left is not retried, as no response could arrive in time.
 constexpr Duration minTimeForRetry = 20ms;
-// A repeatable request is retried at another backend server once the current one has sent nothing
-// for this multiple of the route's objective, but not before minSilence.
+// A place at another backend server is looked for once the current one has sent nothing of a
+// repeatable request for this multiple of the route's objective, but not before minSilence.
 constexpr double silenceObjectiveFactor = 1.25;
 constexpr Duration minSilence = 400ms;
-// Once a stream has begun, it is resumed at another backend server after this multiple of the
-// objective for the gap between events; callers give up at eight times that objective.
+// Once a stream has begun, that happens after this multiple of the objective for the gap between
+// events; callers give up at eight times that objective.
 constexpr double silenceGapFactor = 4;
+// Time from a search without result to the next one.
+constexpr Duration searchPause = 100ms;
+// The same after backend servers have refused to resume a stream refusedAttemptLimit times.
+constexpr Duration refusedSearchPause = 400ms;
 // A body that is not a stream makes progress with each of this many bytes.
 constexpr std::size_t progressBytes = 1024;
 // A stream with this many complete events has gone on beyond its beginning.
@@ -113,7 +117,7 @@
 GatewayExchange::GatewayExchange(ExchangeServices &services, AdmittedRequest admitted,
                                  std::shared_ptr<CallerChannel> channel)
     : m_services(services), m_admitted(std::move(admitted)), m_channel(std::move(channel)),
-      m_deadlineTimer(services.context()), m_silenceTimer(services.context()),
+      m_deadlineTimer(services.context()), m_searchTimer(services.context()),
       m_lastEventId(m_admitted.metadata.resumeAfter)
 {
     m_history.retryable = m_admitted.route.retryable();
@@ -149,11 +153,26 @@
         fail(503, "not run within the time limit", retryAfterDelay(Duration::zero()));
 }
 
-void GatewayExchange::startAttempt(const BackendRecord &backend, BackendClient &client)
+bool GatewayExchange::takeRetry()
+{
+    const bool isFirst = m_triedBackends.empty();
+    if (isFirst || m_retryTaken || m_services.tryTakeRetry(m_admitted.service))
+        return true;
+    armSearchTimer(monotonicNow() + searchPause);
+    return false;
+}
+
+void GatewayExchange::startAttempt(const RequestId &id, const BackendRecord &backend,
+                                   BackendClient &client)
 {
     const Instant now = monotonicNow();
+    if (m_attemptRunning)
+        cancelSilentAttempt();
     if (m_triedBackends.empty())
         m_timeInQueue = now - m_admitted.request.receivedAt;
+    m_retryTaken = false;
+    m_attemptId = id;
+    m_excludedBackends.insert(backend.id);
     m_attemptRunning = true;
     m_backendId = backend.id;
     m_triedBackends.insert(backend.id);
@@ -180,7 +199,7 @@
     m_responseHandler = std::make_shared<ResponseHandler>(shared_from_this());
     m_call = client.start(std::move(forwarded), m_responseHandler);
     if (m_history.retryable)
-        armSilenceTimer();
+        armSearchTimer(m_lastProgressAt + silenceLimit());
 }
 
 // --- unresponsive backend servers ---
@@ -196,47 +215,84 @@
     return std::max<Duration>(limit, minSilence);
 }
 
-void GatewayExchange::armSilenceTimer()
+void GatewayExchange::armSearchTimer(Instant at)
 {
-    m_silenceTimer.expires_at(toSteadyTime(m_lastProgressAt + silenceLimit(), monotonicNow()));
-    m_silenceTimer.async_wait([self = shared_from_this()](auto ec) {
+    m_searchTimer.expires_at(toSteadyTime(at, monotonicNow()));
+    m_searchTimer.async_wait([self = shared_from_this()](auto ec) {
         if (!ec)
-            self->silenceTimerExpired();
+            self->searchTimerExpired();
     });
 }
 
-void GatewayExchange::silenceTimerExpired()
+void GatewayExchange::searchTimerExpired()
 {
-    if (m_finished || !m_attemptRunning)
+    if (m_finished || m_queuedId)
         return;
-    if (monotonicNow() < m_lastProgressAt + silenceLimit()) {
-        armSilenceTimer();
+    const Instant now = monotonicNow();
+    if (m_attemptRunning && now < m_lastProgressAt + silenceLimit()) {
+        armSearchTimer(m_lastProgressAt + silenceLimit());
         return;
     }
     // Without a further attempt the current one continues, as it may still respond.
-    const bool mayRetry = m_history.ran + 1 < m_history.attemptLimit
-            && m_services.tryTakeRetry(m_admitted.service);
-    if (!mayRetry)
+    if (!mayRunAgain() || !hasTimeForRetry())
+        return;
+    if (!m_retryTaken && !m_services.hasRetry(m_admitted.service)) {
+        armSearchTimer(now + searchPause);
         return;
-    EventLog("attempt_silent", EventLevel::Warning)
+    }
+    if (m_attemptRunning) {
+        EventLog("attempt_silent", EventLevel::Warning)
+                .field("request", m_admitted.metadata.requestId)
+                .field("backend", m_backendId)
+                .field("silent_ms", (now - m_lastProgressAt) / 1ms);
+        m_problem = "silent";
+    }
+    m_services.requeue(*this);
+}
+
+// Called when the current attempt has sent more of its response.
+void GatewayExchange::recordProgress()
+{
+    m_lastProgressAt = monotonicNow();
+    if (!m_queuedId)
+        return;
+    m_services.withdraw(*this);
+    armSearchTimer(m_lastProgressAt + silenceLimit());
+}
+
+void GatewayExchange::cancelSilentAttempt()
+{
+    EventLog("attempt_replaced", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
             .field("backend", m_backendId)
             .field("silent_ms", (monotonicNow() - m_lastProgressAt) / 1ms);
-    m_problem = "silent";
     ++m_history.ran;
-    m_attemptRunning = false;
-    m_responseHandler->detach();
-    m_call->abandon();
-    m_call = nullptr;
-    m_services.attemptEnded(m_admitted.id, report(AttemptOutcome::TimedOut));
-    m_services.requeue(*this);
+    stopAttempt(AttemptOutcome::TimedOut);
+}
+
+bool GatewayExchange::hasTimeForRetry() const
+{
+    return monotonicNow() + minTimeForRetry < m_admitted.deadline;
+}
+
+// Whether another attempt may run after the current one.
+bool GatewayExchange::mayRunAgain() const
+{
+    return m_history.retryable
+            && m_history.ran + (m_attemptRunning ? 1 : 0) < m_history.attemptLimit;
+}
+
+// Whether a stream without an attempt may wait until it can be resumed.
+bool GatewayExchange::mayResumeLater() const
+{
+    return m_history.answerStarted && mayRunAgain() && hasTimeForRetry();
 }
 
 // --- response of an attempt ---
 
 void GatewayExchange::handleHead(std::uint32_t status, Headers headers)
 {
-    m_lastProgressAt = monotonicNow();
+    recordProgress();
     m_status = status;
     m_reply = m_services.protocol().decodeReply(status, headers);
     m_responseHeaders = std::move(headers);
@@ -269,7 +325,7 @@
     if (m_responseBody.size() < m_bodyBytesAtProgress + progressBytes)
         return;
     m_bodyBytesAtProgress = m_responseBody.size();
-    m_lastProgressAt = monotonicNow();
+    recordProgress();
 }
 
 // Returns what is buffered of the body, and its memory to the gateway's limit.
@@ -292,11 +348,11 @@
 {
     const std::string completeEvents = m_eventSplitter->append(data);
     if (!completeEvents.empty()) {
-        m_lastProgressAt = monotonicNow();
         if (m_firstEventAt == Instant {}) {
-            m_firstEventAt = m_lastProgressAt;
-            m_services.firstEvent(m_admitted.id);
+            m_firstEventAt = monotonicNow();
+            m_services.firstEvent(*this);
         }
+        recordProgress();
         if (answerWentOn())
             m_services.answerContinued(m_admitted.prompt);
         beginResponse();
@@ -400,18 +456,20 @@
 {
     m_attemptRunning = false;
     m_call = nullptr;
-    m_silenceTimer.cancel();
+    m_searchTimer.cancel();
     if (end == AttemptEnd::NotRun)
         ++m_history.refused;
     else
         ++m_history.ran;
-    m_services.attemptEnded(m_admitted.id, report(outcome));
+    m_services.attemptEnded(*this, report(outcome));
+    if (m_queuedId)
+        m_services.withdraw(*this);
     const NextSteps steps = afterAttempt(end, m_history);
     if (steps.preferred != NextStep::Retry) {
         takeStep(steps.preferred);
         return;
     }
-    const bool inTime = monotonicNow() + minTimeForRetry < m_admitted.deadline;
+    const bool inTime = hasTimeForRetry();
     const bool suspect = outcome == AttemptOutcome::Broken && answerJustBegun()
             && m_services.isSuspect(m_admitted.prompt);
     const bool retry = inTime && !suspect && m_services.tryTakeRetry(m_admitted.service);
@@ -427,7 +485,10 @@
                            : suspect ? "suspected_prompt"
                            : inTime  ? "budget"
                                      : "deadline");
-    takeStep(retry ? NextStep::Retry : steps.withoutRetry);
+    if (suspect && m_history.answerStarted)
+        abortResponse();
+    else
+        takeStep(retry ? NextStep::Retry : steps.withoutRetry);
 }
 
 void GatewayExchange::takeStep(NextStep step)
@@ -437,6 +498,7 @@
         deliver();
         break;
     case NextStep::Retry:
+        m_retryTaken = true;
         m_services.requeue(*this);
         break;
     case NextStep::ReportNotRun:
@@ -446,19 +508,29 @@
         fail(502, "the backend server gave no answer", std::nullopt);
         break;
     case NextStep::AbortResponse:
-        abortResponse();
+        if (mayResumeLater())
+            armSearchTimer(
+                    monotonicNow()
+                    + (m_history.refused > refusedAttemptLimit ? refusedSearchPause : searchPause));
+        else
+            abortResponse();
         break;
     }
 }
 
 void GatewayExchange::abandonAttempt()
+{
+    stopAttempt(AttemptOutcome::Abandoned);
+}
+
+void GatewayExchange::stopAttempt(AttemptOutcome outcome)
 {
     m_attemptRunning = false;
-    m_silenceTimer.cancel();
+    m_searchTimer.cancel();
     m_responseHandler->detach();
     m_call->abandon();
     m_call = nullptr;
-    m_services.attemptEnded(m_admitted.id, report(AttemptOutcome::Abandoned));
+    m_services.attemptEnded(*this, report(outcome));
 }
 
 // --- response to the caller ---
@@ -503,6 +575,14 @@
 
 void GatewayExchange::handleRefusal(const RefuseAction &refusal)
 {
+    if (m_attemptRunning || mayResumeLater()) {
+        // Servers that refused the request before may have a place by now.
+        m_excludedBackends.clear();
+        if (m_attemptRunning)
+            m_excludedBackends.insert(m_backendId);
+        armSearchTimer(monotonicNow() + searchPause);
+        return;
+    }
     m_problem =
             refusal.reason == RefusalReason::QueueTooLong ? "queue_too_long" : "waited_too_long";
     if (m_history.answerStarted)
@@ -558,9 +638,11 @@
 void GatewayExchange::finish(std::uint32_t status)
 {
     m_finished = true;
+    if (m_queuedId)
+        m_services.withdraw(*this);
     takeBody();
     m_deadlineTimer.cancel();
-    m_silenceTimer.cancel();
+    m_searchTimer.cancel();
     if (m_responseHandler)
         m_responseHandler->detach(); // breaks the reference cycle with the handler
     m_services.exchangeEnded(*this, status);
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -33,7 +33,8 @@
     virtual const IngressProtocol &protocol() const = 0;
     virtual boost::asio::io_context &context() = 0;
 
-    // Takes one retry from the service's budget; false if none is left.
+    // Whether the service's budget has a retry left, and takes one if it has.
+    virtual bool hasRetry(const std::string &service) = 0;
     virtual bool tryTakeRetry(const std::string &service) = 0;
 
     // The head of an answer of the backend server arrived.
@@ -45,12 +46,14 @@
     // The answer to the prompt went on beyond its beginning, or is complete.
     virtual void answerContinued(const PromptIdentity &prompt) = 0;
 
-    // Queues the request for another attempt.
+    // Queues the request for another attempt: calls setQueued(), and later startAttempt() or
+    // handleRefusal(), unless the place in the queue is withdrawn.
     virtual void requeue(GatewayExchange &exchange) = 0;
+    virtual void withdraw(GatewayExchange &exchange) = 0;
 
     // The current attempt received its first event of a stream.
-    virtual void firstEvent(const RequestId &id) = 0;
-    virtual void attemptEnded(const RequestId &id, const AttemptReport &report) = 0;
+    virtual void firstEvent(const GatewayExchange &exchange) = 0;
+    virtual void attemptEnded(const GatewayExchange &exchange, const AttemptReport &report) = 0;
 
     // Reserves memory for more of a response that is buffered until it is complete; false if the
     // response, or all of them together, would exceed their limit. bufferedBytes: what this
@@ -92,11 +95,22 @@
 
     bool isClosedByCaller() const { return m_channel->isClosedByCaller(); }
 
-    // Sends the request to the backend server that the scheduler chose.
-    void startAttempt(const BackendRecord &backend, BackendClient &client);
+    // The request waits in the scheduler's queue under this id.
+    void setQueued(const RequestId &id) { m_queuedId = id; }
+    void leftQueue() { m_queuedId.reset(); }
+    const std::optional<RequestId> &queuedId() const { return m_queuedId; }
 
-    // Ends the exchange after the scheduler refused the queued request. It may have run in an
-    // earlier attempt.
+    // Called before startAttempt(). Returns whether the request may be sent: a retry that was not
+    // taken from the budget before the request was queued is taken now. Without one, the request
+    // is queued again later.
+    bool takeRetry();
+
+    // Sends the request to the backend server that the scheduler chose. A silent attempt that is
+    // still running is cancelled. id: that of the place in the queue.
+    void startAttempt(const RequestId &id, const BackendRecord &backend, BackendClient &client);
+
+    // The scheduler refused the queued request. Ends the exchange unless an attempt is running, or
+    // a stream that has begun may still be resumed.
     void handleRefusal(const RefuseAction &refusal);
 
     void callerDisconnected() override;
@@ -112,6 +126,10 @@
     const AdmittedRequest &admitted() const { return m_admitted; }
     const AttemptHistory &history() const { return m_history; }
     const std::set<std::string> &triedBackends() const { return m_triedBackends; }
+    // Those that the next attempt must not use.
+    const std::set<std::string> &excludedBackends() const { return m_excludedBackends; }
+    // Id under which the scheduler started the current attempt or the last one.
+    const RequestId &attemptId() const { return m_attemptId; }
     // Whether an attempt is in progress, has run or may have run.
     bool everSent() const { return m_history.ran > 0 || m_attemptRunning; }
     const std::string &lastBackend() const { return m_backendId; }
@@ -132,9 +150,14 @@
 
     void armDeadline();
     void deadlineExpired();
-    void armSilenceTimer();
-    void silenceTimerExpired();
+    void armSearchTimer(Instant at);
+    void searchTimerExpired();
     Duration silenceLimit() const;
+    void recordProgress();
+    void cancelSilentAttempt();
+    bool hasTimeForRetry() const;
+    bool mayRunAgain() const;
+    bool mayResumeLater() const;
 
     void handleHead(std::uint32_t status, Headers headers);
     void handleBody(const std::string &data);
@@ -151,6 +174,7 @@
     void endAttempt(AttemptEnd end, AttemptOutcome outcome);
     void takeStep(NextStep step);
     void abandonAttempt();
+    void stopAttempt(AttemptOutcome outcome);
     void deliver();
     Duration retryAfterDelay(Duration expected) const; // for a refused caller
     void fail(std::uint32_t status, const char *reason, std::optional<Duration> retryAfter);
@@ -163,12 +187,21 @@
     AdmittedRequest m_admitted;
     std::shared_ptr<CallerChannel> m_channel;
     boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_silenceTimer;
+    // Expires when a running attempt may have been silent for too long, or when a stream without
+    // one may be queued again.
+    boost::asio::steady_timer m_searchTimer;
     AttemptHistory m_history;
     std::set<std::string> m_triedBackends;
+    std::set<std::string> m_excludedBackends; // a subset of m_triedBackends
+
+    // Id of the place in the scheduler's queue; empty: none. While an attempt is running, it is
+    // silent, and only it works on the request: it is cancelled before the queued one starts.
+    std::optional<RequestId> m_queuedId;
+    bool m_retryTaken = false; // from the budget, for the next attempt
 
     // --- current attempt ---
     bool m_attemptRunning = false;
+    RequestId m_attemptId;
     std::string m_backendId;
     std::shared_ptr<BackendExchange> m_call;
     std::shared_ptr<ResponseHandler> m_responseHandler;
--- a/src/windowedretrybudget.cpp
+++ b/src/windowedretrybudget.cpp
@@ -20,13 +20,18 @@
     m_firstAttempts.push_back(now);
 }
 
-bool WindowedRetryBudget::tryTakeRetry(std::uint32_t daemons, Instant now)
+bool WindowedRetryBudget::hasRetry(std::uint32_t daemons, Instant now)
 {
     expire(now);
     const double share = m_settings.constant / std::max(daemons, 1U);
     const double limit = usableLimitShare
             * (m_settings.ratio * static_cast<double>(m_firstAttempts.size()) + share);
-    if (static_cast<double>(m_retries.size()) + 1 > limit)
+    return static_cast<double>(m_retries.size()) + 1 <= limit;
+}
+
+bool WindowedRetryBudget::tryTakeRetry(std::uint32_t daemons, Instant now)
+{
+    if (!hasRetry(daemons, now))
         return false;
     m_retries.push_back(now);
     return true;
--- a/src/windowedretrybudget.h
+++ b/src/windowedretrybudget.h
@@ -33,6 +33,7 @@
     // Takes one retry from the budget; false if none is left in the window. daemons: the number of
     // daemons that may be running, this one included, by which the constant is divided; at least 1.
     bool tryTakeRetry(std::uint32_t daemons, Instant now);
+    bool hasRetry(std::uint32_t daemons, Instant now);
 
 private:
     void expire(Instant now);
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -64,6 +64,15 @@
         done.get_future().wait();
     }
 
+    // Value of a gauge or counter; -1 if there is none of this name.
+    double metric(const std::string &name)
+    {
+        std::string text;
+        runOnTrafficThread([&] { text = m_metrics.text(); });
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+    }
+
     // Applies the deployment and confirms that it is up to date.
     void configure(const RouteTableContent &content, const std::vector<BackendRecord> &backends,
                    const GossipView &view = {})
