--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -65,6 +65,13 @@
         m_socket.shutdown(Tcp::socket::shutdown_both, ec);
     }
 
+    void reset() override
+    {
+        boost::system::error_code ec;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+        m_socket.close(ec);
+    }
+
     bool sendUntilClosed(std::string_view bytes, std::chrono::microseconds pause) override
     {
         const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(4);
@@ -133,11 +140,13 @@
                 return;
             socket->set_option(Tcp::no_delay(true));
             m_sockets.push_back(socket);
-            m_threads.emplace_back([this, socket] { serve(*socket); });
+            m_threads.emplace_back([this, socket, connection = m_sockets.size() - 1] {
+                serve(*socket, connection);
+            });
         }
     }
 
-    void serve(Tcp::socket &socket)
+    void serve(Tcp::socket &socket, std::size_t connection)
     {
         boost::beast::flat_buffer buf;
         boost::system::error_code ec;
@@ -145,16 +154,18 @@
             http::request<http::string_body> message;
             http::read(socket, buf, message, ec);
             if (!ec)
-                answer(message, socket);
+                answer(message, socket, connection);
         }
     }
 
-    void answer(const http::request<http::string_body> &message, Tcp::socket &socket)
+    void answer(const http::request<http::string_body> &message, Tcp::socket &socket,
+                std::size_t connection)
     {
         StubRequest request {std::string(message.method_string()),
                              std::string(message.target()),
                              {},
-                             message.body()};
+                             message.body(),
+                             connection};
         for (const auto &it : message)
             request.headers.emplace_back(it.name_string(), it.value());
         {
@@ -316,6 +327,16 @@
     return answer;
 }
 
+std::string Caller::receiveUntilClosed()
+{
+    std::string received;
+    std::array<char, 4096> buf {};
+    boost::system::error_code ec;
+    while (!ec)
+        received.append(buf.data(), d->m_socket.read_some(asio::buffer(buf), ec));
+    return received;
+}
+
 void Caller::close()
 {
     boost::system::error_code ec;
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -25,6 +25,7 @@
     std::string target;
     Headers headers;
     std::string body;
+    std::size_t connection = 0; // number of connections accepted before this one
 };
 
 // The server's side of one request. Bytes are sent unchanged, so that a handler can also send
@@ -36,6 +37,9 @@
     virtual void send(std::string_view bytes) = 0;
     virtual void close() = 0;
 
+    // Closes the connection with a TCP reset.
+    virtual void reset() = 0;
+
     // Sends the bytes again and again with this pause until the peer closes the connection, or for
     // 4 s at most. Returns whether the peer closed it.
     virtual bool sendUntilClosed(std::string_view bytes, std::chrono::microseconds pause) = 0;
@@ -125,6 +129,9 @@
 
     void send(std::string_view bytes);
     CallerAnswer receive();
+
+    // Returns all bytes that are received until the daemon closes the connection.
+    std::string receiveUntilClosed();
     void close();
 
     // Sends a POST request and waits for the answer. Each header is a line "Name: value".
