Gateway: a stream that has begun is continued by further events only

Callers found the head and the text of an error in the middle of their stream: a resumable stream broke off, and the server that was asked to resume it answered 404. The caller got

id: 2 / data: t2 / HTTP/1.1 404 Not Found / X-Request-Id: r-1 / ... / no such

Cause: an authenticated 3xx or 4xx is a success of the attempt, and deliver() writes every answer that is not streamed as a response of its own, whether or not one has begun.

Fix: once part of a stream has reached the caller, an answer that is no stream ends the attempt at its head, unless it states that the request was not run. Another server is tried while attempts, budget and time allow; otherwise the caller's connection is closed without the last chunk.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -243,6 +243,8 @@
     m_services.replyReceived(m_backendId, m_reply);
     if (isStreamedResponse())
         m_eventSplitter.emplace(m_lastEventId);
+    else if (m_history.answerStarted && !m_reply.notRun && !m_reply.misdirected)
+        failAttempt("stream_not_resumed"); // only further events may follow those already sent
 }
 
 bool GatewayExchange::isStreamedResponse() const
--- /dev/null
+++ b/test/error/misbehavingserver.cpp
@@ -0,0 +1,227 @@
+// Tests a gateway in front of backend servers that break HTTP or the platform's protocol. Guards
+// against streams that go on with the text of an error or with another stream, answers that look
+// complete although their server broke off, and refusals of other requests that are taken as this
+// one's.
+
+#include "gatewayfixture.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string seal = "X-Response-Seal: s\r\n";
+const std::string refused = "X-Not-Executed: 1\r\n";
+const std::string closing = "Connection: close\r\n";
+const std::string eventStream = "Content-Type: text/event-stream\r\n";
+
+std::string head(const std::string &id, int status, const std::string &headers)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + headers
+            + "\r\n";
+}
+
+// A response as the caller received it, byte for byte up to the close of the connection.
+struct RawResponse
+{
+    std::string head;
+    std::string body;
+    bool complete = false; // by its own framing
+};
+
+RawResponse parseResponse(const std::string &bytes)
+{
+    RawResponse response;
+    const std::size_t headEnd = bytes.find("\r\n\r\n");
+    if (headEnd == std::string::npos)
+        return {bytes, {}, false};
+    response.head = bytes.substr(0, headEnd + 2);
+    const std::string rest = bytes.substr(headEnd + 4);
+    if (response.head.find("Transfer-Encoding: chunked") == std::string::npos) {
+        response.body = rest;
+        response.complete = response.head.find("Content-Length: " + std::to_string(rest.size()))
+                != std::string::npos;
+        return response;
+    }
+    std::size_t at = 0;
+    while (at < rest.size()) {
+        std::size_t size = 0;
+        const char *last = rest.data() + rest.size();
+        const auto [sizeEnd, ec] = std::from_chars(rest.data() + at, last, size, 16);
+        if (ec != std::errc()) {
+            response.body += rest.substr(at); // not a chunk
+            break;
+        }
+        if (size == 0) {
+            response.complete = rest.substr(at) == "0\r\n\r\n";
+            break;
+        }
+        at = static_cast<std::size_t>(sizeEnd - rest.data()) + 2;
+        response.body += rest.substr(at, size);
+        at += size + 2;
+    }
+    return response;
+}
+
+// A gateway in front of three backend servers. The handler is told the number of attempts at any of
+// them before this one.
+class Deployment
+{
+public:
+    using Handler = std::function<void(int attempt, const StubRequest &, StubReply &)>;
+
+    explicit Deployment(Handler handler, std::uint32_t attemptLimit = 3)
+        : m_handler(std::move(handler))
+    {
+        RouteTableContent content = gatewayRouteTable();
+        for (DirectRoute &it : content.routes)
+            it.attemptLimit = attemptLimit;
+        content.limits.bodyBytes = 4000000;
+        std::vector<BackendRecord> records;
+        for (int n = 1; n <= 3; ++n) {
+            m_servers.push_back(std::make_unique<BackendStub>(
+                    [this](const StubRequest &request, StubReply &reply) {
+                        m_handler(m_attempts++, request, reply);
+                    }));
+            records.push_back(gatewayBackend("i-" + std::to_string(n), m_servers.back()->port()));
+        }
+        m_runner.configure(content, records);
+    }
+
+    RawResponse send(const std::string &method, const std::string &path, const std::string &id)
+    {
+        Caller caller(m_runner.port());
+        caller.send(requestText(method, path, id, closing));
+        return parseResponse(caller.receiveUntilClosed());
+    }
+
+    int attempts() const { return m_attempts; }
+
+private:
+    Handler m_handler;
+    std::atomic<int> m_attempts {0};
+    std::vector<std::unique_ptr<BackendStub>> m_servers;
+    GatewayRunner m_runner;
+};
+
+constexpr int eventCount = 4;
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += eventText(id);
+    return text;
+}
+
+// Sends the first two events of a stream, then closes the connection.
+void breakOffStream(const StubRequest &request, StubReply &reply)
+{
+    reply.send(streamResponseHead(requestIdOf(request)) + chunk(events(1, 2)));
+    reply.close();
+}
+
+void resumeStream(const StubRequest &request, StubReply &reply)
+{
+    const int first = std::stoi(headerValue(request.headers, "Last-Event-Id")) + 1;
+    reply.send(streamResponseHead(requestIdOf(request)) + chunk(events(first, eventCount))
+               + "0\r\n\r\n");
+}
+
+struct WrongResponse
+{
+    std::string description;
+    std::string headers;
+    std::string body; // as it is sent, with its framing
+    int status = 200;
+    bool closes = false;
+};
+
+// The first server breaks off a stream, the second one sends this response, the third one resumes
+// the stream.
+void checkNotJoined(const WrongResponse &wrong)
+{
+    CAPTURE(wrong.description);
+    const auto handler = [&](int attempt, const StubRequest &request, StubReply &reply) {
+        if (attempt == 0) {
+            breakOffStream(request, reply);
+        } else if (attempt == 1) {
+            reply.send(head(requestIdOf(request), wrong.status, wrong.headers) + wrong.body);
+            if (wrong.closes)
+                reply.close();
+        } else {
+            resumeStream(request, reply);
+        }
+    };
+    Deployment last(handler, 2);
+    const RawResponse cut = last.send("POST", "/quote/a", "r-1");
+    CHECK(cut.head.starts_with("HTTP/1.1 200"));
+    CHECK(cut.body == events(1, 2));
+    CHECK_FALSE(cut.complete);
+    CHECK(last.attempts() == 2);
+
+    Deployment further(handler, 3);
+    const RawResponse whole = further.send("POST", "/quote/a", "r-2");
+    CHECK(whole.body == events(1, eventCount));
+    CHECK(whole.complete);
+    CHECK(further.attempts() == 3);
+}
+
+} // namespace
+
+// Guards against callers that find an error's head and text in the middle of their stream, or a
+// stream that ends as if it were complete, after another server was asked to go on with it.
+TEST_CASE("an error of the server that was to resume a stream does not reach the caller")
+{
+    const std::vector<WrongResponse> responses {
+            {"404 with a length", seal + "Content-Length: 7\r\n", "no such", 404},
+            {"404 in chunks", seal + "Transfer-Encoding: chunked\r\n",
+             chunk("no such") + "0\r\n\r\n", 404},
+            {"404 up to the close", seal, "no such", 404, true},
+            {"400 as an event stream", seal + eventStream + "Transfer-Encoding: chunked\r\n",
+             chunk(events(3, 4)) + "0\r\n\r\n", 400},
+            {"302", seal + "Location: /b\r\nContent-Length: 0\r\n", "", 302},
+            {"429 that is no refusal", seal + "Content-Length: 4\r\n", "busy", 429},
+            {"500 with a length", seal + "Content-Length: 6\r\n", "failed", 500},
+            {"500 in chunks", seal + "Transfer-Encoding: chunked\r\n",
+             chunk("failed") + "0\r\n\r\n", 500},
+            {"500 up to the close", seal, "failed", 500, true},
+            {"404 without authentication", "Content-Length: 7\r\n", "no such", 404},
+            {"200 without authentication", eventStream + "Transfer-Encoding: chunked\r\n",
+             chunk(events(3, 4)) + "0\r\n\r\n"},
+            {"200 with a content encoding",
+             seal + eventStream + "Content-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+             chunk(events(3, 4)) + "0\r\n\r\n"}};
+    for (const WrongResponse &it : responses)
+        checkNotJoined(it);
+}
+
+// Guards against a refusal that ends a stream, or counts as one of its attempts.
+TEST_CASE("a stream goes on at a third server after the second one refused to resume it")
+{
+    Deployment deployment(
+            [](int attempt, const StubRequest &request, StubReply &reply) {
+                if (attempt == 0)
+                    breakOffStream(request, reply);
+                else if (attempt == 1)
+                    reply.send(responseText(requestIdOf(request), 503, "full", refused));
+                else
+                    resumeStream(request, reply);
+            },
+            2);
+    const RawResponse whole = deployment.send("POST", "/quote/a", "r-1");
+    CHECK(whole.body == events(1, eventCount));
+    CHECK(whole.complete);
+}
