Gateway: a resumed stream without a further event does not end as complete

Callers got a stream that ended as if it were complete although its last events were missing: it broke off after event 2 of 4, and the server that was asked to resume it answered 200 with an event stream that held no event, or only events that the caller had.

Cause: an event stream counted as complete by its framing alone. That of a resuming server says nothing of the events that the first one had still to send.

Fix: such an attempt has failed. Another server is tried while attempts, budget and time allow; otherwise the caller's connection is closed without the last chunk, and the caller can resume. A stream that broke off between its last event and its last chunk ends in the same way, since nothing tells the two apart.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -334,11 +334,15 @@
 {
     if (m_eventSplitter) {
         // Without a length, the end of the answer is only that of the connection.
-        const bool isEmpty = m_eventSplitter->count() == 0 && isCloseDelimited(m_responseHeaders);
-        if (m_eventSplitter->pending() || isEmpty) {
+        const bool hasNoEvent = m_eventSplitter->count() == 0;
+        if (m_eventSplitter->pending() || (hasNoEvent && isCloseDelimited(m_responseHeaders))) {
             m_problem = "event_cut";
             logCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
+        } else if (hasNoEvent && m_history.answerStarted) {
+            // The stream broke off before its end, and this does not show that nothing is missing.
+            m_problem = "stream_not_resumed";
+            endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Failed);
         } else {
             m_services.answerContinued(m_admitted.prompt);
             endAttempt(AttemptEnd::Success, AttemptOutcome::Answered);
--- a/test/error/misbehavingserver.cpp
+++ b/test/error/misbehavingserver.cpp
@@ -225,3 +225,18 @@
     CHECK(whole.body == events(1, eventCount));
     CHECK(whole.complete);
 }
+
+// Guards against a stream that looks complete although its last events are missing.
+TEST_CASE("a stream that another server resumes without a further event does not look complete")
+{
+    const std::vector<WrongResponse> responses {
+            {"no event, with a length", seal + eventStream + "Content-Length: 0\r\n", ""},
+            {"no event, in chunks", seal + eventStream + "Transfer-Encoding: chunked\r\n",
+             "0\r\n\r\n"},
+            {"no event, up to the close", seal + eventStream, "", 200, true},
+            {"events that the caller has", seal + eventStream + "Transfer-Encoding: chunked\r\n",
+             chunk(events(1, 2)) + "0\r\n\r\n"},
+            {"no content", seal, "", 204}};
+    for (const WrongResponse &it : responses)
+        checkNotJoined(it);
+}
