Gateway: what cannot be placed in a stream does not continue it

Callers got, in the middle of their stream, an error sent as an event, text, or events of another run; or the same events twice. A resumable stream broke off, and the next server answered with events that have no ids, or the events of the first one had none, so that the next one began anew.

Cause: the splitter checked ids only where there are any, and a stream was resumed whether or not the place where it broke off is known.

Fix: in a resumed stream nothing is forwarded before the first event whose id follows; an event without an id before it ends the attempt. A stream whose events have no ids is not resumed. Comments are no events: they neither count as progress of a resumed stream nor prevent that one is resumed.

"a stream that broke off after a comment ..." was written with the fix and not run without it.

--- a/src/eventsplitter.cpp
+++ b/src/eventsplitter.cpp
@@ -33,6 +33,16 @@
     return std::nullopt;
 }
 
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        if (!event.starts_with(':') && !event.starts_with('\n'))
+            return false;
+        event.remove_prefix(event.find('\n') + 1);
+    }
+    return true;
+}
+
 } // namespace
 
 std::string EventSplitter::append(std::string_view data)
@@ -60,6 +70,8 @@
 
 bool EventSplitter::acceptEvent(std::string_view event)
 {
+    if (isComment(event))
+        return m_positionKnown;
     if (const auto id = parseEventId(event)) {
         if (m_lastId && *id <= *m_lastId)
             return false;
@@ -68,6 +80,10 @@
             return false;
         }
         m_lastId = id;
+        m_positionKnown = true;
+    } else if (!m_positionKnown) {
+        m_malformed = true;
+        return false;
     }
     ++m_count;
     return true;
--- a/src/eventsplitter.h
+++ b/src/eventsplitter.h
@@ -16,14 +16,18 @@
 {
 public:
     // after: id of the last event that the caller already has. Events with an id up to this one are
-    // dropped, and the ids of later ones must follow it without a gap. Without it, the first id may
-    // be any.
-    explicit EventSplitter(std::optional<std::uint64_t> after = std::nullopt) : m_lastId(after) { }
+    // dropped, and the ids of later ones must follow it without a gap. Before the first of these,
+    // an event without an id is malformed, as it may be from anywhere in the stream, and comments
+    // are dropped. Without `after`, the first id may be any.
+    explicit EventSplitter(std::optional<std::uint64_t> after = std::nullopt)
+        : m_lastId(after), m_positionKnown(!after)
+    { }
 
     // Appends received bytes and returns the events completed by them, byte for byte.
     std::string append(std::string_view data);
 
-    // True after an event above the size limit or a gap in the ids.
+    // True after an event above the size limit, a gap in the ids, or an event whose position in a
+    // resumed stream is unknown.
     bool malformed() const { return m_malformed; }
 
     // Whether part of an incomplete event is buffered.
@@ -32,7 +36,7 @@
     // Id of the last complete event; nothing before the first.
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
-    // Number of complete events returned so far.
+    // Number of complete events returned so far, without comments.
     std::uint64_t count() const { return m_count; }
 
 private:
@@ -41,6 +45,7 @@
     std::string m_pending; // invariant: contains no complete event
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_count = 0;
+    bool m_positionKnown; // what comes next follows the events that the caller has
     bool m_malformed = false;
 };
 
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -214,7 +214,7 @@
         return;
     }
     // Without a further attempt the current one continues, as it may still respond.
-    const bool mayRetry = m_history.ran + 1 < m_history.attemptLimit
+    const bool mayRetry = m_history.retryable && m_history.ran + 1 < m_history.attemptLimit
             && m_services.tryTakeRetry(m_admitted.service);
     if (!mayRetry)
         return;
@@ -303,6 +303,9 @@
             m_services.answerContinued(m_admitted.prompt);
         beginResponse();
         m_lastEventId = m_eventSplitter->lastId();
+        // Without ids, a repeated attempt would send the same events again.
+        if (m_eventSplitter->count() > 0 && !m_lastEventId)
+            m_history.retryable = false;
         m_channel->writeStreamChunk(completeEvents);
     }
     if (m_finished || !m_eventSplitter->malformed())
@@ -339,7 +342,7 @@
             m_problem = "event_cut";
             logCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
-        } else if (hasNoEvent && m_history.answerStarted) {
+        } else if (hasNoEvent && m_history.answerStarted && m_history.ran > 0) {
             // The stream broke off before its end, and this does not show that nothing is missing.
             m_problem = "stream_not_resumed";
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Failed);
--- a/test/error/misbehavingserver.cpp
+++ b/test/error/misbehavingserver.cpp
@@ -234,9 +234,74 @@
             {"no event, in chunks", seal + eventStream + "Transfer-Encoding: chunked\r\n",
              "0\r\n\r\n"},
             {"no event, up to the close", seal + eventStream, "", 200, true},
+            {"a comment only", seal + eventStream + "Transfer-Encoding: chunked\r\n",
+             chunk(": nothing\n\n") + "0\r\n\r\n"},
             {"events that the caller has", seal + eventStream + "Transfer-Encoding: chunked\r\n",
              chunk(events(1, 2)) + "0\r\n\r\n"},
             {"no content", seal, "", 204}};
     for (const WrongResponse &it : responses)
         checkNotJoined(it);
 }
+
+// Guards against events of another stream, or an error sent as an event, in the middle of a stream.
+TEST_CASE("only events whose ids follow are taken from the server that resumes a stream")
+{
+    const std::string chunked = seal + eventStream + "Transfer-Encoding: chunked\r\n";
+    const std::vector<WrongResponse> responses {
+            {"skips ahead", chunked, chunk(eventText(4)) + "0\r\n\r\n"},
+            {"without ids", chunked, chunk("data: t3\n\ndata: t4\n\n") + "0\r\n\r\n"},
+            {"an error as an event", chunked,
+             chunk("event: error\ndata: no such\n\n") + "0\r\n\r\n"},
+            {"without ids, then with them", chunked,
+             chunk("data: x\n\n" + events(3, 4)) + "0\r\n\r\n"},
+            {"text of no type", seal + "Content-Length: 13\r\n", "no\n\nsuch id\n\n"}};
+    for (const WrongResponse &it : responses)
+        checkNotJoined(it);
+
+    Deployment restarted([](int attempt, const StubRequest &request, StubReply &reply) {
+        if (attempt == 0)
+            breakOffStream(request, reply);
+        else
+            reply.send(streamResponseHead(requestIdOf(request)) + chunk(events(1, eventCount))
+                       + "0\r\n\r\n");
+    });
+    const RawResponse whole = restarted.send("POST", "/quote/a", "r-1");
+    CHECK(whole.body == events(1, eventCount));
+    CHECK(whole.complete);
+}
+
+// Guards against callers that get the same events twice.
+TEST_CASE("a stream whose events have no ids is not resumed")
+{
+    const std::string unnamed = "data: t1\n\n";
+    Deployment deployment([&](int, const StubRequest &request, StubReply &reply) {
+        reply.send(streamResponseHead(requestIdOf(request)) + chunk(unnamed));
+        if (request.target == "/quote/silent")
+            std::this_thread::sleep_for(1500ms); // the silence limit is 1 s
+        reply.close();
+    });
+    for (const std::string target : {"/quote/cut", "/quote/silent"}) {
+        CAPTURE(target);
+        const int before = deployment.attempts();
+        const RawResponse cut = deployment.send("POST", target, "r-1");
+        CHECK(cut.body == unnamed);
+        CHECK_FALSE(cut.complete);
+        CHECK(deployment.attempts() == before + 1);
+    }
+}
+
+// Guards against streams that are given up because of a comment, which is no event.
+TEST_CASE("a stream that broke off after a comment is resumed from its start")
+{
+    const std::string comment = ": ready\n\n";
+    Deployment deployment([&](int attempt, const StubRequest &request, StubReply &reply) {
+        reply.send(streamResponseHead(requestIdOf(request)) + chunk(comment));
+        if (attempt == 0)
+            reply.close();
+        else
+            reply.send(chunk(events(1, eventCount)) + "0\r\n\r\n");
+    });
+    const RawResponse whole = deployment.send("POST", "/quote/a", "r-1");
+    CHECK(whole.body == comment + comment + events(1, eventCount));
+    CHECK(whole.complete);
+}
