Gateway: a success that is no event stream is not split into events

Callers of a streaming route got text that had been cut at its blank lines, as a stream that had begun and broke off, and JSON of the server was replaced by a 502; in the middle of a stream, text of the next server could follow.

Cause: on a streaming route every 2xx answer was taken for an event stream, whatever its type.

Fix: an answer whose Content-Type names another type is delivered whole, with its length, or not at all; it continues no stream that has begun. An answer without a type is still taken for a stream. The media type is compared in one place, without regard to letter case and parameters.

--- a/src/agentrun.cpp
+++ b/src/agentrun.cpp
@@ -30,8 +30,7 @@
 void AgentRun::head(std::uint32_t status, Headers headers)
 {
     m_status = status;
-    const std::string *type = findHeader(headers, "Content-Type");
-    m_isStream = status == 200 && type != nullptr && type->starts_with("text/event-stream");
+    m_isStream = status == 200 && declaresEventStream(headers);
     if (m_cancelled || status >= firstServerErrorStatus)
         return;
     m_owner.sendToEntry(m_session, ResponseHead {m_request, status, endToEndHeaders(headers)});
--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -385,8 +385,7 @@
         return;
     m_status = status;
     m_headers = endToEndHeaders(headers);
-    const std::string *type = findHeader(m_headers, "Content-Type");
-    m_isStream = status == 200 && type != nullptr && type->starts_with("text/event-stream");
+    m_isStream = status == 200 && declaresEventStream(m_headers);
     if (!m_isStream)
         return;
     Headers answerHeaders = m_headers;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -249,8 +249,10 @@
 
 bool GatewayExchange::isStreamedResponse() const
 {
+    const bool mayBeEvents = declaresEventStream(m_responseHeaders)
+            || findHeader(m_responseHeaders, "Content-Type") == nullptr;
     return m_admitted.route.kind == RequestKind::Stream && m_status && *m_status < 300
-            && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun;
+            && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun && mayBeEvents;
 }
 
 void GatewayExchange::handleBody(const std::string &data)
--- a/src/httpheaders.cpp
+++ b/src/httpheaders.cpp
@@ -36,6 +36,15 @@
     return nullptr;
 }
 
+bool declaresEventStream(const Headers &headers)
+{
+    const std::string *type = findHeader(headers, "Content-Type");
+    if (type == nullptr)
+        return false;
+    const std::string_view name = std::string_view(*type).substr(0, type->find_first_of("; \t"));
+    return sameHeaderName(name, "text/event-stream"); // media types ignore letter case as well
+}
+
 Headers endToEndHeaders(const Headers &headers)
 {
     Headers result;
--- a/test/error/misbehavingserver.cpp
+++ b/test/error/misbehavingserver.cpp
@@ -305,3 +305,36 @@
     CHECK(whole.body == comment + comment + events(1, eventCount));
     CHECK(whole.complete);
 }
+
+// Guards against text that is cut into events at its blank lines, into a stream that has begun, or
+// into one that the caller takes for a stream.
+TEST_CASE("a success that is no event stream is delivered whole or not at all")
+{
+    const std::string text = "one\n\ntwo\n\nthree";
+    const std::vector<WrongResponse> responses {
+            {"JSON", seal + "Content-Type: application/json\r\nContent-Length: 2\r\n", "{}"},
+            {"text", seal + "Content-Type: text/plain\r\nContent-Length: 15\r\n", text},
+            {"text in chunks", seal + "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n",
+             chunk(text) + "0\r\n\r\n"},
+            {"text with blank lines at its end",
+             seal + "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n",
+             chunk("one\n\ntwo\n\n") + "0\r\n\r\n"}};
+    for (const WrongResponse &it : responses) {
+        checkNotJoined(it);
+        CAPTURE(it.description);
+        Deployment deployment([&](int, const StubRequest &request, StubReply &reply) {
+            const bool isCut = request.target == "/query/cut";
+            const std::string body = isCut ? it.body.substr(0, it.body.size() - 1) : it.body;
+            reply.send(head(requestIdOf(request), 200, it.headers) + body);
+            if (isCut)
+                reply.close();
+        });
+        const RawResponse whole = deployment.send("POST", "/query/whole", "r-1");
+        CHECK(whole.head.starts_with("HTTP/1.1 200"));
+        CHECK(whole.head.find("Content-Length") != std::string::npos);
+        CHECK(whole.complete);
+        CHECK((it.body == whole.body || it.body == chunk(whole.body) + "0\r\n\r\n"));
+        const RawResponse cut = deployment.send("POST", "/query/cut", "r-2");
+        CHECK(cut.head.starts_with("HTTP/1.1 502"));
+    }
+}
