--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -299,12 +299,16 @@
     m_services.replyReceived(m_backendId, m_reply);
     if (isStreamedResponse())
         m_eventSplitter.emplace(m_lastEventId);
+    else if (m_history.answerStarted && !m_reply.notRun && !m_reply.misdirected)
+        failAttempt("stream_not_resumed"); // only further events may follow those already sent
 }
 
 bool GatewayExchange::isStreamedResponse() const
 {
+    const bool mayBeEvents = declaresEventStream(m_responseHeaders)
+            || findHeader(m_responseHeaders, "Content-Type") == nullptr;
     return m_admitted.route.kind == RequestKind::Stream && m_status && *m_status < 300
-            && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun;
+            && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun && mayBeEvents;
 }
 
 void GatewayExchange::handleBody(const std::string &data)
@@ -357,6 +361,9 @@
             m_services.answerContinued(m_admitted.prompt);
         beginResponse();
         m_lastEventId = m_eventSplitter->lastId();
+        // Without ids, a repeated attempt would send the same events again.
+        if (m_eventSplitter->count() > 0 && !m_lastEventId)
+            m_history.retryable = false;
         m_channel->writeStreamChunk(completeEvents);
     }
     if (m_finished || !m_eventSplitter->malformed())
@@ -388,11 +395,15 @@
 {
     if (m_eventSplitter) {
         // Without a length, the end of the answer is only that of the connection.
-        const bool isEmpty = m_eventSplitter->count() == 0 && isCloseDelimited(m_responseHeaders);
-        if (m_eventSplitter->pending() || isEmpty) {
+        const bool hasNoEvent = m_eventSplitter->count() == 0;
+        if (m_eventSplitter->pending() || (hasNoEvent && isCloseDelimited(m_responseHeaders))) {
             m_problem = "event_cut";
             logCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
+        } else if (hasNoEvent && m_history.answerStarted && m_history.ran > 0) {
+            // The stream broke off before its end, and this does not show that nothing is missing.
+            m_problem = "stream_not_resumed";
+            endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Failed);
         } else {
             m_services.answerContinued(m_admitted.prompt);
             endAttempt(AttemptEnd::Success, AttemptOutcome::Answered);
