Scheduler: one module decides whether a backend server may get a request

What keeps requests from a backend server was spread over the direct scheduler: its record, its address, its zone, its agent, its liveness, a refusal, its slots, its ejection, the cold bound and the named limit. backendavailability now holds that state and answers with a reason. Behaviour is unchanged: the tests of the scheduler, of named limits and of the gateway pass as they were. A function that nobody called is gone.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <unordered_map>
 
 namespace cornelshed {
@@ -22,10 +21,6 @@
 // A backend server that broke a connection may have restarted. Until its record shows that, it is
 // limited to the rate of a cold one for this time.
 constexpr Duration restartHoldTime = 3s;
-// Gateways take turns in probing a backend server whose agent does not respond. A turn lasts this
-// time multiplied by the number of gateways, because a gateway sends its reports at intervals of
-// up to 10 ms for each peer (see peergossip.cpp).
-constexpr Duration probeTurnPerGateway = 15ms;
 // A backend server that refused a request because it was full gets the next one after this time.
 constexpr Duration fullBackoff = 40ms;
 // Share of the prompt that needs prefill even on the backend server that ran the session's previous
@@ -37,8 +32,6 @@
 constexpr double fullBatchSeconds = 0.030;
 constexpr double slownessSmoothing = 0.2;
 constexpr double slownessRatioLimit = 10;
-// At most 1/reservedSlotsDivisor of a backend server's slots is left free for higher priorities.
-constexpr std::uint32_t reservedSlotsDivisor = 3;
 // An unanswered slot request is resent once after this time. If that is not answered either, the
 // agent counts as unresponsive and its backend server is used without it.
 constexpr Duration slotRequestTimeout = 25ms;
@@ -47,19 +40,7 @@
 constexpr std::size_t initialSlotRequests = 3;
 constexpr std::size_t slotRequestLimit = 8;
 constexpr Duration slotRequestInterval = 20ms;
-// Without agents, all gateways together use this multiple of a cold backend server's rate.
-constexpr double coldRateFactor = 1.25;
-// Requests per second by which grants that are sent late may exceed the limits.
-constexpr double coldMargin = 1;
 constexpr double initialServiceSeconds = 0.3;
-// Window over which gateways without a grant share a named limit. Where there are agents, these use
-// up the limit, and the gateways that do not reach them get a part of what may go beyond it.
-constexpr Duration namedLimitWindow = 4s;
-constexpr double namedLimitPartBesideAgents = 0.25;
-// Part of the mean time between the requests that a limit allows which counts as a wait when a
-// backend server is chosen: those without a limit come first.
-constexpr double namedLimitWaitShare = 0.25;
-
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -85,24 +66,11 @@
 class DirectScheduler::Private
 {
 public:
-    struct Backend
+    struct Backend : BackendState
     {
-        BackendRecord record;
-        std::uint64_t digest = 0;
-        ServerSlot outlierSlot = noServerSlot;
-        bool listed = false;
-        std::uint32_t running = 0;              // requests of this gateway
-        std::uint64_t pendingPrefillTokens = 0; // of those before their first event
-        std::uint32_t peerRunning = 0;
+        std::uint64_t pendingPrefillTokens = 0; // of own requests before their first event
         std::uint64_t peerPromptTokens = 0;
-        std::uint32_t unresponsiveReports = 0; // peers that report it as unresponsive
-        double slowness = 1;                   // ratio of its times to the mean of the service
-        Instant coldUntil {};
-        Instant fullUntil {};
-        bool misdirected = false; // another one has its address; reset when its record changes
-        std::deque<Instant> recentStarts; // of this gateway, in the last namedLimitWindow
-        NamedLimit namedLimit;
-        BackendLiveness liveness;
+        double slowness = 1; // ratio of its times to the mean of the service
     };
     // A slot request that was sent to an agent and is not granted yet.
     struct PendingSlotRequest
@@ -141,7 +109,9 @@
         Instant reportedAt {};
     };
 
-    explicit Private(const DirectSettings &given) : settings(given), outliers(outlierSettings()) { }
+    explicit Private(const DirectSettings &given)
+        : settings(given), outliers(outlierSettings()), availability(given, outliers)
+    { }
 
     Service &serviceOf(const std::string &name)
     {
@@ -184,90 +154,25 @@
             recountPeers();
     }
 
-    // Requests per second that this gateway may send to a cold backend server.
-    std::uint32_t coldShare(const Backend &backend, double coldRate) const
-    {
-        const double bound = coldRate * settings.coldOver + settings.coldConstant;
-        const double usable = std::min(bound - coldMargin, coldRate * coldRateFactor);
-        const std::uint32_t limit = settings.agents
-                ? coldLimitsWithAgent(settings, coldRate).gateways
-                : static_cast<std::uint32_t>(std::max(usable, 0.0));
-        // The set of gateways that may send one more differs between backend servers.
-        return limit >= gatewayCount ? limit / gatewayCount
-                                     : shareOf(limit, gatewayCount, gatewayIndex, backend.digest);
-    }
-
-    static std::size_t startsWithin(const Backend &backend, Duration time, Instant now)
-    {
-        return static_cast<std::size_t>(std::count_if(backend.recentStarts.begin(),
-                                                      backend.recentStarts.end(),
-                                                      [&](Instant it) { return it + time > now; }));
-    }
-
-    bool withinColdLimit(const Backend &backend, const Service &service, Instant now) const
-    {
-        return service.coldRate <= 0 || backend.coldUntil <= now
-                || startsWithin(backend, 1s, now) < coldShare(backend, service.coldRate);
-    }
-
-    bool withinNamedLimit(const Backend &backend, Instant now) const
-    {
-        const auto perSecond = backend.namedLimit.perSecond();
-        if (!perSecond)
-            return true;
-        const double requests = *perSecond * secondsOf(namedLimitWindow)
-                * (settings.agents ? namedLimitPartBesideAgents : 1);
-        const auto turn = backend.digest
-                + static_cast<std::uint64_t>(now.time_since_epoch() / namedLimitWindow);
-        const std::uint32_t share =
-                shareOf(static_cast<std::uint32_t>(std::clamp(requests, 1.0, 1e6)), gatewayCount,
-                        gatewayIndex, turn);
-        return startsWithin(backend, namedLimitWindow, now) < share;
-    }
-
-    bool isUsable(const Backend &backend) const
-    {
-        return backend.listed && !backend.record.draining && !backend.misdirected
-                && !withdrawnZones.contains(backend.record.availabilityZone);
-    }
-
     static bool allowsBackend(const Backend &backend, const DirectRequest &request)
     {
         return !request.excluded.contains(backend.record.id)
                 && request.version.allows(backend.record.version);
     }
 
-    bool canStart(Backend &backend, const Service &service, const DirectRequest &request,
-                  Instant now) const
-    {
-        const std::uint32_t slots = backend.record.slots;
-        const std::uint32_t reserve = std::min(request.reservedSlots, slots / reservedSlotsDivisor);
-        if (!isUsable(backend) || backend.liveness.hasAgent(now)
-            || backend.liveness.mayBeUnresponsive(probeDelay(backend), backend.unresponsiveReports,
-                                                  now)
-            || backend.running + backend.peerRunning + reserve >= slots || backend.fullUntil > now
-            || !allowsBackend(backend, request))
-            return false;
-        const OutlierState state = outliers.state(backend.outlierSlot);
-        return (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
-                && withinColdLimit(backend, service, now) && withinNamedLimit(backend, now);
-    }
-
-    // Time from the last missing response to this gateway's turn to probe the backend server.
-    Duration probeDelay(const Backend &backend) const
+    bool canStart(const Backend &backend, const DirectRequest &request, Instant now) const
     {
-        const auto turn = static_cast<std::int64_t>((gatewayIndex + backend.digest) % gatewayCount);
-        return turn * probeTurnPerGateway * static_cast<std::int64_t>(gatewayCount);
+        return allowsBackend(backend, request)
+                && availability.forStart(backend, request.reservedSlots, now)
+                == AvailabilityReason::Available;
     }
 
     // Whether a slot for the request may be requested from the agent of the backend server.
     bool canRequestSlot(const Backend &backend, const QueuedRequest &queued, Instant now) const
     {
-        const OutlierState state = outliers.state(backend.outlierSlot);
-        return isUsable(backend) && backend.liveness.hasAgent(now) && backend.fullUntil <= now
-                && (state == OutlierState::Admitted || state == OutlierState::ProbeReady)
-                && allowsBackend(backend, queued.request)
-                && !queued.slotRequests.contains(backend.record.id);
+        return allowsBackend(backend, queued.request)
+                && !queued.slotRequests.contains(backend.record.id)
+                && availability.forSlotRequest(backend, now) == AvailabilityReason::Available;
     }
 
     // Expected seconds to the first event, plus the cost of the delay for streams in the same batch
@@ -285,19 +190,7 @@
                 * (prefillTokens / settings.promptTokensPerSecond + occupancy * fullBatchSeconds);
         if (backend.record.availabilityZone != settings.availabilityZone)
             seconds += crossZoneSeconds;
-        return seconds + namedLimitWait(backend, now);
-    }
-
-    // Nothing while this gateway has not used its part of the limit: without a request, nobody
-    // would learn that the backend server no longer names one.
-    double namedLimitWait(const Backend &backend, Instant now) const
-    {
-        const auto perSecond = backend.namedLimit.perSecond();
-        if (!perSecond)
-            return 0;
-        const Duration ownInterval =
-                std::min<Duration>(durationOf(gatewayCount / *perSecond), namedLimitWindow);
-        return startsWithin(backend, ownInterval, now) > 0 ? namedLimitWaitShare / *perSecond : 0;
+        return seconds + availability.namedLimitWait(backend, now);
     }
 
     // The backend server that requests of the session prefer, because it caches their prompts. By
@@ -311,7 +204,8 @@
         std::uint64_t best = 0;
         for (const Backend *it : service.backends) {
             const std::uint64_t weight = stableDigest(request.sessionAffinityKey, it->digest);
-            const bool usable = isUsable(*it) && request.version.allows(it->record.version);
+            const bool usable =
+                    availability.isUsable(*it) && request.version.allows(it->record.version);
             if (usable && (sessionBackend == nullptr || weight > best)) {
                 sessionBackend = it;
                 best = weight;
@@ -326,7 +220,7 @@
         Backend *chosen = nullptr;
         double least = 0;
         for (Backend *it : service.backends) {
-            if (!canStart(*it, service, request, now))
+            if (!canStart(*it, request, now))
                 continue;
             const double seconds = cost(*it, request, sessionBackend, now);
             if (chosen == nullptr || seconds < least) {
@@ -342,9 +236,7 @@
         ++backend.running;
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
-        backend.recentStarts.push_back(now);
-        while (backend.recentStarts.front() + namedLimitWindow <= now)
-            backend.recentStarts.pop_front();
+        backend.recordStart(now);
         StartedRequest started {backend.record.id, request.service, request.promptTokens,
                                 request.outputTokens};
         started.probe = outliers.state(backend.outlierSlot) == OutlierState::ProbeReady;
@@ -358,23 +250,17 @@
     {
         double perSecond = 0;
         for (const Backend *it : service.backends) {
-            if (!isUsable(*it))
+            if (!availability.isUsable(*it))
                 continue;
             const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
             perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
         }
-        perSecond /= gatewayCount;
+        perSecond /= availability.gatewayCount();
         if (perSecond <= 0)
             return 1s;
         return durationOf(static_cast<double>(ahead + 1) / perSecond);
     }
 
-    bool anyBackendUsable(const Service &service) const
-    {
-        return std::any_of(service.backends.begin(), service.backends.end(),
-                           [&](const Backend *it) { return isUsable(*it); });
-    }
-
     void advanceService(Service &service, Instant now, std::vector<DirectAction> &actions)
     {
         std::size_t ahead = 0;
@@ -434,14 +320,11 @@
     RequestSlotAction slotRequestAction(const DirectRequest &request, const Backend &backend,
                                         Instant now) const
     {
-        const auto service = services.find(request.service);
-        const bool cold = service != services.end() && backend.coldUntil > now;
         const auto limit = backend.namedLimit.newest(now);
-        if (!cold)
+        if (backend.coldUntil <= now)
             return {request, backend.record, 0, 0, limit};
-        const double rate = service->second.coldRate;
-        return {request, backend.record, rate, coldLimitsWithAgent(settings, rate).agentRestart,
-                limit};
+        return {request, backend.record, backend.coldRate,
+                coldLimitsWithAgent(settings, backend.coldRate).agentRestart, limit};
     }
 
     // Requests slots of the best backend servers from which none was requested yet: of several at
@@ -533,31 +416,20 @@
 
     DirectSettings settings;
     OutlierDetector outliers;
+    BackendAvailability availability;
     std::map<std::string, Service> services;
     std::unordered_map<std::string, Backend> backends; // by id
     std::unordered_map<std::uint64_t, Backend *> backendOfDigest;
     std::unordered_map<std::uint64_t, PeerState> peers;
-    std::set<std::string> withdrawnZones;
     std::unordered_map<RequestId, StartedRequest> startedRequests;
     std::unordered_map<RequestId, std::pair<std::string, Queue::key_type>> queueKeys;
     std::vector<DirectAction> pendingActions; // to be returned by the next advance()
     std::vector<ServerSlot> freeOutlierSlots;
     ServerSlot outlierSlotCount = 0;
     std::uint64_t arrivalCount = 0;
-    std::uint32_t gatewayCount = 1;
-    std::uint32_t gatewayIndex = 0;
     Duration peerReportTimeout = minPeerReportTimeout;
 };
 
-ColdLimits coldLimitsWithAgent(const DirectSettings &settings, double coldRate)
-{
-    const double bound = coldRate * settings.coldOver + settings.coldConstant;
-    const auto spare = static_cast<std::uint32_t>(std::max(bound - coldRate - coldMargin, 0.0));
-    // Gateways find an agent within a round trip of its start, so most of the rest is the agent's.
-    const std::uint32_t gateways = spare / 4;
-    return {spare - gateways, gateways};
-}
-
 DirectScheduler::DirectScheduler(const DirectSettings &settings)
     : d(std::make_unique<Private>(settings))
 { }
@@ -599,9 +471,11 @@
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
             backend.misdirected = false;
         }
+        Private::Service &service = d->serviceOf(record.service);
         backend.record = record;
         backend.listed = true;
-        d->serviceOf(record.service).backends.push_back(&backend);
+        backend.coldRate = service.coldRate;
+        service.backends.push_back(&backend);
     }
     for (auto it = d->backends.begin(); it != d->backends.end();) {
         if (it->second.listed || it->second.running > 0) {
@@ -618,13 +492,12 @@
 
 void DirectScheduler::setWithdrawnZones(std::set<std::string> zones)
 {
-    d->withdrawnZones = std::move(zones);
+    d->availability.setWithdrawnZones(std::move(zones));
 }
 
 void DirectScheduler::setGateways(std::uint32_t count, std::uint32_t index, Duration heardTimeout)
 {
-    d->gatewayCount = std::max(count, 1U);
-    d->gatewayIndex = index;
+    d->availability.setGateways(count, index);
     d->peerReportTimeout = std::max<Duration>(minPeerReportTimeout, heardTimeout);
 }
 
@@ -715,8 +588,8 @@
     Private::Service &service = d->services[it->second.first];
     const auto entry = service.queue.find(it->second.second);
     const DirectRequest request = entry->second.request;
-    if (!entry->second.slotRequests.contains(backend) || !d->isUsable(target->second)
-        || request.deadline <= now) {
+    if (!entry->second.slotRequests.contains(backend) || request.deadline <= now
+        || d->availability.forGrant(target->second, now) != AvailabilityReason::Available) {
         d->pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
         entry->second.slotRequests.erase(backend);
         return;
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -13,8 +13,10 @@
 #ifndef CORNELSHED_DIRECTSCHEDULER_H
 #define CORNELSHED_DIRECTSCHEDULER_H
 
+#include "backendavailability.h"
 #include "backendliveness.h"
 #include "backendrecord.h"
+#include "directsettings.h"
 #include "namedlimit.h"
 #include "types.h"
 
@@ -142,31 +144,6 @@
 
 using DirectAction = std::variant<StartAction, RefuseAction, RequestSlotAction, ReleaseSlotAction>;
 
-struct DirectSettings
-{
-    std::string availabilityZone;         // of this gateway
-    double promptTokensPerSecond = 38000; // prefill speed of a typical backend server
-    double coldOver = 1.5;   // a cold backend server sustains this multiple of its rate
-    double coldConstant = 5; // plus this many requests per second
-    bool agents = false;     // admission agents also grant slots, up to the cold rate
-
-    bool operator==(const DirectSettings &) const = default;
-};
-
-// How the requests per second that a cold backend server sustains are divided where it has an
-// agent. The agent grants up to the cold rate. What the bound leaves beyond that is shared by an
-// agent that has restarted, and may grant again what it granted before, and by the gateways that do
-// not reach the agent.
-struct ColdLimits
-{
-    std::uint32_t agentRestart = 0; // grants of an agent in its first second
-    std::uint32_t gateways = 0;     // requests per second of all gateways without a grant
-
-    bool operator==(const ColdLimits &) const = default;
-};
-
-ColdLimits coldLimitsWithAgent(const DirectSettings &settings, double coldRate);
-
 class DirectScheduler
 {
 public:
