Observe returns of the store: era of its answers, use of peers' proofs

The store may come back from a copy some seconds old, after which versions of rows are given out again. The adapter passes on the era that each answer states, errors included; an answer without one, or with one that is not a whole number, states nothing. Gateways log store_returned with the positions that they held in the change feeds, and count what peers' proofs were used for, so that a change that is never read can be told from a proof that covers it. Nothing is decided by the era yet.

New test: the era is passed on from answers of every status.

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -104,6 +104,8 @@
     // and changesRead callbacks.
     void recordChange(std::uint64_t version) { m_lastChange = std::max(m_lastChange, version); }
 
+    std::uint64_t feedVersion() const { return m_feedVersion; }
+
     void stop()
     {
         m_stopped = true;
@@ -478,6 +480,21 @@
 
     // --- availability of the store ---
 
+    void handleEra(std::uint64_t era)
+    {
+        const auto previous = storeEra;
+        if (previous && era <= *previous)
+            return;
+        storeEra = era;
+        events.eraRead(era);
+        if (!previous)
+            return;
+        EventLog line("store_returned", EventLevel::Warning);
+        line.field("era", era).field("previous", *previous);
+        line.field("orders_position", readerOf(RowTable::Orders).feedVersion());
+        line.field("backends_position", readerOf(RowTable::Backends).feedVersion());
+    }
+
     void handleCallAnswered(Duration sentAt)
     {
         events.storeCallCompleted("answered");
@@ -550,6 +567,7 @@
     bool statusesLoaded = false;
     BackendRegistry registry;
     std::map<std::string, GatewayRecord> gateways;
+    std::optional<std::uint64_t> storeEra; // latest one stated by the store
     bool registering = false; // registerSelf() was called, and its row has not been read back yet
     std::set<std::string> loggedUnreadableRows; // keys of rows whose fault has been logged
     asio::steady_timer expiryTimer;
@@ -578,6 +596,10 @@
 {
     d->self = self;
     d->lastAnsweredAt = timeSinceBoot();
+    d->store.setEraHandler([state = std::weak_ptr(d)](std::uint64_t era) {
+        if (const auto it = state.lock())
+            it->handleEra(era);
+    });
     Private *state = d.get(); // outlives the readers' callbacks: the destructor stops the readers
     using Rows = std::vector<StoredRow>;
     const auto answered = [state](Duration sentAt) { state->handleCallAnswered(sentAt); };
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -44,6 +44,9 @@
 
     // A call to the store completed; outcome is "answered" or the name of the error.
     std::function<void(const char *outcome)> storeCallCompleted;
+
+    // The store stated a later era of its history than before (see RowStore::EraHandler).
+    std::function<void(std::uint64_t era)> eraRead;
 };
 
 class DeploymentWatcher
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -26,6 +26,19 @@
 
 } // namespace
 
+const char *nameOf(ProofUse use)
+{
+    switch (use) {
+    case ProofUse::None:
+        return "none";
+    case ProofUse::Extended:
+        return "extended";
+    case ProofUse::Behind:
+        return "behind";
+    }
+    return "unknown";
+}
+
 void FreshnessTracker::recordOwnRead(RowTable table, const ReadProof &proof)
 {
     TableState &state = m_tableStates.at(indexOf(table));
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -52,6 +52,8 @@
     Behind    // the peer's read has a change that this daemon has not applied
 };
 
+const char *nameOf(ProofUse use);
+
 class FreshnessTracker
 {
 public:
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -762,6 +762,9 @@
             continue;
         const RowTable table = sharedTables[i];
         const ProofUse use = d->freshness.recordPeerRead(table, *report.proofs[i], sinceBoot);
+        d->counter(std::string("peer_proofs_total{use=\"") + nameOf(use) + "\"}",
+                   "Peers' proofs of freshness by their use")
+                .add();
         // Gateways announce themselves to their peers; their registry is read at its own interval,
         // or a restart of the fleet would cause each gateway to read each registration.
         if (use == ProofUse::Behind && table != RowTable::Gateways)
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <iostream>
 #include <thread>
 
@@ -100,6 +101,9 @@
     {
         metrics.gauge("cornelshed_gateway_log_lines_dropped", "Log lines dropped since the start",
                       [&log] { return static_cast<double>(log.droppedLines()); });
+        metrics.gauge("cornelshed_gateway_store_era",
+                      "Latest era of the store's history that was read; 0: none stated",
+                      [this] { return static_cast<double>(storeEra); });
         metrics.gauge("cornelshed_gateway_peers_heard", "Gateways heard, this one included",
                       [this] { return static_cast<double>(gossip.view().heardCount); });
     }
@@ -169,7 +173,8 @@
                                             + outcome + "\"}",
                                     "Calls of the store by their outcome")
                             .add();
-                }};
+                },
+                [this](std::uint64_t era) { storeEra = era; }};
     }
 
     // Reads the tables in which a peer has reported changes that are not applied here.
@@ -254,6 +259,7 @@
     GatewayPlatform platform;
     const std::uint64_t incarnation = randomIncarnation();
     Metrics metrics;
+    std::atomic<std::uint64_t> storeEra {0}; // latest one stated by the store
     asio::io_context controlContext;
     asio::io_context trafficContext;
     Gateway gateway;
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -40,7 +40,8 @@
     std::vector<StoredRow> rows;
     std::uint64_t version = 0; // newest version of the store, from which changes can be read on
     bool more = false;
-    Duration storeTime {}; // on the store's steady clock, of the response; 0: not stated
+    Duration storeTime {};            // on the store's steady clock, of the response; 0: not stated
+    std::optional<std::uint64_t> era; // of the store's history; nullopt: not stated
 
     bool operator==(const RowsPage &) const = default;
 };
@@ -59,6 +60,12 @@
 public:
     virtual ~RowStore() = default;
 
+    // Called with the era of each response that states one, errors included, before the callback of
+    // its call. An era begins when the store returns from an older copy of itself: what it had
+    // acknowledged since that copy is lost, and versions are given out again.
+    using EraHandler = std::function<void(std::uint64_t era)>;
+    virtual void setEraHandler(EraHandler handler) = 0;
+
     using RowsCallback = std::function<void(RowsResult)>;
     using WriteCallback = std::function<void(std::optional<RowStoreError>)>;
 
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -59,8 +59,8 @@
                  RowsCallback callback) override
     {
         ++changeReadCounts[table];
-        if (after < oldestReadableVersion) {
-            boost::asio::post(m_context, [callback] { callback(RowStoreError::HistoryLost); });
+        if (after < oldestReadableVersion || after > m_version) {
+            complete([callback] { callback(RowStoreError::HistoryLost); });
             return;
         }
         RowsPage page;
@@ -80,22 +80,54 @@
         const bool conflict = expected && *expected != currentVersion;
         if (!conflict)
             set(table, key, value);
-        boost::asio::post(m_context, [callback, conflict] {
+        complete([callback, conflict] {
             callback(conflict ? std::optional(RowStoreError::Conflict) : std::nullopt);
         });
     }
 
+    void setEraHandler(EraHandler handler) override { m_eraHandler = std::move(handler); }
+
     std::uint64_t version() const { return m_version; }
 
+    // Keeps a copy to return from, as the store's tables are now.
+    void keepCopy()
+    {
+        m_copy = m_tables;
+        m_copyVersion = m_version;
+    }
+    // Loses all that was written since the copy, and gives its versions out again.
+    void returnFromCopy()
+    {
+        m_tables = m_copy;
+        m_version = m_copyVersion;
+        ++era;
+    }
+
+    std::uint64_t era = 1;
+    bool statesEra = true; // in each answer
     std::uint64_t oldestReadableVersion = 0;
     std::map<RowTable, int> changeReadCounts;
     std::set<RowTable> failingTables;
 
 private:
-    void answer(RowTable table, const RowsPage &page, const RowsCallback &callback)
+    // Runs the callback later, after the handler of the era in which the call was performed.
+    void complete(std::function<void()> callback)
+    {
+        boost::asio::post(m_context,
+                          [this, callback = std::move(callback),
+                           stated = statesEra ? std::optional(era) : std::nullopt] {
+                              if (stated && m_eraHandler)
+                                  m_eraHandler(*stated);
+                              callback();
+                          });
+    }
+
+    void answer(RowTable table, RowsPage page, const RowsCallback &callback)
     {
         const bool fails = failingTables.contains(table);
-        boost::asio::post(m_context, [page, callback, fails] {
+        if (statesEra)
+            page.era = era;
+        complete([page, callback, fails] {
             if (fails)
                 callback(RowStoreError::Unavailable);
             else
@@ -104,8 +136,12 @@
     }
 
     boost::asio::io_context &m_context;
-    std::map<RowTable, std::map<std::string, StoredRow>> m_tables;
+    using Tables = std::map<RowTable, std::map<std::string, StoredRow>>;
+    Tables m_tables;
+    Tables m_copy;
     std::uint64_t m_version = 0;
+    std::uint64_t m_copyVersion = 0;
+    EraHandler m_eraHandler;
 };
 
 class Fixture
@@ -117,7 +153,7 @@
                   {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
                    [this](RowTable table, const ReadProof &proof) { proofs[table] = proof; },
                    [this](RowTable table) { return proofs[table].sentAt; },
-                   [](const char * /*outcome*/) {}})
+                   [](const char * /*outcome*/) {}, [this](std::uint64_t it) { era = it; }})
     {
         rows.set(RowTable::Orders, "config", configurationRow(3));
         rows.set(RowTable::Backends, "i-1", serverRow("ready"));
@@ -139,6 +175,7 @@
     PlatformRows codec;
     std::shared_ptr<const DeploymentState> state;
     std::map<RowTable, ReadProof> proofs;
+    std::uint64_t era = 0; // latest one stated by the store
     DeploymentWatcher watcher;
 };
 
--- a/test/error/platformstore.cpp
+++ b/test/error/platformstore.cpp
@@ -118,6 +118,43 @@
     CHECK(StubbedCall(0, "").put(std::nullopt) == RowStoreError::Unknown);
 }
 
+// Guards against a return of the store that goes unnoticed since an answer was an error.
+TEST_CASE("the era is passed on from answers of every status, and only if it is a whole number")
+{
+    const auto eraOf = [](int status, const std::string &header) {
+        BackendStub stub([&](const StubRequest &, StubReply &reply) {
+            const std::string body = R"({"rows":[],"ver":9,"now_ms":1})";
+            reply.send("HTTP/1.1 " + std::to_string(status) + " X\r\n" + header
+                       + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        });
+        boost::asio::io_context context;
+        PlatformStore store(context, "127.0.0.1", stub.port(), 500ms);
+        std::optional<std::uint64_t> heard;
+        std::optional<std::uint64_t> ofPage;
+        bool answered = false;
+        store.setEraHandler([&](std::uint64_t era) {
+            CHECK_FALSE(answered);
+            heard = era;
+        });
+        store.scan(RowTable::Orders, "", [&](const RowsResult &it) {
+            answered = true;
+            if (const auto *page = std::get_if<RowsPage>(&it))
+                ofPage = page->era;
+        });
+        context.run();
+        CHECK(answered);
+        if (status == 200)
+            CHECK(ofPage == heard);
+        return heard;
+    };
+    for (const int status : {200, 410, 412, 429, 503})
+        CHECK(eraOf(status, "Store-Era: 7\r\n") == 7);
+    CHECK(eraOf(200, "store-era: 18446744073709551615\r\n") == UINT64_MAX);
+    for (const std::string header : {"", "Store-Era: \r\n", "Store-Era: x\r\n", "Store-Era: -1\r\n",
+                                     "Store-Era: 7 8\r\n", "Store-Era: 18446744073709551616\r\n"})
+        CHECK_FALSE(eraOf(200, header).has_value());
+}
+
 TEST_CASE("a refused connection is Unavailable")
 {
     boost::asio::io_context context;
