Reproduce: changes after the store's return from a copy are missed

Fails on the present code, which takes positions of the feed and of proofs from before the return for positions after it. The store in memory moves to test/support, can be shared by several clients and can return from a copy.

--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -3,17 +3,18 @@
 // store has discarded its change history.
 
 #include "deploymentwatcher.h"
+#include "inmemoryrowstore.h"
 #include "monotonicclock.h"
 #include "platformrows.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include <doctest/doctest.h>
 
 #include <map>
 
 using namespace cornelshed;
+using namespace cornelshed::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -29,121 +30,6 @@
             + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + "\"}";
 }
 
-// In-memory row store. Calls are answered asynchronously on the given io_context.
-class InMemoryRowStore final : public RowStore
-{
-public:
-    explicit InMemoryRowStore(boost::asio::io_context &context) : m_context(context) { }
-
-    void set(RowTable table, const std::string &key, const std::string &value)
-    {
-        m_tables[table][key] = {key, value, ++m_version, false};
-    }
-    void erase(RowTable table, const std::string &key)
-    {
-        m_tables[table][key] = {key, "", ++m_version, true};
-    }
-
-    void scan(RowTable table, const std::string & /*from*/, RowsCallback callback) override
-    {
-        RowsPage page;
-        page.version = m_version;
-        for (const auto &[key, row] : m_tables[table]) {
-            if (!row.removed)
-                page.rows.push_back(row);
-        }
-        answer(table, page, callback);
-    }
-
-    void changes(RowTable table, std::uint64_t after, Duration /*wait*/,
-                 RowsCallback callback) override
-    {
-        ++changeReadCounts[table];
-        if (after < oldestReadableVersion || after > m_version) {
-            complete([callback] { callback(RowStoreError::HistoryLost); });
-            return;
-        }
-        RowsPage page;
-        page.version = m_version;
-        for (const auto &[key, row] : m_tables[table]) {
-            if (row.version > after)
-                page.rows.push_back(row);
-        }
-        answer(table, page, callback);
-    }
-
-    void put(RowTable table, const std::string &key, const std::string &value,
-             std::optional<std::uint64_t> expected, WriteCallback callback) override
-    {
-        const auto row = m_tables[table].find(key);
-        const std::uint64_t currentVersion = row == m_tables[table].end() ? 0 : row->second.version;
-        const bool conflict = expected && *expected != currentVersion;
-        if (!conflict)
-            set(table, key, value);
-        complete([callback, conflict] {
-            callback(conflict ? std::optional(RowStoreError::Conflict) : std::nullopt);
-        });
-    }
-
-    void setEraHandler(EraHandler handler) override { m_eraHandler = std::move(handler); }
-
-    std::uint64_t version() const { return m_version; }
-
-    // Keeps a copy to return from, as the store's tables are now.
-    void keepCopy()
-    {
-        m_copy = m_tables;
-        m_copyVersion = m_version;
-    }
-    // Loses all that was written since the copy, and gives its versions out again.
-    void returnFromCopy()
-    {
-        m_tables = m_copy;
-        m_version = m_copyVersion;
-        ++era;
-    }
-
-    std::uint64_t era = 1;
-    bool statesEra = true; // in each answer
-    std::uint64_t oldestReadableVersion = 0;
-    std::map<RowTable, int> changeReadCounts;
-    std::set<RowTable> failingTables;
-
-private:
-    // Runs the callback later, after the handler of the era in which the call was performed.
-    void complete(std::function<void()> callback)
-    {
-        boost::asio::post(m_context,
-                          [this, callback = std::move(callback),
-                           stated = statesEra ? std::optional(era) : std::nullopt] {
-                              if (stated && m_eraHandler)
-                                  m_eraHandler(*stated);
-                              callback();
-                          });
-    }
-
-    void answer(RowTable table, RowsPage page, const RowsCallback &callback)
-    {
-        const bool fails = failingTables.contains(table);
-        if (statesEra)
-            page.era = era;
-        complete([page, callback, fails] {
-            if (fails)
-                callback(RowStoreError::Unavailable);
-            else
-                callback(page);
-        });
-    }
-
-    boost::asio::io_context &m_context;
-    using Tables = std::map<RowTable, std::map<std::string, StoredRow>>;
-    Tables m_tables;
-    Tables m_copy;
-    std::uint64_t m_version = 0;
-    std::uint64_t m_copyVersion = 0;
-    EraHandler m_eraHandler;
-};
-
 class Fixture
 {
 public:
--- /dev/null
+++ b/test/error/storereturn.cpp
@@ -0,0 +1,171 @@
+// Gateways must not miss changes, hold proofs for states that are not the newest, or go back to
+// earlier states when the store returns from an older copy of itself.
+
+#include "deploymentwatcher.h"
+#include "inmemoryrowstore.h"
+#include "monotonicclock.h"
+#include "platformrows.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string configurationRow(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::string serverRow(const std::string &state)
+{
+    return R"({"service":"w","address":"10.0.0.9:80","zone":"a","version":"v1","slots":6,)"
+           R"("born":1000,"state":")"
+            + state + "\"}";
+}
+
+// One gateway's copy of the store, with the proofs of its freshness.
+class Member
+{
+public:
+    Member(boost::asio::io_context &context, const std::shared_ptr<StoreContent> &content,
+           const std::string &name)
+        : store(context, content),
+          watcher(context, store, m_codec, {20ms, 20ms, 20ms, 5ms},
+                  {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
+                   [this](RowTable table, const ReadProof &proof) {
+                       freshness.recordOwnRead(table, proof);
+                   },
+                   [this](RowTable table) { return freshness.provenAt(table).value_or(0ms); },
+                   [](const char * /*outcome*/) {}, [](std::uint64_t /*era*/) {}})
+    {
+        watcher.start({name, "10.0.0.1", 7600});
+    }
+
+    // Receives the peer's report of its proofs.
+    void hear(const SharedProofs &proofs)
+    {
+        for (std::size_t i = 0; i < sharedTables.size(); ++i) {
+            if (proofs[i]
+                && freshness.recordPeerRead(sharedTables[i], *proofs[i], timeSinceBoot())
+                        == ProofUse::Behind)
+                watcher.readChangesNow(sharedTables[i]);
+        }
+    }
+
+    void disconnect(bool disconnected)
+    {
+        store.failingTables = disconnected
+                ? std::set {RowTable::Orders, RowTable::Backends, RowTable::Gateways}
+                : std::set<RowTable> {};
+    }
+
+    std::uint64_t version() const
+    {
+        return state && state->routes ? state->routes->content().version : 0;
+    }
+
+    InMemoryRowStore store;
+    FreshnessTracker freshness;
+    std::shared_ptr<const DeploymentState> state;
+
+private:
+    PlatformRows m_codec;
+
+public:
+    DeploymentWatcher watcher; // uses the members above
+};
+
+class Fleet
+{
+public:
+    Fleet()
+    {
+        content->set(RowTable::Orders, "config", configurationRow(3));
+        content->set(RowTable::Backends, "i-1", serverRow("ready"));
+    }
+
+    Member &add(const std::string &name)
+    {
+        return *m_members.emplace_back(std::make_unique<Member>(context, content, name));
+    }
+
+    void run(Duration duration)
+    {
+        context.restart();
+        context.run_for(duration);
+    }
+
+    // Writes rows of no meaning.
+    void writeOthers(int count)
+    {
+        for (int n = 0; n < count; ++n)
+            content->set(RowTable::Statuses, "other", "{}");
+    }
+
+    boost::asio::io_context context;
+    std::shared_ptr<StoreContent> content = std::make_shared<StoreContent>();
+
+private:
+    std::vector<std::unique_ptr<Member>> m_members;
+};
+
+} // namespace
+
+// Guards against changes that are never read, since their versions were read before the return.
+TEST_CASE("changes that get the versions of lost ones are read")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.writeOthers(5);
+    fleet.content->set(RowTable::Orders, "config", configurationRow(4));
+    fleet.run(60ms);
+    REQUIRE(member.version() == 4);
+    fleet.content->returnFromCopy();
+    fleet.content->set(RowTable::Orders, "config", configurationRow(5));
+    fleet.content->erase(RowTable::Backends, "i-1");
+    fleet.writeOthers(8); // the versions of before are passed before the next read
+    fleet.run(60ms);
+    CHECK(member.version() == 5);
+    fleet.run(2500ms); // after the time in which servers register again
+    CHECK(member.state->backends.empty());
+}
+
+// Guards against a proof of a state that this gateway lacks, since a version of before the return
+// seems to cover it.
+TEST_CASE("a peer's read after the return is no proof for what was read before it")
+{
+    Fleet fleet;
+    Member &first = fleet.add("a");
+    Member &second = fleet.add("b");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.writeOthers(9);
+    fleet.run(60ms);
+    second.disconnect(true);
+    fleet.run(20ms);
+    fleet.content->returnFromCopy();
+    fleet.content->set(RowTable::Orders, "config", configurationRow(5));
+    const Duration returnedAt = timeSinceBoot();
+    fleet.run(60ms);
+    second.hear(first.freshness.share());
+    CHECK(second.freshness.provenAt(RowTable::Orders).value() < returnedAt);
+    // What it says of the time before the return is no proof for peers that have read since.
+    const auto provenAt = first.freshness.provenAt(RowTable::Orders);
+    first.hear(second.freshness.share());
+    CHECK(first.freshness.provenAt(RowTable::Orders) == provenAt);
+    second.disconnect(false);
+    fleet.run(60ms);
+    CHECK(second.version() == 5);
+    CHECK(second.freshness.provenAt(RowTable::Orders).value() > returnedAt);
+}
