Positions in the store's history are of an era

Callers saw requests handled by configurations up to three versions older than the one acknowledged, after the store had returned from a copy some seconds old. Cause: row versions were compared across the return, after which they are given out again. A reader kept the highest version as its position in the change feed, so that changes with lower ones were never read, and a peer's proof of freshness counted for a gateway that held a higher version from before.

A position is now an era and a version, in one value type that the feed, the last change, the proofs and the reports of peers use. Responses of an earlier era than known are discarded, a later one makes each table be read as a whole, and proofs of an earlier era extend nothing. An era that only a peer names is refuted by the store's next response. A response without a readable header counts as one of the era known; a version that has gone back within one era makes the table be read as a whole.

The property of proofs in correctness.gatewayparts is replaced by a stricter one, which makes the same checks with returns between the changes. The other edits of tests give positions the type of the new field.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -26,6 +26,7 @@
   lastChange @0 :UInt64;    # store version of the newest relevant change of the table
   ageMicros @1 :Int64;      # of earlier releases; always -1
   storeTimeMicros @2 :Int64;  # time of the proof on the store's steady clock; 0: none
+  era @3 :UInt64;           # of the store's history, to which lastChange belongs
 }
 
 struct GossipEvidence {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -70,7 +70,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(805803d5e6a051fd, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(805803d5e6a051fd, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -374,6 +374,8 @@
 
   inline  ::int64_t getStoreTimeMicros() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -411,6 +413,9 @@
   inline  ::int64_t getStoreTimeMicros();
   inline void setStoreTimeMicros( ::int64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1260,6 +1265,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t GossipProof::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipProof::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GossipProof::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipEvidence::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -69,7 +69,8 @@
         std::function<void(Duration sentAt)> answered;  // time since boot before the call was sent
         std::function<void(const ReadProof &)> applied; // after the rows were passed on
         std::function<void(RowStoreError)> failed;
-        std::function<Duration()> provenAt; // see WatcherEvents; time since boot
+        std::function<Duration()> provenAt;      // see WatcherEvents; time since boot
+        std::function<std::uint64_t()> storeEra; // latest one that the store has stated
     };
 
     TableReader(asio::io_context &context, RowStore &store, RowTable table, Duration interval,
@@ -78,7 +79,22 @@
           m_timer(context), m_events(std::move(events))
     { }
 
-    void start() { readSnapshot(); }
+    void start()
+    {
+        m_started = true;
+        readSnapshot();
+    }
+
+    // A later era of the store has begun: the position in the change feed means nothing in it.
+    // Responses that are still under way are judged when they arrive.
+    void handleStoreReturn()
+    {
+        if (!m_started || m_stopped || m_callInProgress)
+            return;
+        m_timer.cancel();
+        m_promptedReadScheduled = false;
+        readSnapshot();
+    }
 
     void readChangesNow()
     {
@@ -102,9 +118,13 @@
 
     // Records the version of a change that peers must read too. Called from within the snapshotRead
     // and changesRead callbacks.
-    void recordChange(std::uint64_t version) { m_lastChange = std::max(m_lastChange, version); }
+    void recordChange(std::uint64_t version)
+    {
+        m_lastChange = std::max(m_lastChange, {m_position.era, version});
+    }
 
-    std::uint64_t feedVersion() const { return m_feedVersion; }
+    // Position in the change feed. Within the callbacks its era is that of the rows passed.
+    StorePosition position() const { return m_position; }
 
     void stop()
     {
@@ -116,7 +136,7 @@
     void readSnapshot()
     {
         m_snapshotRows.clear();
-        m_snapshotVersion = 0;
+        m_snapshotPosition.reset();
         m_callInProgress = true;
         readPage({});
     }
@@ -140,9 +160,15 @@
             return;
         }
         auto &page = std::get<RowsPage>(result);
+        const StorePosition position = positionOf(page);
+        if (position.era < m_events.storeEra()
+            || (m_snapshotPosition && position.era != m_snapshotPosition->era)) {
+            readSnapshot();
+            return;
+        }
         // Changes after the first page are read from the change feed.
-        if (m_snapshotVersion == 0) {
-            m_snapshotVersion = page.version;
+        if (!m_snapshotPosition) {
+            m_snapshotPosition = position;
             m_snapshotSentAt = sentAt;
             m_snapshotStoreTime = page.storeTime;
         }
@@ -155,13 +181,13 @@
         m_callInProgress = false;
         m_hasSnapshot = true;
         m_consecutiveFailures = 0;
-        m_feedVersion = m_snapshotVersion;
+        m_position = *m_snapshotPosition;
         // A snapshot does not show earlier removals, so any version up to this one may be a change
         // that peers must read.
-        recordChange(m_snapshotVersion);
+        m_lastChange = m_position;
         m_events.answered(m_snapshotSentAt);
         m_events.snapshotRead(std::exchange(m_snapshotRows, {}));
-        m_events.applied({m_snapshotSentAt, m_lastChange, m_feedVersion, m_snapshotStoreTime});
+        m_events.applied({m_snapshotSentAt, m_lastChange, m_position, m_snapshotStoreTime});
         readWhenDue();
     }
 
@@ -190,7 +216,7 @@
         m_promptedReadScheduled = false;
         m_timer.cancel();
         const Duration sentAt = timeSinceBoot();
-        m_store.changes(m_table, m_feedVersion, Duration::zero(),
+        m_store.changes(m_table, m_position.version, Duration::zero(),
                         [self = shared_from_this(), sentAt](RowsResult result) {
                             self->handleChanges(std::move(result), sentAt);
                         });
@@ -206,20 +232,36 @@
             if (*error == RowStoreError::HistoryLost)
                 readSnapshot();
             else
-                runAfter(retryDelay(), &TableReader::readChanges);
+                runAfter(retryDelay(),
+                         m_position.era < m_events.storeEra() ? &TableReader::readSnapshot
+                                                              : &TableReader::readChanges);
             return;
         }
         m_consecutiveFailures = 0;
         auto &page = std::get<RowsPage>(result);
-        m_feedVersion = std::max(m_feedVersion, page.version);
+        const StorePosition position = positionOf(page);
+        // The rows follow the position only if both are of the present era. A version that has
+        // gone back shows a return that no response has stated.
+        if (position.era != m_position.era || position.era < m_events.storeEra()
+            || position.version < m_position.version) {
+            readSnapshot();
+            return;
+        }
+        m_position = position;
         m_events.answered(sentAt);
         m_events.changesRead(std::move(page.rows));
-        m_events.applied({sentAt, m_lastChange, m_feedVersion, page.storeTime});
+        m_events.applied({sentAt, m_lastChange, m_position, page.storeTime});
         // Not readWhenDue() directly: the proof is posted to the traffic thread, and provenAt()
         // does not include it yet.
         runAfter(m_interval + m_extraDelay, &TableReader::readWhenDue);
     }
 
+    // A response that states no era counts as one of the latest known.
+    StorePosition positionOf(const RowsPage &page) const
+    {
+        return {page.era.value_or(m_events.storeEra()), page.version};
+    }
+
     // Exponential back-off: doubles with each consecutive failure, up to maxRetryDoublings times.
     Duration retryDelay()
     {
@@ -242,10 +284,10 @@
     Duration m_retryInterval;
     asio::steady_timer m_timer;
     Events m_events;
-    std::vector<StoredRow> m_snapshotRows; // pages of the snapshot read so far
-    std::uint64_t m_snapshotVersion = 0;
-    std::uint64_t m_feedVersion = 0; // position in the change feed
-    std::uint64_t m_lastChange = 0;  // version of the last change that peers must read
+    std::vector<StoredRow> m_snapshotRows;           // pages of the snapshot read so far
+    std::optional<StorePosition> m_snapshotPosition; // of the first page; empty before it
+    StorePosition m_position;                        // in the change feed
+    StorePosition m_lastChange;                      // last change that peers must read
     Duration m_snapshotSentAt {};
     Duration m_snapshotStoreTime {};
     Duration m_promptedInterval = 100ms;
@@ -254,6 +296,7 @@
     Duration m_extraDelay {}; // extra wait, so that a peer reads first
     int m_consecutiveFailures = 0;
     bool m_callInProgress = false;
+    bool m_started = false;
     bool m_hasSnapshot = false;
     bool m_promptedReadScheduled = false;
     bool m_stopped = false;
@@ -491,8 +534,10 @@
             return;
         EventLog line("store_returned", EventLevel::Warning);
         line.field("era", era).field("previous", *previous);
-        line.field("orders_position", readerOf(RowTable::Orders).feedVersion());
-        line.field("backends_position", readerOf(RowTable::Backends).feedVersion());
+        line.field("orders_position", readerOf(RowTable::Orders).position().version);
+        line.field("backends_position", readerOf(RowTable::Backends).position().version);
+        for (const auto &it : readers)
+            it->handleStoreReturn();
     }
 
     void handleCallAnswered(Duration sentAt)
@@ -612,33 +657,35 @@
     const auto provenAt = [state](RowTable table) {
         return [state, table] { return state->events.provenAt(table); };
     };
+    const auto storeEra = [state] { return state->storeEra.value_or(0); };
+    d->readers.push_back(d->reader(RowTable::Orders, d->settings.ordersInterval,
+                                   {[state](const Rows &rows) { state->handleOrders(rows, true); },
+                                    [state](const Rows &rows) { state->handleOrders(rows, false); },
+                                    answered, read(RowTable::Orders), failed("orders"),
+                                    provenAt(RowTable::Orders), storeEra}));
     d->readers.push_back(
-            d->reader(RowTable::Orders, d->settings.ordersInterval,
-                      {[state](const Rows &rows) { state->handleOrders(rows, true); },
-                       [state](const Rows &rows) { state->handleOrders(rows, false); }, answered,
-                       read(RowTable::Orders), failed("orders"), provenAt(RowTable::Orders)}));
-    d->readers.push_back(d->reader(
-            RowTable::Backends, d->settings.backendsInterval,
-            {[state](const Rows &rows) { state->handleAllBackends(rows); },
-             [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
-             read(RowTable::Backends), failed("backends"), provenAt(RowTable::Backends)}));
-    d->readers.push_back(d->reader(
-            RowTable::Gateways, d->settings.gatewaysInterval,
-            {[state](const Rows &rows) { state->handleGateways(rows, true); },
-             [state](const Rows &rows) { state->handleGateways(rows, false); }, answered,
-             read(RowTable::Gateways), failed("gateways"), provenAt(RowTable::Gateways)}));
+            d->reader(RowTable::Backends, d->settings.backendsInterval,
+                      {[state](const Rows &rows) { state->handleAllBackends(rows); },
+                       [state](const Rows &rows) { state->handleBackendChanges(rows); }, answered,
+                       read(RowTable::Backends), failed("backends"), provenAt(RowTable::Backends),
+                       storeEra}));
+    d->readers.push_back(
+            d->reader(RowTable::Gateways, d->settings.gatewaysInterval,
+                      {[state](const Rows &rows) { state->handleGateways(rows, true); },
+                       [state](const Rows &rows) { state->handleGateways(rows, false); }, answered,
+                       read(RowTable::Gateways), failed("gateways"), provenAt(RowTable::Gateways),
+                       storeEra}));
     for (const auto &it : d->readers)
         it->start();
     // Without rollouts provenAt returns the present time, so that a read is never due.
-    d->readers.push_back(
-            d->reader(RowTable::Statuses, d->settings.statusesInterval,
-                      {[state](const Rows &rows) { state->handleStatuses(rows, true); },
-                       [state](const Rows &rows) { state->handleStatuses(rows, false); }, answered,
-                       [state](const ReadProof &it) { state->statusesReadAt = it.sentAt; },
-                       failed("statuses"),
-                       [state] {
-                           return state->rollouts.empty() ? timeSinceBoot() : state->statusesReadAt;
-                       }}));
+    d->readers.push_back(d->reader(
+            RowTable::Statuses, d->settings.statusesInterval,
+            {[state](const Rows &rows) { state->handleStatuses(rows, true); },
+             [state](const Rows &rows) { state->handleStatuses(rows, false); }, answered,
+             [state](const ReadProof &it) { state->statusesReadAt = it.sentAt; },
+             failed("statuses"),
+             [state] { return state->rollouts.empty() ? timeSinceBoot() : state->statusesReadAt; },
+             storeEra}));
 }
 
 void DeploymentWatcher::readChangesNow(RowTable table)
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -35,12 +35,22 @@
         return "extended";
     case ProofUse::Behind:
         return "behind";
+    case ProofUse::EarlierEra:
+        return "earlier_era";
     }
     return "unknown";
 }
 
 void FreshnessTracker::recordOwnRead(RowTable table, const ReadProof &proof)
 {
+    const std::uint64_t era = proof.appliedUpTo.era;
+    if (era < m_era)
+        return;
+    if (era > m_era)
+        enterEra(era);
+    // The store itself has the last word on its era.
+    if (m_reportedEra && (m_reportedEra->era <= era || m_reportedEra->heardAt < proof.sentAt))
+        m_reportedEra.reset();
     TableState &state = m_tableStates.at(indexOf(table));
     state.lastChange = std::max(state.lastChange, proof.lastChange);
     state.appliedUpTo = std::max(state.appliedUpTo, proof.appliedUpTo);
@@ -52,6 +62,14 @@
     state.provenStoreTime = std::max(state.provenStoreTime, proof.storeTime);
 }
 
+void FreshnessTracker::enterEra(std::uint64_t era)
+{
+    m_era = era;
+    m_anchor.reset();
+    for (TableState &it : m_tableStates)
+        it.provenStoreTime = Duration::zero();
+}
+
 // Keeps the anchor that gives the later local times, which waste less of each proof.
 void FreshnessTracker::updateAnchor(const ReadProof &proof)
 {
@@ -74,6 +92,12 @@
 ProofUse FreshnessTracker::recordPeerRead(RowTable table, const SharedProof &proof,
                                           Duration sinceBoot)
 {
+    const std::uint64_t era = proof.lastChange.era;
+    const std::uint64_t latestEra = m_reportedEra ? m_reportedEra->era : m_era;
+    if (era < latestEra)
+        return ProofUse::EarlierEra;
+    if (era > latestEra)
+        m_reportedEra = {era, sinceBoot};
     TableState &state = m_tableStates.at(indexOf(table));
     if (!state.provenAt)
         return ProofUse::None; // this daemon has not read the table yet
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -7,6 +7,9 @@
 // steady clock, which each response carries and which this daemon relates to its own clock by its
 // own reads. A proof therefore does not depend on who passed it on, or how often: the reads of one
 // daemon serve all, in fleets in which two given daemons rarely exchange messages directly.
+//
+// Proofs of an earlier era of the store extend nothing once a later one is known, and the clocks
+// are related again in each era. What has been proven before stays proven for its moment.
 
 #ifndef CORNELSHED_FRESHNESS_H
 #define CORNELSHED_FRESHNESS_H
@@ -24,13 +27,13 @@
 constexpr std::array<RowTable, 3> sharedTables {RowTable::Orders, RowTable::Backends,
                                                 RowTable::Gateways};
 
-// What a read of a table proved. Versions are those of the store.
+// What a read of a table proved. Both positions are of the era in which it was read.
 struct ReadProof
 {
-    Duration sentAt {};            // time since boot at which the call was sent
-    std::uint64_t lastChange = 0;  // newest change relevant to this daemon
-    std::uint64_t appliedUpTo = 0; // every change up to this version is applied
-    Duration storeTime {};         // on the store's steady clock, of the response; 0: not stated
+    Duration sentAt {};        // time since boot at which the call was sent
+    StorePosition lastChange;  // newest change relevant to this daemon
+    StorePosition appliedUpTo; // every change up to this position is applied
+    Duration storeTime {};     // on the store's steady clock, of the response; 0: not stated
 
     bool operator==(const ReadProof &) const = default;
 };
@@ -38,7 +41,7 @@
 // A read proof as reported to peers.
 struct SharedProof
 {
-    std::uint64_t lastChange = 0;
+    StorePosition lastChange;
     Duration storeTime {}; // of the read, on the store's steady clock
 
     bool operator==(const SharedProof &) const = default;
@@ -47,9 +50,10 @@
 using SharedProofs = std::array<std::optional<SharedProof>, sharedTables.size()>;
 
 enum class ProofUse : std::uint8_t {
-    None,     // proves nothing beyond what is known
-    Extended, // the copy is proven fresh at a later time than before
-    Behind    // the peer's read has a change that this daemon has not applied
+    None,      // proves nothing beyond what is known
+    Extended,  // the copy is proven fresh at a later time than before
+    Behind,    // the peer's read has a change that this daemon has not applied
+    EarlierEra // refused, because a later era of the store is known
 };
 
 const char *nameOf(ProofUse use);
@@ -62,7 +66,8 @@
     // sinceBoot: the present time.
     ProofUse recordPeerRead(RowTable table, const SharedProof &proof, Duration sinceBoot);
 
-    SharedProofs share() const; // in order of sharedTables; empty for tables never read
+    // In order of sharedTables; empty for tables that were not read in the present era.
+    SharedProofs share() const;
 
     std::optional<Duration> provenAt(RowTable table) const; // time since boot; empty if never read
 
@@ -70,9 +75,15 @@
     struct TableState
     {
         std::optional<Duration> provenAt; // time since boot
-        Duration provenStoreTime {};
-        std::uint64_t lastChange = 0;
-        std::uint64_t appliedUpTo = 0;
+        Duration provenStoreTime {};      // in the present era; 0: not read in it
+        StorePosition lastChange;
+        StorePosition appliedUpTo;
+    };
+    // A later era that only peers have reported so far.
+    struct ReportedEra
+    {
+        std::uint64_t era = 0;
+        Duration heardAt {}; // time since boot
     };
     // A moment known on both clocks: the store's clock showed storeTime no earlier than sentAt.
     struct ClockAnchor
@@ -85,9 +96,12 @@
     // the clocks have not been related, or no longer agree.
     std::optional<Duration> earliestLocalTime(Duration storeTime, Duration sinceBoot) const;
     void updateAnchor(const ReadProof &proof);
+    void enterEra(std::uint64_t era);
 
     std::array<TableState, sharedTables.size()> m_tableStates; // by RowTable
-    std::optional<ClockAnchor> m_anchor;
+    std::optional<ClockAnchor> m_anchor;                       // of the present era
+    std::uint64_t m_era = 0;                                   // the latest one that was read
+    std::optional<ReportedEra> m_reportedEra;
 };
 
 } // namespace cornelshed
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -160,7 +160,8 @@
     auto proofs = root.initProofs(static_cast<unsigned>(report.proofs.size()));
     for (unsigned i = 0; i < proofs.size(); ++i) {
         const auto &proof = report.proofs[i];
-        proofs[i].setLastChange(proof ? proof->lastChange : 0);
+        proofs[i].setLastChange(proof ? proof->lastChange.version : 0);
+        proofs[i].setEra(proof ? proof->lastChange.era : 0);
         proofs[i].setAgeMicros(-1);
         proofs[i].setStoreTimeMicros(proof ? proof->storeTime.count() : 0);
     }
@@ -197,7 +198,7 @@
         const auto proofs = root.getProofs();
         for (unsigned i = 0; i < proofs.size() && i < report.proofs.size(); ++i) {
             if (proofs[i].getStoreTimeMicros() > 0)
-                report.proofs[i] = SharedProof {proofs[i].getLastChange(),
+                report.proofs[i] = SharedProof {{proofs[i].getEra(), proofs[i].getLastChange()},
                                                 Duration(proofs[i].getStoreTimeMicros())};
         }
     });
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -25,6 +25,18 @@
     Statuses  // results of operators' orders; written by this system
 };
 
+// A position in the store's history. Versions are comparable only within one era: when the store
+// returns from an older copy of itself, it loses what it had acknowledged since that copy, begins a
+// new era and gives the lost versions out again. A position of a later era therefore follows all
+// positions of earlier ones.
+struct StorePosition
+{
+    std::uint64_t era = 0;
+    std::uint64_t version = 0;
+
+    auto operator<=>(const StorePosition &) const = default;
+};
+
 struct StoredRow
 {
     std::string key;
@@ -61,8 +73,7 @@
     virtual ~RowStore() = default;
 
     // Called with the era of each response that states one, errors included, before the callback of
-    // its call. An era begins when the store returns from an older copy of itself: what it had
-    // acknowledged since that copy is lost, and versions are given out again.
+    // its call.
     using EraHandler = std::function<void(std::uint64_t era)>;
     virtual void setEraHandler(EraHandler handler) = 0;
 
--- a/test/correctness/gatewayparts.cpp
+++ b/test/correctness/gatewayparts.cpp
@@ -220,30 +220,52 @@
 TEST_CASE("a peer's proof needs all its changes applied, and counts from the store's time")
 {
     FreshnessTracker tracker;
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {5, 61s}, 2s) == ProofUse::None);
-    tracker.recordOwnRead(RowTable::Orders, {1s, 5, 7, 60s});
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {8, 61s}, 2s) == ProofUse::Behind);
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 5}, 61s}, 2s) == ProofUse::None);
+    tracker.recordOwnRead(RowTable::Orders, {1s, {1, 5}, {1, 7}, 60s});
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 8}, 61s}, 2s) == ProofUse::Behind);
     CHECK(tracker.provenAt(RowTable::Orders) == std::optional<Duration>(1s));
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {7, 60900ms}, 2s) == ProofUse::Extended);
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 7}, 60900ms}, 2s) == ProofUse::Extended);
     // Less the resolution of the store's clock and the drift of 900 ms.
     CHECK(tracker.provenAt(RowTable::Orders) == std::optional<Duration>(1898100us));
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {7, 60500ms}, 2s) == ProofUse::None);
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 7}, 60500ms}, 2s) == ProofUse::None);
     CHECK_FALSE(tracker.provenAt(RowTable::Backends).has_value());
-    CHECK(tracker.share()[0] == std::optional(SharedProof {5, 60900ms}));
+    CHECK(tracker.share()[0] == std::optional(SharedProof {{1, 5}, 60900ms}));
     CHECK_FALSE(tracker.share()[1].has_value());
 }
 
 TEST_CASE("a store whose clock jumps forward proves nothing until this daemon has read it again")
 {
     FreshnessTracker tracker;
-    tracker.recordOwnRead(RowTable::Orders, {1s, 5, 5, 60s});
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {5, 300s}, 2s) == ProofUse::None);
+    tracker.recordOwnRead(RowTable::Orders, {1s, {1, 5}, {1, 5}, 60s});
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 5}, 300s}, 2s) == ProofUse::None);
     CHECK(tracker.provenAt(RowTable::Orders) == std::optional<Duration>(1s));
-    tracker.recordOwnRead(RowTable::Orders, {3s, 5, 5, 301s});
-    CHECK(tracker.recordPeerRead(RowTable::Orders, {5, 302s}, 5s) == ProofUse::Extended);
+    tracker.recordOwnRead(RowTable::Orders, {3s, {1, 5}, {1, 5}, 301s});
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 5}, 302s}, 5s) == ProofUse::Extended);
 }
 
-TEST_CASE("property: no daemon considers its copy fresh at a time when it lacked a change")
+TEST_CASE("proofs of an earlier era extend nothing, and a later era that only a peer names is "
+          "refuted "
+          "by the store")
+{
+    FreshnessTracker tracker;
+    tracker.recordOwnRead(RowTable::Orders, {1s, {1, 50}, {1, 50}, 60s});
+    // A peer has read after a return; versions have not caught up with those of before.
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{2, 40}, 61s}, 2s) == ProofUse::Behind);
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 50}, 61s}, 2s) == ProofUse::EarlierEra);
+    CHECK(tracker.provenAt(RowTable::Orders) == std::optional<Duration>(1s));
+    tracker.recordOwnRead(RowTable::Orders, {1500ms, {1, 50}, {1, 50}, 60500ms}); // sent before
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 50}, 61s}, 2s) == ProofUse::EarlierEra);
+    tracker.recordOwnRead(RowTable::Orders, {3s, {1, 50}, {1, 50}, 62s});
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{1, 50}, 62900ms}, 4s) == ProofUse::Extended);
+    tracker.recordOwnRead(RowTable::Orders, {5s, {2, 41}, {2, 41}, 64s});
+    CHECK(tracker.share()[0] == std::optional(SharedProof {{2, 41}, 64s}));
+    tracker.recordOwnRead(RowTable::Orders, {6s, {1, 52}, {1, 52}, 65s}); // a late response
+    CHECK(tracker.provenAt(RowTable::Orders) == std::optional<Duration>(5s));
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{2, 41}, 65s}, 7s) == ProofUse::Extended);
+}
+
+TEST_CASE("property: no daemon considers its copy fresh at a time when it lacked a change, also if "
+          "the store returns from older copies")
 {
     CHECK(rc::check([] {
         constexpr std::size_t daemons = 4;
@@ -252,31 +274,37 @@
         for (std::size_t n = 0; n < daemons; ++n)
             bootOffsets.push_back(std::chrono::milliseconds(*rc::gen::inRange(0, 100000)));
         const Duration storeOffset = std::chrono::milliseconds(*rc::gen::inRange(1, 100000));
-        std::uint64_t storeVersion = 1;
-        std::vector<std::uint64_t> applied(daemons, 0);
-        std::vector<Duration> changedAt; // by version - 1
-        changedAt.emplace_back(0);
+        StorePosition store {1, 1};
+        std::vector<Duration> changedAt {Duration::zero()}; // of all changes and returns
+        std::vector<std::size_t> applied(daemons, 0);       // of these, in each daemon's copy
         Duration now {};
         std::vector<std::pair<SharedProof, std::size_t>> inFlight; // reports, with the recipient
         for (int i = 0; i < 150; ++i) {
             now += std::chrono::microseconds(*rc::gen::inRange(1, 50000));
             const auto daemon = *rc::gen::inRange<std::size_t>(0, daemons);
-            switch (*rc::gen::inRange(0, 4)) {
+            switch (*rc::gen::inRange(0, 9)) {
             case 0:
-                ++storeVersion;
+            case 1:
+                ++store.version;
+                changedAt.push_back(now);
+                break;
+            case 2: // the store returns from an older copy
+                store = {store.era + 1,
+                         store.version - *rc::gen::inRange<std::uint64_t>(0, store.version)};
                 changedAt.push_back(now);
                 break;
-            case 1: { // the daemon reads the store; the store answers after a while
+            case 3:
+            case 4: { // the daemon reads the store; the store answers after a while
                 const Duration sentAt = now + bootOffsets[daemon];
                 now += std::chrono::microseconds(*rc::gen::inRange(0, 300000));
-                applied[daemon] = storeVersion;
+                applied[daemon] = changedAt.size();
                 const auto storeTime =
                         std::chrono::floor<std::chrono::milliseconds>(now + storeOffset);
-                trackers[daemon].recordOwnRead(RowTable::Orders,
-                                               {sentAt, storeVersion, storeVersion, storeTime});
+                trackers[daemon].recordOwnRead(RowTable::Orders, {sentAt, store, store, storeTime});
                 break;
             }
-            case 2: // the daemon sends what it knows, by its own read or a peer's
+            case 5:
+            case 6: // the daemon sends what it knows, by its own read or a peer's
                 if (const auto proof = trackers[daemon].share()[0])
                     inFlight.emplace_back(*proof, *rc::gen::inRange<std::size_t>(0, daemons));
                 break;
@@ -294,9 +322,9 @@
             for (std::size_t n = 0; n < daemons; ++n) {
                 const auto provenAt = trackers[n].provenAt(RowTable::Orders);
                 // Every change made before the proven time must be applied.
-                for (std::uint64_t version = applied[n] + 1; provenAt && version <= storeVersion;
-                     ++version)
-                    RC_ASSERT(changedAt[version - 1] >= *provenAt - bootOffsets[n]);
+                for (std::size_t change = applied[n]; provenAt && change < changedAt.size();
+                     ++change)
+                    RC_ASSERT(changedAt[change] >= *provenAt - bootOffsets[n]);
             }
         }
     }));
--- a/test/correctness/reportschedule.cpp
+++ b/test/correctness/reportschedule.cpp
@@ -57,7 +57,7 @@
     std::vector<FreshnessTracker> trackers(gateways);
     std::vector<Duration> nextReport;
     for (std::size_t i = 0; i < gateways; ++i) {
-        trackers[i].recordOwnRead(RowTable::Orders, {1ms, 1, 1, 1ms});
+        trackers[i].recordOwnRead(RowTable::Orders, {1ms, {1, 1}, {1, 1}, 1ms});
         nextReport.push_back(step * static_cast<int>(i % 5));
     }
     int reads = 0;
@@ -67,7 +67,7 @@
             const std::size_t rank = now < noticed ? i : i - darkGateways;
             const Duration delay = delayStep * static_cast<int>(std::min(rank, maxDelaySteps));
             if (age >= readInterval + delay) {
-                trackers[i].recordOwnRead(RowTable::Orders, {now, 1, 1, now});
+                trackers[i].recordOwnRead(RowTable::Orders, {now, {1, 1}, {1, 1}, now});
                 reads += now >= noticed ? 1 : 0;
             }
             if (now < nextReport[i])
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -149,13 +149,13 @@
     early.rows.set(RowTable::Backends, "i-2", serverRow("ready"));
     early.watcher.start({"g", "10.0.0.1", 7600});
     early.run(60ms);
-    const std::uint64_t appliedBefore = early.proofs[RowTable::Backends].appliedUpTo;
+    const StorePosition appliedBefore = early.proofs[RowTable::Backends].appliedUpTo;
 
     Fixture late;
     late.rows.set(RowTable::Backends, "i-2", serverRow("ready"));
     for (const RowTable it : {RowTable::Backends, RowTable::Orders})
         late.rows.erase(it, it == RowTable::Backends ? "i-2" : "evacuate/zone-a");
-    REQUIRE(late.rows.version() > appliedBefore);
+    REQUIRE(late.rows.version() > appliedBefore.version);
     late.watcher.start({"h", "10.0.0.2", 7600});
     late.run(60ms);
     CHECK(late.proofs[RowTable::Backends].lastChange > appliedBefore);
@@ -174,7 +174,7 @@
     fixture.rows.erase(RowTable::Backends, "i-1");
     fixture.run(60ms);
     CHECK(fixture.state->backends.size() == 1); // kept for the grace period
-    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].lastChange.version == fixture.rows.version());
 }
 
 TEST_CASE("gateways that a snapshot no longer lists are dropped after the change history was lost")
@@ -281,12 +281,12 @@
     Fixture fixture;
     fixture.watcher.start({"g", "10.0.0.1", 7600});
     fixture.run(60ms);
-    const std::uint64_t change = fixture.proofs[RowTable::Backends].lastChange;
+    const StorePosition change = fixture.proofs[RowTable::Backends].lastChange;
     fixture.rows.set(RowTable::Backends, "i-1", serverRow("ready"));
     fixture.run(60ms);
     CHECK(fixture.proofs[RowTable::Backends].lastChange == change);
-    CHECK(fixture.proofs[RowTable::Backends].appliedUpTo == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].appliedUpTo.version == fixture.rows.version());
     fixture.rows.set(RowTable::Backends, "i-1", serverRow("draining"));
     fixture.run(60ms);
-    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].lastChange.version == fixture.rows.version());
 }
--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -169,3 +169,48 @@
     CHECK(second.version() == 5);
     CHECK(second.freshness.provenAt(RowTable::Orders).value() > returnedAt);
 }
+
+// Guards against rows of before the return that are applied after it.
+TEST_CASE("responses that a return has overtaken are discarded")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.content->set(RowTable::Backends, "i-2", serverRow("ready"));
+    member.store.delayResponses(true);
+    fleet.run(30ms); // all tables are being read
+    fleet.content->returnFromCopy();
+    member.store.noteEra(2); // by the response to another call
+    fleet.run(10ms);
+    member.store.delayResponses(false);
+    fleet.run(60ms);
+    CHECK(member.freshness.share()[1].value().lastChange.era == 2);
+    CHECK(member.state->backends.size() == 1);
+}
+
+// Guards against changes that are missed if a response has lost the header that states the era.
+TEST_CASE("without a stated era, a version that has gone back makes the tables be read as a whole")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    member.store.statesEra = false;
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.writeOthers(5);
+    fleet.run(60ms);
+    const int scans = member.store.scanCounts[RowTable::Orders];
+    const int reads = member.store.changeReadCounts[RowTable::Orders];
+    fleet.run(60ms);
+    // Responses without the header are of the era known.
+    CHECK(member.store.scanCounts[RowTable::Orders] == scans);
+    CHECK(member.store.changeReadCounts[RowTable::Orders] > reads);
+    fleet.content->returnFromCopy();
+    fleet.content->set(RowTable::Orders, "config", configurationRow(5));
+    fleet.run(60ms);
+    CHECK(member.version() == 5);
+    member.store.statesEra = true;
+    fleet.content->set(RowTable::Orders, "config", configurationRow(6));
+    fleet.run(60ms);
+    CHECK(member.version() == 6);
+}
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -24,7 +24,7 @@
                     {12, 1, 0, ReportedLiveness::Responsive},
                     {13, 1, 0, ReportedLiveness::None, NamedLimitReport {1.5, Duration(9)}}};
     report.consumedTokens = {{21, 1000.5}};
-    report.proofs[0] = SharedProof {9, Duration(1500)};
+    report.proofs[0] = SharedProof {{2, 9}, Duration(1500)};
     RolloutReport rollout {"w#7", Duration(900), {1, RolloutEnd::RolledBack, "bad"}, {}};
     const std::string sender = report.name + "#" + std::to_string(report.incarnation);
     rollout.evidence[{"w#7", sender, "r-1", true}].answers = 5;
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -73,7 +73,7 @@
         state->backends = backends;
         runOnTrafficThread([&] {
             m_gateway->applyState(state, view);
-            m_gateway->recordTableRead(RowTable::Orders, {timeSinceBoot(), 1, 1});
+            m_gateway->recordTableRead(RowTable::Orders, {timeSinceBoot(), {1, 1}, {1, 1}, {}});
         });
     }
 
@@ -90,7 +90,7 @@
     void proveConfigurationAt(Duration sinceBoot)
     {
         runOnTrafficThread([&] {
-            m_gateway->recordTableRead(RowTable::Orders, {sinceBoot, 1, 1});
+            m_gateway->recordTableRead(RowTable::Orders, {sinceBoot, {1, 1}, {1, 1}, {}});
         });
     }
 
--- a/test/support/inmemoryrowstore.h
+++ b/test/support/inmemoryrowstore.h
@@ -119,6 +119,8 @@
         });
     }
 
+    void noteEra(std::uint64_t era) { m_eraHandler(era); }
+
     // Holds back all responses until it is called with false.
     void delayResponses(bool delay)
     {
