--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -3,17 +3,18 @@
 // store has discarded its change history.
 
 #include "deploymentwatcher.h"
+#include "inmemoryrowstore.h"
 #include "monotonicclock.h"
 #include "platformrows.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include <doctest/doctest.h>
 
 #include <map>
 
 using namespace cornelshed;
+using namespace cornelshed::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -29,85 +30,6 @@
             + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + "\"}";
 }
 
-// In-memory row store. Calls are answered asynchronously on the given io_context.
-class InMemoryRowStore final : public RowStore
-{
-public:
-    explicit InMemoryRowStore(boost::asio::io_context &context) : m_context(context) { }
-
-    void set(RowTable table, const std::string &key, const std::string &value)
-    {
-        m_tables[table][key] = {key, value, ++m_version, false};
-    }
-    void erase(RowTable table, const std::string &key)
-    {
-        m_tables[table][key] = {key, "", ++m_version, true};
-    }
-
-    void scan(RowTable table, const std::string & /*from*/, RowsCallback callback) override
-    {
-        RowsPage page;
-        page.version = m_version;
-        for (const auto &[key, row] : m_tables[table]) {
-            if (!row.removed)
-                page.rows.push_back(row);
-        }
-        answer(table, page, callback);
-    }
-
-    void changes(RowTable table, std::uint64_t after, Duration /*wait*/,
-                 RowsCallback callback) override
-    {
-        ++changeReadCounts[table];
-        if (after < oldestReadableVersion) {
-            boost::asio::post(m_context, [callback] { callback(RowStoreError::HistoryLost); });
-            return;
-        }
-        RowsPage page;
-        page.version = m_version;
-        for (const auto &[key, row] : m_tables[table]) {
-            if (row.version > after)
-                page.rows.push_back(row);
-        }
-        answer(table, page, callback);
-    }
-
-    void put(RowTable table, const std::string &key, const std::string &value,
-             std::optional<std::uint64_t> expected, WriteCallback callback) override
-    {
-        const auto row = m_tables[table].find(key);
-        const std::uint64_t currentVersion = row == m_tables[table].end() ? 0 : row->second.version;
-        const bool conflict = expected && *expected != currentVersion;
-        if (!conflict)
-            set(table, key, value);
-        boost::asio::post(m_context, [callback, conflict] {
-            callback(conflict ? std::optional(RowStoreError::Conflict) : std::nullopt);
-        });
-    }
-
-    std::uint64_t version() const { return m_version; }
-
-    std::uint64_t oldestReadableVersion = 0;
-    std::map<RowTable, int> changeReadCounts;
-    std::set<RowTable> failingTables;
-
-private:
-    void answer(RowTable table, const RowsPage &page, const RowsCallback &callback)
-    {
-        const bool fails = failingTables.contains(table);
-        boost::asio::post(m_context, [page, callback, fails] {
-            if (fails)
-                callback(RowStoreError::Unavailable);
-            else
-                callback(page);
-        });
-    }
-
-    boost::asio::io_context &m_context;
-    std::map<RowTable, std::map<std::string, StoredRow>> m_tables;
-    std::uint64_t m_version = 0;
-};
-
 class Fixture
 {
 public:
@@ -117,7 +39,7 @@
                   {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
                    [this](RowTable table, const ReadProof &proof) { proofs[table] = proof; },
                    [this](RowTable table) { return proofs[table].sentAt; },
-                   [](const char * /*outcome*/) {}})
+                   [](const char * /*outcome*/) {}, [this](std::uint64_t it) { era = it; }})
     {
         rows.set(RowTable::Orders, "config", configurationRow(3));
         rows.set(RowTable::Backends, "i-1", serverRow("ready"));
@@ -139,6 +61,7 @@
     PlatformRows codec;
     std::shared_ptr<const DeploymentState> state;
     std::map<RowTable, ReadProof> proofs;
+    std::uint64_t era = 0; // latest one stated by the store
     DeploymentWatcher watcher;
 };
 
@@ -226,13 +149,13 @@
     early.rows.set(RowTable::Backends, "i-2", serverRow("ready"));
     early.watcher.start({"g", "10.0.0.1", 7600});
     early.run(60ms);
-    const std::uint64_t appliedBefore = early.proofs[RowTable::Backends].appliedUpTo;
+    const StorePosition appliedBefore = early.proofs[RowTable::Backends].appliedUpTo;
 
     Fixture late;
     late.rows.set(RowTable::Backends, "i-2", serverRow("ready"));
     for (const RowTable it : {RowTable::Backends, RowTable::Orders})
         late.rows.erase(it, it == RowTable::Backends ? "i-2" : "evacuate/zone-a");
-    REQUIRE(late.rows.version() > appliedBefore);
+    REQUIRE(late.rows.version() > appliedBefore.version);
     late.watcher.start({"h", "10.0.0.2", 7600});
     late.run(60ms);
     CHECK(late.proofs[RowTable::Backends].lastChange > appliedBefore);
@@ -251,7 +174,7 @@
     fixture.rows.erase(RowTable::Backends, "i-1");
     fixture.run(60ms);
     CHECK(fixture.state->backends.size() == 1); // kept for the grace period
-    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].lastChange.version == fixture.rows.version());
 }
 
 TEST_CASE("gateways that a snapshot no longer lists are dropped after the change history was lost")
@@ -358,12 +281,12 @@
     Fixture fixture;
     fixture.watcher.start({"g", "10.0.0.1", 7600});
     fixture.run(60ms);
-    const std::uint64_t change = fixture.proofs[RowTable::Backends].lastChange;
+    const StorePosition change = fixture.proofs[RowTable::Backends].lastChange;
     fixture.rows.set(RowTable::Backends, "i-1", serverRow("ready"));
     fixture.run(60ms);
     CHECK(fixture.proofs[RowTable::Backends].lastChange == change);
-    CHECK(fixture.proofs[RowTable::Backends].appliedUpTo == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].appliedUpTo.version == fixture.rows.version());
     fixture.rows.set(RowTable::Backends, "i-1", serverRow("draining"));
     fixture.run(60ms);
-    CHECK(fixture.proofs[RowTable::Backends].lastChange == fixture.rows.version());
+    CHECK(fixture.proofs[RowTable::Backends].lastChange.version == fixture.rows.version());
 }
