--- a/src/requestreport.cpp
+++ b/src/requestreport.cpp
@@ -45,7 +45,7 @@
     std::string_view description;
 };
 
-constexpr std::array<ProblemDescription, 29> problemDescriptions {{
+constexpr std::array<ProblemDescription, 30> problemDescriptions {{
         {"allowance", "its organisation had used up its allowance; it has not run"},
         {"no_route", "no route of the configuration in force matches it; it has not run"},
         {"unknown_key",
@@ -71,6 +71,8 @@
         {"answer_too_large",
          "the backend server's answer exceeded a limit of the gateway's memory"},
         {"events_out_of_order", "the backend server's events had gaps or repeats"},
+        {"stream_not_resumed",
+         "the next backend server's answer did not continue the stream that had begun"},
         {"malformed_answer", "the backend server's answer was not valid HTTP"},
         {"timed_out", "the backend server gave no answer in time; it may have run there"},
         {"abandoned", "the gateway abandoned the attempt"},
