--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -343,6 +343,13 @@
     d->m_socket.close(ec);
 }
 
+bool Caller::isClosed()
+{
+    char next = 0;
+    const auto n = ::recv(d->m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool Caller::pollStream()
 {
     constexpr std::chrono::milliseconds interval {5};
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -134,6 +134,9 @@
     std::string receiveUntilClosed();
     void close();
 
+    // Whether the daemon has closed the connection, or sent something unasked.
+    bool isClosed();
+
     // Sends a POST request and waits for the answer. Each header is a line "Name: value".
     CallerAnswer post(const std::string &target, const std::vector<std::string> &headers,
                       const std::string &body);
