Backend client: a response that names several requests belongs to none

A server that wrote an earlier refusal with two X-Request-Id headers, the present request's first, while the present request was being sent, made the gateway answer 503 (not run) for a request that the server then ran (REFUSED); another server could have run it as well (TWICE).

Cause: only the first echo header was compared.

Fix: all of them have to name the request. Other refusals on a kept connection were already told apart by their id: with the earlier id, an empty one or none, in chunks, two at once, with status 421, in the packet of the previous answer, while the connection is idle, while the next request is being sent, just before its answer, and instead of it. A connection with such a copy is not used again.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -309,14 +309,23 @@
         return m_buffer.size() > 0;
     }
 
+    // A response that names several ids cannot be attributed to any of them.
+    bool echoesRequest(const http::fields &head) const
+    {
+        const auto [first, last] = head.equal_range(m_echoHeaderName);
+        return first != last && std::all_of(first, last, [this](const auto &it) {
+                   return it.value() == m_echoHeaderValue;
+               });
+    }
+
     // Returns false if the exchange has ended.
     bool reportHead()
     {
         m_headReported = true;
         const auto &head = m_parser->get();
         // Informational (1xx) responses precede the final one on the same connection.
-        m_skippingResponse = head.result_int() < 200
-                || (!m_echoHeaderName.empty() && head[m_echoHeaderName] != m_echoHeaderValue);
+        m_skippingResponse =
+                head.result_int() < 200 || (!m_echoHeaderName.empty() && !echoesRequest(head));
         const bool isCloseDelimited = m_parser->need_eof() && !m_parser->is_done();
         // The end of a close-delimited body is indistinguishable from a lost connection, unless the
         // server is known to close in an orderly way.
--- a/test/error/misbehavingserver.cpp
+++ b/test/error/misbehavingserver.cpp
@@ -126,6 +126,12 @@
     return text;
 }
 
+void waitUntil(const std::atomic<bool> &flag)
+{
+    while (!flag)
+        std::this_thread::sleep_for(1ms);
+}
+
 // Sends the first two events of a stream, then closes the connection.
 void breakOffStream(const StubRequest &request, StubReply &reply)
 {
@@ -419,3 +425,114 @@
     CHECK(whole.complete);
     CHECK(deployment.attempts() == 2);
 }
+
+// Guards against callers that are told "not run, try again" of a request that a server has run, and
+// against a second run, because of a refusal of another request on the same connection.
+TEST_CASE("an answer written once more on a kept connection is not taken for the next request's")
+{
+    enum class Moment { WithAnswer, WhileIdle, WhileSending, BeforeAnswer, InsteadOfAnswer };
+    const std::string keepAlive = "Connection: keep-alive\r\nKeep-Alive: timeout=30\r\n";
+    const auto refusal = [&](const std::string &id) {
+        return "HTTP/1.1 503 Busy\r\n" + id + refused + keepAlive + "Content-Length: 4\r\n\r\nbusy";
+    };
+    struct Copy
+    {
+        std::string description;
+        std::string text;
+    };
+    const std::vector<Copy> copies {
+            {"refusal of the earlier request", refusal("X-Request-Id: r-1\r\n")},
+            {"refusal of an unknown request", refusal("")},
+            {"refusal with an empty id", refusal("X-Request-Id: \r\n")},
+            {"refusal of both", refusal("X-Request-Id: r-1\r\nX-Request-Id: r-2\r\n")},
+            {"refusal of both in turn", refusal("X-Request-Id: r-2\r\nX-Request-Id: r-1\r\n")},
+            {"refusal in chunks",
+             "HTTP/1.1 503 Busy\r\nX-Request-Id: r-1\r\n" + refused + keepAlive
+                     + "Transfer-Encoding: chunked\r\n\r\n" + chunk("busy") + "0\r\n\r\n"},
+            {"misdirected", "HTTP/1.1 421 x\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n"},
+            {"the earlier answer", responseText("r-1", 200, "first")},
+            {"two refusals", refusal("X-Request-Id: r-1\r\n") + refusal("")}};
+    for (const Copy &copy : copies) {
+        for (const Moment moment : {Moment::WithAnswer, Moment::WhileIdle, Moment::WhileSending,
+                                    Moment::BeforeAnswer, Moment::InsteadOfAnswer}) {
+            CAPTURE(copy.description);
+            CAPTURE(static_cast<int>(moment));
+            std::atomic<bool> mayCopy = false;
+            std::atomic<bool> isCopied = false;
+            BackendStub server([&](const StubRequest &request, StubReply &reply) {
+                const std::string id = requestIdOf(request);
+                const std::string answer = responseText(id, 200, "for " + id);
+                if (id == "r-1") {
+                    reply.send(answer + (moment == Moment::WithAnswer ? copy.text : ""));
+                    if (moment != Moment::WhileIdle && moment != Moment::WhileSending)
+                        return;
+                    waitUntil(mayCopy);
+                    reply.send(copy.text);
+                    isCopied = true;
+                } else if (id == "r-2" && moment == Moment::BeforeAnswer) {
+                    reply.send(copy.text + answer);
+                } else if (id == "r-2" && moment == Moment::InsteadOfAnswer) {
+                    reply.send(copy.text);
+                    reply.close();
+                } else {
+                    reply.send(answer);
+                }
+            });
+            GatewayRunner runner;
+            RouteTableContent content = gatewayRouteTable();
+            content.limits.bodyBytes = 8000000;
+            runner.configure(content, {gatewayBackend("i-1", server.port())});
+            const auto send = [&](const std::string &id, const std::string &body) {
+                Caller caller(runner.port());
+                caller.send(requestText("POST", "/order/a", id, closing, body));
+                return parseResponse(caller.receiveUntilClosed());
+            };
+            CHECK(send("r-1", "").body == "for r-1");
+            std::thread releaser;
+            if (moment == Moment::WhileIdle) {
+                mayCopy = true;
+                waitUntil(isCopied);
+            } else if (moment == Moment::WhileSending) {
+                releaser = std::thread([&] {
+                    std::this_thread::sleep_for(150ms); // until the request is being sent
+                    mayCopy = true;
+                });
+            }
+            // Larger than the socket buffers, so that it is not sent until the server reads it.
+            const bool isLarge = moment == Moment::WhileSending;
+            const RawResponse second = send("r-2", std::string(isLarge ? 7000000 : 10, 'x'));
+            if (releaser.joinable())
+                releaser.join();
+            if (moment == Moment::InsteadOfAnswer)
+                CHECK(second.head.starts_with("HTTP/1.1 502"));
+            else
+                CHECK(second.body == "for r-2");
+            CHECK(send("r-3", "").body == "for r-3");
+
+            const auto arrivals = server.requests();
+            REQUIRE(arrivals.size() == 3);
+            const bool isSeen = moment != Moment::WithAnswer && moment != Moment::WhileIdle;
+            // A connection with a copy on it is used for no further request.
+            CHECK((arrivals[0].connection == arrivals[1].connection) == isSeen);
+            CHECK((arrivals[1].connection == arrivals[2].connection) == !isSeen);
+        }
+    }
+}
+
+// Guards against a request that runs at two servers because an earlier refusal was taken for its
+// own, or against one that is offered to the same server again, where it could be.
+TEST_CASE("a request is offered to each server once, and none after a refusal of another request")
+{
+    Deployment refusing([](int, const StubRequest &request, StubReply &reply) {
+        reply.send(responseText(requestIdOf(request), 503, "", refused));
+    });
+    CHECK(refusing.send("POST", "/order/a", "r-1").head.starts_with("HTTP/1.1 503"));
+    CHECK(refusing.attempts() == 3);
+
+    Deployment repeating([](int, const StubRequest &, StubReply &reply) {
+        reply.send(responseText("earlier", 503, "", refused));
+        reply.close();
+    });
+    CHECK(repeating.send("POST", "/order/a", "r-1").head.starts_with("HTTP/1.1 502"));
+    CHECK(repeating.attempts() == 1);
+}
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -151,10 +151,11 @@
         boost::beast::flat_buffer buf;
         boost::system::error_code ec;
         while (!ec) {
-            http::request<http::string_body> message;
-            http::read(socket, buf, message, ec);
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(boost::none);
+            http::read(socket, buf, parser, ec);
             if (!ec)
-                answer(message, socket, connection);
+                answer(parser.get(), socket, connection);
         }
     }
 
