Agent: a response counts as a run's only if it can be attributed to it

Callers got the answer of an earlier request, or 429 for a request that the engine then ran: an engine wrote an earlier answer or refusal once more on a kept connection, and the agent took it for that of the next run. Runs and probes shared their connections, so a run could also get a probe's answer.

Cause: the agent matched responses to requests by their order alone.

Fix: each run names the header by which servers echo its id. A connection is used again only after a response with that id; there, a response with another id is skipped, and one without an id ends the run as possibly run. An engine that does not echo ids, or names its own, gets a connection for each run, where the first response can only be that run's. Probes and cancellations use connections of their own.

--- a/src/agentdaemon.cpp
+++ b/src/agentdaemon.cpp
@@ -264,6 +264,10 @@
     request.body = dispatch.body;
     request.timeLimit = std::clamp(dispatch.remaining, Duration(0), maxRequestTimeout);
     request.timeLimit += deadlineMargin;
+    request.echoHeaderName = requestIdHeader;
+    if (const std::string *id = findHeader(dispatch.headers, requestIdHeader))
+        request.echoHeaderValue = *id;
+    request.echoOptional = true;
     return request;
 }
 
--- a/src/agentrun.cpp
+++ b/src/agentrun.cpp
@@ -23,7 +23,7 @@
 AgentRun::AgentRun(SessionId session, const Dispatch &dispatch, AgentRunOwner &owner)
     : m_session(session), m_request(dispatch.request), m_owner(owner), m_startedAt(monotonicNow())
 {
-    if (const std::string *id = findHeader(dispatch.headers, "X-Request-Id"))
+    if (const std::string *id = findHeader(dispatch.headers, requestIdHeader))
         m_serverRequestId = *id;
 }
 
--- a/src/agentrun.h
+++ b/src/agentrun.h
@@ -14,6 +14,9 @@
 
 namespace cornelshed {
 
+// Names a request to the backend server, which may echo it in its response.
+constexpr const char *requestIdHeader = "X-Request-Id";
+
 // Receives the progress of a run. Each run ends with exactly one call of runFinished() or
 // runFailed().
 class AgentRunOwner
--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -104,6 +104,10 @@
     const asio::ip::tcp::endpoint &endpoint() const { return m_endpoint; }
     const BackendClientSettings &settings() const { return m_settings; }
 
+    // Whether all responses on used connections named their requests so far.
+    bool serverEchoes() const { return m_serverEchoes; }
+    void setServerDoesNotEcho() { m_serverEchoes = false; }
+
     // Returns the most recently used connection, so that surplus ones reach their idle timeout.
     std::optional<asio::ip::tcp::socket> takeIdle()
     {
@@ -140,6 +144,7 @@
     asio::ip::tcp::endpoint m_endpoint;
     BackendClientSettings m_settings;
     std::vector<IdleConnection> m_idle;
+    bool m_serverEchoes = true;
 };
 
 class Exchange final : public BackendExchange, public std::enable_shared_from_this<Exchange>
@@ -160,8 +165,10 @@
             if (!ec)
                 self->fail(self->m_writeStarted ? BackendError::TimedOut : BackendError::NotSent);
         });
-        if (auto idle = m_pool->takeIdle()) {
+        const bool mayReuse = m_reuseAllowed && (!m_echoOptional || m_pool->serverEchoes());
+        if (auto idle = mayReuse ? m_pool->takeIdle() : std::nullopt) {
             m_socket = std::move(*idle);
+            m_isNewConnection = false;
             writeRequest();
             return;
         }
@@ -217,6 +224,8 @@
     {
         m_echoHeaderName = std::move(request.echoHeaderName);
         m_echoHeaderValue = std::move(request.echoHeaderValue);
+        m_echoOptional = request.echoOptional;
+        m_reuseAllowed = !request.ownConnection;
         m_timer.expires_after(request.timeLimit);
         m_request.method_string(request.method);
         m_request.target(request.path);
@@ -309,6 +318,8 @@
         return m_buffer.size() > 0;
     }
 
+    enum class Attribution { ThisRequest, OtherRequest, Unknown };
+
     // A response that names several ids cannot be attributed to any of them.
     bool echoesRequest(const http::fields &head) const
     {
@@ -318,14 +329,31 @@
                });
     }
 
+    Attribution attribute(const http::fields &head) const
+    {
+        if (m_echoHeaderName.empty() || echoesRequest(head))
+            return Attribution::ThisRequest;
+        if (!m_echoOptional)
+            return Attribution::OtherRequest;
+        if (m_isNewConnection)
+            return Attribution::ThisRequest;
+        return head.count(m_echoHeaderName) == 0 ? Attribution::Unknown : Attribution::OtherRequest;
+    }
+
     // Returns false if the exchange has ended.
     bool reportHead()
     {
         m_headReported = true;
         const auto &head = m_parser->get();
         // Informational (1xx) responses precede the final one on the same connection.
-        m_skippingResponse =
-                head.result_int() < 200 || (!m_echoHeaderName.empty() && !echoesRequest(head));
+        const bool isInformational = head.result_int() < 200;
+        const Attribution attribution = attribute(head);
+        if (!isInformational && attribution == Attribution::Unknown) {
+            m_pool->setServerDoesNotEcho();
+            fail(BackendError::Malformed);
+            return false;
+        }
+        m_skippingResponse = isInformational || attribution == Attribution::OtherRequest;
         const bool isCloseDelimited = m_parser->need_eof() && !m_parser->is_done();
         // The end of a close-delimited body is indistinguishable from a lost connection, unless the
         // server is known to close in an orderly way.
@@ -335,12 +363,14 @@
             return false;
         }
         if (m_skippingResponse) {
-            m_reuseAllowed = m_reuseAllowed && head.result_int() < 200;
+            m_otherResponseSeen = m_otherResponseSeen || !isInformational;
             if (++m_skippedResponses <= maxSkippedResponses)
                 return true;
             fail(BackendError::Malformed);
             return false;
         }
+        if (m_echoOptional && !echoesRequest(head))
+            m_reuseAllowed = false;
         m_responseHandler->head(head.result_int(), copyHeaders(head));
         return !m_ended;
     }
@@ -349,8 +379,8 @@
     {
         m_ended = true;
         m_timer.cancel();
-        const bool reusable = m_reuseAllowed && m_writeCompleted && m_parser->keep_alive()
-                && m_buffer.size() == 0;
+        const bool reusable = m_reuseAllowed && !m_otherResponseSeen && m_writeCompleted
+                && m_parser->keep_alive() && m_buffer.size() == 0;
         if (reusable) {
             m_pool->putIdle(std::move(m_socket), parseKeepAliveTimeout(m_parser->get()));
         } else {
@@ -384,6 +414,7 @@
     http::request<http::string_body> m_request;
     std::string m_echoHeaderName;
     std::string m_echoHeaderValue;
+    bool m_echoOptional = false;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser; // of the current response
     bool m_writeStarted = false;   // some of the request may have been written
@@ -392,7 +423,9 @@
     bool m_skippingResponse = false; // the current response is informational or for another request
     std::uint32_t m_skippedResponses = 0;
     std::uint64_t m_skippedBytes = 0;
-    bool m_reuseAllowed = true; // false once a response to another request was received
+    bool m_otherResponseSeen = false; // a response to another request was received
+    bool m_isNewConnection = true;    // no earlier request was sent on it
+    bool m_reuseAllowed = true;       // the connection may be one from the pool and return to it
     bool m_ended = false;
 };
 
@@ -425,15 +458,21 @@
 void BackendClient::post(const std::string &path, const std::string &json,
                          std::function<void(std::uint32_t)> done)
 {
-    const Headers headers {{"Content-Type", "application/json"}};
-    start({"POST", path, headers, json, controlRequestTimeout},
-          std::make_shared<StatusResponseHandler>(std::move(done)));
+    startControlRequest({"POST", path, {{"Content-Type", "application/json"}}, json},
+                        std::move(done));
 }
 
 void BackendClient::get(const std::string &path, std::function<void(std::uint32_t)> done)
 {
-    start({"GET", path, {}, {}, controlRequestTimeout},
-          std::make_shared<StatusResponseHandler>(std::move(done)));
+    startControlRequest({"GET", path, {}, {}}, std::move(done));
+}
+
+void BackendClient::startControlRequest(BackendRequest request,
+                                        std::function<void(std::uint32_t)> done)
+{
+    request.timeLimit = controlRequestTimeout;
+    request.ownConnection = true;
+    start(std::move(request), std::make_shared<StatusResponseHandler>(std::move(done)));
 }
 
 } // namespace cornelshed
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -29,6 +29,12 @@
     // belongs to another request and is skipped. With an empty name every response is accepted.
     std::string echoHeaderName {};
     std::string echoHeaderValue {};
+    // The server need not echo the id. The first response on a new connection is accepted in any
+    // case, but without the echo the connection is not used again. On a used connection a response
+    // without an id makes the exchange fail, and later ones of this kind get new connections.
+    bool echoOptional = false;
+    // Uses a connection of its own, on which no response to another request can arrive.
+    bool ownConnection = false;
 
     bool operator==(const BackendRequest &) const = default;
 };
@@ -92,13 +98,16 @@
     std::shared_ptr<BackendExchange> start(BackendRequest request,
                                            std::shared_ptr<BackendResponseHandler> responseHandler);
 
-    // Sends a control request and ignores the body of the response. done receives the status, or 0
-    // if no complete response arrived.
+    // Sends a control request on a connection of its own and ignores the body of the response. done
+    // receives the status, or 0 if no complete response arrived.
     void post(const std::string &path, const std::string &json,
               std::function<void(std::uint32_t status)> done);
     void get(const std::string &path, std::function<void(std::uint32_t status)> done);
 
 private:
+    void startControlRequest(BackendRequest request,
+                             std::function<void(std::uint32_t status)> done);
+
     class Private;
     std::unique_ptr<Private> d;
 };
--- a/test/correctness/agentdaemon.cpp
+++ b/test/correctness/agentdaemon.cpp
@@ -2,91 +2,20 @@
 // have run as not run, grants requests before those left from an earlier incarnation are cancelled,
 // or drops requests when it shuts down.
 
+#include "agentpeer.h"
 #include "agentrunner.h"
 #include "httpheaders.h"
-#include "loopback.h"
 
 #include <doctest/doctest.h>
 
 #include <chrono>
 #include <future>
-#include <thread>
 
 using namespace cornelshed;
 using namespace cornelshed::testing;
 
 namespace {
 
-const RequestId request {11, 1};
-
-// Opens a session and repeats the reservation until it is granted, because the agent rejects all
-// reservations until its first probe has reached the server.
-std::optional<Grant> reserve(SessionPeer &peer, const std::string &path, const std::string &model)
-{
-    peer.send(Hello {"e1", 11, 0});
-    if (!peer.receiveNext<Welcome>())
-        return std::nullopt;
-    Reserve reserve;
-    reserve.request = request;
-    reserve.organisation = "o";
-    reserve.route = path;
-    reserve.model = model;
-    reserve.promptTokens = 3;
-    reserve.outputTokens = 3;
-    reserve.remaining = std::chrono::seconds(20);
-    for (int n = 0; n < 500; ++n) {
-        peer.send(reserve);
-        const std::optional<AgentMessage> answer = peer.receive();
-        if (!answer)
-            break;
-        if (const auto *grant = std::get_if<Grant>(&*answer))
-            return *grant;
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-    return std::nullopt;
-}
-
-void dispatch(SessionPeer &peer, const Grant &grant, const std::string &path)
-{
-    const Headers headers {{"X-Request-Id", "id-1"}, {"Idempotency-Key", "key-1"}};
-    peer.send(
-            Dispatch {request, grant.grant, "POST", path, headers, "{}", std::chrono::seconds(20)});
-}
-
-// Returns whether the reservation was granted.
-bool reserveAndDispatch(SessionPeer &peer, const std::string &path, const std::string &model)
-{
-    const auto grant = reserve(peer, path, model);
-    if (grant)
-        dispatch(peer, *grant, path);
-    return grant.has_value();
-}
-
-// Response data up to the end of the request, and the message that ended it.
-struct Outcome
-{
-    std::string data;
-    std::optional<Finished> finished;
-    std::optional<Failed> failed;
-};
-
-Outcome receiveOutcome(SessionPeer &peer)
-{
-    Outcome outcome;
-    while (const std::optional<AgentMessage> message = peer.receive()) {
-        if (const auto *chunk = std::get_if<Chunk>(&*message)) {
-            outcome.data += chunk->data;
-        } else if (const auto *finished = std::get_if<Finished>(&*message)) {
-            outcome.finished = *finished;
-            break;
-        } else if (const auto *failed = std::get_if<Failed>(&*message)) {
-            outcome.failed = *failed;
-            break;
-        }
-    }
-    return outcome;
-}
-
 Outcome runRequest(const BackendStub::Handler &handler)
 {
     BackendStub backend(handler);
@@ -187,11 +116,11 @@
     auto backend = std::make_unique<BackendStub>([](const StubRequest &, StubReply &) {});
     AgentRunner agent(agentSettings(backend->port()));
     SessionPeer peer(agent.daemon().entryPort());
-    const auto grant = reserve(peer, "/v1/completions", "writer");
+    const auto grant = reserve(peer, agentRequest(1), "/v1/completions", "writer");
     REQUIRE(grant);
     // The agent has not yet detected that the server stopped.
     backend->stop();
-    dispatch(peer, *grant, "/v1/completions");
+    dispatch(peer, *grant, agentRequest(1), "/v1/completions");
     const Outcome outcome = receiveOutcome(peer);
     REQUIRE(outcome.failed);
     CHECK(outcome.failed->notRun);
@@ -210,7 +139,7 @@
     SessionPeer peer(agent.daemon().entryPort());
     REQUIRE(reserveAndDispatch(peer, "/v1/completions", "writer"));
     REQUIRE(peer.receiveNext<Chunk>());
-    peer.send(Cancel {request});
+    peer.send(Cancel {agentRequest(1)});
     const Outcome outcome = receiveOutcome(peer);
     release.set_value();
     REQUIRE(outcome.failed);
@@ -264,7 +193,7 @@
     tooLong.sendRaw(std::string("\xff\xff\xff\xff", 4));
     CHECK_FALSE(tooLong.receive());
     SessionPeer withoutHello(agent.daemon().entryPort());
-    withoutHello.send(Cancel {request});
+    withoutHello.send(Cancel {agentRequest(1)});
     CHECK_FALSE(withoutHello.receive());
     SessionPeer valid(agent.daemon().entryPort());
     valid.send(Hello {"e1", 1, 0});
