Registry: a copy takes back no departure, and its gaps are no removals

After a return of the store, rows of the copy may be missing or outdated until their servers write them again, about two seconds. A gateway that had not noticed an outage dropped running servers that the copy lacks; one that had read a server's draining or removal used it again when the copy listed it as ready, against the bound on draining.

The grace period for missing rows now starts at each return.

--- a/src/backendregistry.h
+++ b/src/backendregistry.h
@@ -3,11 +3,16 @@
 // period after the store is available again, in which running servers register again. Of several
 // rows with the same address, only that of the server that started last counts; the others were
 // left behind by servers that no longer run.
+//
+// When the store returns from an older copy of itself, rows of that copy may be missing or outdated
+// until their servers write them again. Missing ones are kept for the grace period. A row that
+// takes back the draining or the removal of its server counts only once it has been written again.
 
 #ifndef CORNELSHED_BACKENDREGISTRY_H
 #define CORNELSHED_BACKENDREGISTRY_H
 
 #include "backendrecord.h"
+#include "rowstore.h"
 #include "types.h"
 
 #include <cstdint>
@@ -30,14 +35,17 @@
     void storeLost() { m_storeLost = true; }
     void storeRecovered(Instant now);
 
-    // Adds or updates a row, with the version read from the store. Returns true if the list of
+    void storeReturned(Instant now) { m_graceEndsAt = now + m_registrationGracePeriod; }
+
+    // Adds or updates a row, with its position as read from the store. Returns true if the list of
     // backend servers may have changed.
-    bool put(const BackendRecord &record, std::uint64_t version);
-    bool removed(const std::string &id, Instant now);
+    bool put(const BackendRecord &record, const StorePosition &position, Instant now);
+    bool removed(const std::string &id, const StorePosition &position, Instant now);
 
-    // Takes over the result of reading the whole table; rows that it lacks are removed.
-    void replaceAll(const std::vector<std::pair<BackendRecord, std::uint64_t>> &records,
-                    Instant now);
+    // Takes over the result of reading the whole table up to the position; rows that it lacks are
+    // removed.
+    void replaceAll(const std::vector<std::pair<BackendRecord, StorePosition>> &records,
+                    const StorePosition &position, Instant now);
 
     // Removes rows whose grace period is over; returns true if there were any.
     bool expire(Instant now);
@@ -48,11 +56,25 @@
     struct Entry
     {
         BackendRecord record;
-        std::uint64_t firstVersion = 0;  // of the row when it first appeared
+        StorePosition firstPosition;     // of the row when it first appeared
         std::optional<Instant> removeAt; // set while a disappeared row is kept
     };
 
-    std::map<std::string, Entry> m_entries; // by id
+    // The draining or removal of a server that was read.
+    struct Departure
+    {
+        std::int64_t startedAtMs = 0; // of the server
+        StorePosition position;
+        Instant at {};
+        // Position of the row that contradicts it when it was first read in a later era.
+        std::optional<StorePosition> outdatedRow;
+    };
+
+    void recordDeparture(const BackendRecord &record, const StorePosition &position, Instant now);
+    bool isOutdated(const BackendRecord &record, const StorePosition &position);
+
+    std::map<std::string, Entry> m_entries;        // by id
+    std::map<std::string, Departure> m_departures; // by id
     Duration m_registrationGracePeriod;
     Instant m_graceEndsAt = Instant::min();
     bool m_storeLost = false;
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -446,12 +446,13 @@
 
     void handleAllBackends(const std::vector<StoredRow> &rows)
     {
-        std::vector<std::pair<BackendRecord, std::uint64_t>> records;
+        const StorePosition position = readerOf(RowTable::Backends).position();
+        std::vector<std::pair<BackendRecord, StorePosition>> records;
         for (const StoredRow &row : rows) {
             if (auto record = decodeBackend(row))
-                records.emplace_back(std::move(*record), row.version);
+                records.emplace_back(std::move(*record), StorePosition {position.era, row.version});
         }
-        registry.replaceAll(records, monotonicNow());
+        registry.replaceAll(records, position, monotonicNow());
         loadedTables.insert(RowTable::Backends);
         publish();
     }
@@ -476,7 +477,14 @@
     bool applyBackend(const StoredRow &row, Instant now)
     {
         const auto record = row.removed ? std::nullopt : decodeBackend(row);
-        return record ? registry.put(*record, row.version) : registry.removed(row.key, now);
+        const StorePosition position = positionOf(RowTable::Backends, row);
+        return record ? registry.put(*record, position, now)
+                      : registry.removed(row.key, position, now);
+    }
+
+    StorePosition positionOf(RowTable table, const StoredRow &row)
+    {
+        return {readerOf(table).position().era, row.version};
     }
 
     TableReader &readerOf(RowTable table) { return *readers.at(static_cast<std::size_t>(table)); }
@@ -536,6 +544,9 @@
         line.field("era", era).field("previous", *previous);
         line.field("orders_position", readerOf(RowTable::Orders).position().version);
         line.field("backends_position", readerOf(RowTable::Backends).position().version);
+        // Servers write their rows again also if this gateway has not noticed an outage.
+        registry.storeReturned(monotonicNow());
+        expireAfterGracePeriod();
         for (const auto &it : readers)
             it->handleStoreReturn();
     }
@@ -549,6 +560,11 @@
         storeLost = false;
         EventLog("store_regained").field("lapse_grace_ms", registrationGracePeriod / 1ms);
         registry.storeRecovered(monotonicNow());
+        expireAfterGracePeriod();
+    }
+
+    void expireAfterGracePeriod()
+    {
         expiryTimer.expires_after(registrationGracePeriod + 10ms);
         expiryTimer.async_wait([d = shared_from_this()](auto ec) {
             if (!ec && d->registry.expire(monotonicNow()))
--- a/test/correctness/gatewayparts.cpp
+++ b/test/correctness/gatewayparts.cpp
@@ -179,10 +179,10 @@
 TEST_CASE("rows that expired during an outage are kept until servers could register again")
 {
     BackendRegistry registry(2s);
-    registry.put(makeRecord("a"), 1);
+    registry.put(makeRecord("a"), {1, 1}, start);
     registry.storeLost();
     registry.storeRecovered(start);
-    CHECK_FALSE(registry.removed("a", start));
+    CHECK_FALSE(registry.removed("a", {1, 9}, start));
     CHECK(idsOf(registry) == Ids {"a"});
     CHECK(registry.expire(start + 3s));
     CHECK(idsOf(registry).empty());
@@ -191,32 +191,67 @@
 TEST_CASE("rows that disappear without an outage, or after draining, are removed at once")
 {
     BackendRegistry registry(2s);
-    registry.put(makeRecord("a"), 1);
-    CHECK(registry.removed("a", start));
+    registry.put(makeRecord("a"), {1, 1}, start);
+    CHECK(registry.removed("a", {1, 9}, start));
     CHECK(idsOf(registry).empty());
     auto drainingRecord = makeRecord("b");
     drainingRecord.draining = true;
-    registry.put(drainingRecord, 2);
+    registry.put(drainingRecord, {1, 2}, start);
     registry.storeLost();
     registry.storeRecovered(start);
-    CHECK(registry.removed("b", start));
+    CHECK(registry.removed("b", {1, 9}, start));
 }
 
 TEST_CASE("after a power loss, of several rows with the same address, that of the server that "
           "started last counts")
 {
     BackendRegistry registry(2s);
-    registry.put(makeRecord("new", 2000), 1);
-    registry.put(makeRecord("old", 1000), 2);
+    registry.put(makeRecord("new", 2000), {1, 1}, start);
+    registry.put(makeRecord("old", 1000), {1, 2}, start);
     CHECK(idsOf(registry) == Ids {"new"});
     // Without start times, the row that first appeared last counts.
     BackendRegistry withoutStartTimes(2s);
-    withoutStartTimes.put(makeRecord("old"), 1);
-    withoutStartTimes.put(makeRecord("new"), 5);
-    withoutStartTimes.put(makeRecord("old"), 9);
+    withoutStartTimes.put(makeRecord("old"), {1, 1}, start);
+    withoutStartTimes.put(makeRecord("new"), {1, 5}, start);
+    withoutStartTimes.put(makeRecord("old"), {1, 9}, start);
     CHECK(idsOf(withoutStartTimes) == Ids {"new"});
 }
 
+// Guards against requests to servers that have left, after the store has returned from a copy in
+// which they are ready.
+TEST_CASE("a return takes back no departure before the row is written again")
+{
+    const auto serverOf = [](const std::string &id, std::int64_t startedAtMs) {
+        BackendRecord record = makeRecord(id, startedAtMs);
+        record.address = id; // each has its own
+        return record;
+    };
+    BackendRegistry registry(2s);
+    BackendRecord draining = serverOf("draining", 1000);
+    draining.draining = true;
+    registry.put(serverOf("left", 1000), {1, 1}, start);
+    registry.put(draining, {1, 2}, start);
+    registry.put(serverOf("lost", 1000), {1, 3}, start);
+    CHECK(registry.removed("left", {1, 4}, start));
+    registry.storeReturned(start);
+    const std::vector<std::pair<BackendRecord, StorePosition>> copy {
+            {serverOf("left", 1000), {2, 1}}, {serverOf("draining", 1000), {2, 2}}};
+    for (int n = 0; n < 2; ++n) { // the table may be read more than once
+        registry.replaceAll(copy, {2, 2}, start + 100ms);
+        CHECK(idsOf(registry) == Ids {"draining", "lost"});
+        for (const BackendRecord &it : registry.list())
+            CHECK(it.draining == (it.id == "draining"));
+    }
+    CHECK(registry.put(draining, {2, 3}, start + 1s) == false);
+    // Another run of the process under the same id, and a row that is written again.
+    CHECK(registry.put(serverOf("draining", 2000), {2, 4}, start + 1s));
+    CHECK(registry.put(serverOf("left", 1000), {2, 5}, start + 1s));
+    CHECK(registry.expire(start + 3s));
+    CHECK(idsOf(registry) == Ids {"draining", "left"});
+    for (const BackendRecord &it : registry.list())
+        CHECK_FALSE(it.draining);
+}
+
 TEST_CASE("a peer's proof needs all its changes applied, and counts from the store's time")
 {
     FreshnessTracker tracker;
--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -25,11 +25,10 @@
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
 }
 
-std::string serverRow(const std::string &state)
+std::string serverRow(const std::string &state, int port = 80)
 {
-    return R"({"service":"w","address":"10.0.0.9:80","zone":"a","version":"v1","slots":6,)"
-           R"("born":1000,"state":")"
-            + state + "\"}";
+    return R"({"service":"w","address":"10.0.0.9:)" + std::to_string(port)
+            + R"(","zone":"a","version":"v1","slots":6,"born":1000,"state":")" + state + "\"}";
 }
 
 // One gateway's copy of the store, with the proofs of its freshness.
@@ -214,3 +213,22 @@
     fleet.run(60ms);
     CHECK(member.version() == 6);
 }
+
+// Guards against servers that are dropped though they run, after a return without a noticed outage.
+TEST_CASE("a server that the copy lacks is kept until it could register again, and no longer")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.content->set(RowTable::Backends, "i-2", serverRow("ready", 81));
+    fleet.content->set(RowTable::Backends, "i-3", serverRow("ready", 82));
+    fleet.run(60ms);
+    REQUIRE(member.state->backends.size() == 3);
+    fleet.content->returnFromCopy();
+    fleet.run(60ms);
+    CHECK(member.state->backends.size() == 3);
+    fleet.content->set(RowTable::Backends, "i-2", serverRow("ready", 81));
+    fleet.run(2500ms);
+    CHECK(member.state->backends.size() == 2);
+}
