Orders and ends of rollouts hold over a return of the store

Cause, found in review of everything that is read from the store: after a return, an order that the copy lacked was taken for one that the operator had removed, and the same rollout written again for a new one, since the version of its row identified it. A withdrawn zone got requests again; a completed rollout began anew, although the servers of the old version had stopped; its status was lost for good, or written on condition of a version that had been given out again.

Orders that the copy lacks now hold for five seconds after the return. An order that is written again by then, or is read in a later era, keeps its identity; gateways that read it before and after the return know it by different positions and take the peers' reports for the same. The recorded end of a rollout holds in each gateway that has read it, and is written again, in turn and conditionally, once the order has been read in the present era. A position of an earlier era is no condition for a write.

The other edits of tests follow the fields' new type.

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -311,7 +311,7 @@
             const WatcherSettings &watcherSettings, WatcherEvents watcherEvents)
         : context(ioContext), store(rowStore), codec(rowCodec), settings(watcherSettings),
           events(std::move(watcherEvents)), registry(registrationGracePeriod),
-          expiryTimer(ioContext), registerTimer(ioContext)
+          expiryTimer(ioContext), orderTimer(ioContext), registerTimer(ioContext)
     { }
 
     std::shared_ptr<TableReader> reader(RowTable table, Duration interval,
@@ -326,51 +326,105 @@
     void handleOrders(const std::vector<StoredRow> &rows, bool isSnapshot)
     {
         bool changed = isSnapshot;
-        if (isSnapshot) {
-            loadedTables.insert(RowTable::Orders);
-            withdrawals.clear();
-            rollouts.clear();
-        }
+        std::set<std::string> keys;
         for (const StoredRow &row : rows) {
             readerOf(RowTable::Orders).recordChange(row.version);
             changed = handleOrder(row) || changed;
+            keys.insert(row.key);
+        }
+        if (isSnapshot) {
+            loadedTables.insert(RowTable::Orders);
+            removeOrders([&](const std::string &key, const StorePosition &position) {
+                return !keys.contains(key) && !mayBeWrittenAgain(position);
+            });
         }
         if (changed)
             publish();
     }
 
+    // Whether an order may be missing only because the store has returned from a copy without it.
+    bool mayBeWrittenAgain(const StorePosition &position)
+    {
+        return position.era < readerOf(RowTable::Orders).position().era
+                && monotonicNow() < orderGraceEndsAt;
+    }
+
+    // Removes the orders for which the predicate is true; returns whether there were any.
+    template<typename Predicate> bool removeOrders(Predicate isGone)
+    {
+        const auto remove = [&](const auto &it) {
+            const bool gone = isGone(it.first, it.second.position);
+            if (gone)
+                EventLog("order_removed")
+                        .field("key", it.first)
+                        .field("era", it.second.position.era)
+                        .field("version", it.second.position.version);
+            return gone;
+        };
+        return std::erase_if(withdrawals, remove) + std::erase_if(rollouts, remove) > 0;
+    }
+
+    // Removes the orders that have not been written again after a return of the store.
+    void expireOrders()
+    {
+        const std::uint64_t era = readerOf(RowTable::Orders).position().era;
+        if (removeOrders([&](const std::string & /*key*/, const StorePosition &position) {
+                return position.era < era;
+            }))
+            publish();
+    }
+
     bool handleOrder(const StoredRow &row)
     {
         if (row.removed) {
-            const bool existed = withdrawals.erase(row.key) + rollouts.erase(row.key) > 0;
-            if (existed)
-                EventLog("order_removed").field("key", row.key).field("version", row.version);
-            return existed;
+            return removeOrders([&](const std::string &key, const StorePosition & /*position*/) {
+                return key == row.key;
+            });
         }
         DecodedOrder order = codec.decodeOrder(row.key, row.value);
         if (auto *content = std::get_if<RouteTableContent>(&order))
             return handleConfiguration(std::move(*content), row);
+        const StorePosition position = positionOf(RowTable::Orders, row);
         if (const auto *zone = std::get_if<ZoneWithdrawal>(&order)) {
             EventLog("zone_withdrawn").field("zone", zone->availabilityZone);
-            withdrawals[row.key] = zone->availabilityZone;
-            return true;
-        }
-        if (const auto *rollout = std::get_if<RolloutOrder>(&order)) {
-            EventLog("rollout_ordered")
-                    .field("service", rollout->service)
-                    .field("version", rollout->version)
-                    .field("duration_ms", rollout->duration / 1ms);
-            rollouts[row.key] = *rollout;
-            rollouts[row.key].rowVersion = row.version;
-            startStatusReader();
+            withdrawals[row.key] = {zone->availabilityZone, position};
             return true;
         }
+        if (const auto *rollout = std::get_if<RolloutOrder>(&order))
+            return handleRollout(row.key, *rollout, position);
         EventLog("row_unreadable", EventLevel::Warning)
                 .field("key", row.key)
                 .field("reason", std::get<UnreadableRow>(order).reason);
         return false;
     }
 
+    bool handleRollout(const std::string &key, RolloutOrder order, const StorePosition &position)
+    {
+        order.position = position;
+        order.orderedAt = position;
+        const auto known = rollouts.find(key);
+        if (known != rollouts.end() && isWrittenAgain(known->second, order)) {
+            order.orderedAt = known->second.orderedAt;
+        } else {
+            EventLog("rollout_ordered")
+                    .field("service", order.service)
+                    .field("version", order.version)
+                    .field("duration_ms", order.duration / 1ms);
+        }
+        rollouts[key] = order;
+        startStatusReader();
+        return true;
+    }
+
+    // Whether an order's row holds the known order again, after a return of the store.
+    bool isWrittenAgain(const RolloutOrder &known, const RolloutOrder &order) const
+    {
+        return known.service == order.service && known.version == order.version
+                && known.duration == order.duration
+                && (known.position.era < order.position.era || known.position == order.position
+                    || monotonicNow() < orderGraceEndsAt);
+    }
+
     bool handleConfiguration(RouteTableContent content, const StoredRow &row)
     {
         const std::uint64_t currentVersion = routes ? routes->content().version : 0;
@@ -406,7 +460,7 @@
             if (row.removed) {
                 changed = statuses.erase(row.key) > 0 || changed;
             } else if (auto status = codec.decodeRolloutStatus(row.key, row.value)) {
-                status->rowVersion = row.version;
+                status->position = positionOf(RowTable::Statuses, row);
                 statuses[row.key] = *status;
                 changed = true;
             }
@@ -417,8 +471,17 @@
 
     void writeStatus(const RolloutStatus &status)
     {
+        // In a later era the version may belong to another state of the row.
+        if (status.position.version != 0 && status.position.era != storeEra.value_or(0)) {
+            EventLog("rollout_status_written")
+                    .field("service", status.service)
+                    .field("version", status.version)
+                    .field("state", nameOf(status.state))
+                    .field("outcome", "earlier_era");
+            return;
+        }
         store.put(RowTable::Statuses, codec.rolloutStatusKey(status.service),
-                  codec.encodeRolloutStatus(status), status.rowVersion,
+                  codec.encodeRolloutStatus(status), status.position.version,
                   [d = shared_from_this(), status](std::optional<RowStoreError> error) {
                       EventLog("rollout_status_written")
                               .field("service", status.service)
@@ -547,6 +610,13 @@
         // Servers write their rows again also if this gateway has not noticed an outage.
         registry.storeReturned(monotonicNow());
         expireAfterGracePeriod();
+        orderGraceEndsAt = monotonicNow() + settings.orderGracePeriod;
+        orderTimer.expires_after(settings.orderGracePeriod + 10ms);
+        orderTimer.async_wait([d = shared_from_this()](auto ec) {
+            if (!ec)
+                d->expireOrders();
+        });
+        publish(); // statuses of rollouts are unknown until they are read again
         for (const auto &it : readers)
             it->handleStoreReturn();
     }
@@ -598,11 +668,13 @@
             return;
         auto state = std::make_shared<DeploymentState>();
         state->routes = routes;
-        for (const auto &[key, zone] : withdrawals)
-            state->withdrawnZones.insert(zone);
-        for (const auto &[key, rollout] : rollouts)
+        for (const auto &[key, withdrawal] : withdrawals)
+            state->withdrawnZones.insert(withdrawal.zone);
+        for (const auto &[key, rollout] : rollouts) {
             state->rollouts.push_back(rollout);
-        if (statusesLoaded) {
+            state->rollouts.back().confirmed = rollout.position.era == storeEra.value_or(0);
+        }
+        if (statusesLoaded && readerOf(RowTable::Statuses).position().era == storeEra.value_or(0)) {
             state->rolloutStatuses.emplace();
             for (const auto &[key, status] : statuses)
                 state->rolloutStatuses->push_back(status);
@@ -621,9 +693,14 @@
     GatewayRecord self;
     std::set<RowTable> loadedTables; // of which a snapshot has been read
     std::shared_ptr<const RouteTable> routes;
-    std::map<std::string, std::string> withdrawals; // zone by row key
-    std::map<std::string, RolloutOrder> rollouts;   // by row key
-    std::map<std::string, RolloutStatus> statuses;  // by row key
+    struct Withdrawal
+    {
+        std::string zone;
+        StorePosition position; // of the row
+    };
+    std::map<std::string, Withdrawal> withdrawals; // by row key
+    std::map<std::string, RolloutOrder> rollouts;  // by row key
+    std::map<std::string, RolloutStatus> statuses; // by row key
     bool statusReaderStarted = false;
     bool statusesLoaded = false;
     BackendRegistry registry;
@@ -631,7 +708,9 @@
     std::optional<std::uint64_t> storeEra; // latest one stated by the store
     bool registering = false; // registerSelf() was called, and its row has not been read back yet
     std::set<std::string> loggedUnreadableRows; // keys of rows whose fault has been logged
+    Instant orderGraceEndsAt = Instant::min();
     asio::steady_timer expiryTimer;
+    asio::steady_timer orderTimer;
     asio::steady_timer registerTimer;
     std::vector<std::shared_ptr<TableReader>> readers; // indexed by RowTable
     Duration lastAnsweredAt {}; // start of the last successful call for any table, since boot
@@ -650,6 +729,7 @@
     for (const auto &it : d->readers)
         it->stop();
     d->expiryTimer.cancel();
+    d->orderTimer.cancel();
     d->registerTimer.cancel();
 }
 
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -26,6 +26,9 @@
     Duration gatewaysInterval = std::chrono::seconds(5);
     Duration retryInterval = std::chrono::milliseconds(150); // after the first failed call
     Duration statusesInterval = std::chrono::seconds(1);     // only while there are rollouts
+    // After a return of the store from an older copy, operators write their orders again within
+    // this time; those that the copy lacks hold until then.
+    Duration orderGracePeriod = std::chrono::seconds(5);
 
     bool operator==(const WatcherSettings &) const = default;
 };
@@ -66,8 +69,8 @@
     // here.
     void readChangesNow(RowTable table);
 
-    // Writes the status of a rollout if its row still has version status.rowVersion, then reads the
-    // table again. The outcome is visible in the next published state.
+    // Writes the status of a rollout if its row is still at status.position, then reads the table
+    // again. The outcome is visible in the next published state.
     void writeStatus(const RolloutStatus &status);
 
     // extraDelay: how much longer than the interval this gateway waits before a read, so that a
--- a/src/gatewayrollouts.cpp
+++ b/src/gatewayrollouts.cpp
@@ -163,6 +163,7 @@
         std::uint64_t requests = 0;    // at this gateway, since it read the order
         std::uint64_t exposed = 0;     // of these, sent to the new version while it was unproven
         std::optional<RolloutStatus> stored;
+        std::optional<RolloutState> recordedEnd;  // last end that was read from the status row
         std::optional<RolloutState> pendingState; // to be written to the status row
         Instant pendingSince {};
         Instant writtenAt = Instant::min();
@@ -173,9 +174,29 @@
         : chart(std::move(rolloutChart)), settings(std::move(rolloutSettings))
     { }
 
+    // Gateways that read the order before and after a return of the store know it by different
+    // positions; the part before the last separator is the same.
     static std::string nameOf(const RolloutOrder &order)
     {
-        return order.service + "#" + std::to_string(order.rowVersion);
+        return order.service + "/" + order.version + "#" + std::to_string(order.orderedAt.era) + "."
+                + std::to_string(order.orderedAt.version);
+    }
+
+    // Returns the rollout of a peer's report.
+    std::map<std::string, Rollout>::iterator findReported(const std::string &reported)
+    {
+        const auto exact = rollouts.find(reported);
+        if (exact != rollouts.end())
+            return exact;
+        const auto eraEnd = [](const std::string &name) { return name.rfind('.'); };
+        const auto isSameInOtherEra = [&](const std::string &name) {
+            const auto separator = name.rfind('#');
+            return reported.rfind('#') == separator
+                    && reported.compare(0, separator, name, 0, separator) == 0
+                    && reported.substr(0, eraEnd(reported)) != name.substr(0, eraEnd(name));
+        };
+        return std::find_if(rollouts.begin(), rollouts.end(),
+                            [&](const auto &it) { return isSameInOtherEra(it.first); });
     }
 
     void updatePlan(const std::string &name, Rollout &rollout, Instant now) const
@@ -193,11 +214,13 @@
         rollout.controller.setPlans({plan}, now);
     }
 
-    // State in the status row, if the row was written for this order.
+    // State in the status row, if the row was written for this order. A row of an earlier era than
+    // the order's may have been written for another one.
     static std::optional<RolloutState> recordedState(const Rollout &rollout)
     {
         const auto &stored = rollout.stored;
-        if (!stored || stored->rowVersion <= rollout.order.rowVersion
+        if (!stored || stored->position.era != rollout.order.position.era
+            || stored->position <= rollout.order.position
             || stored->version != rollout.order.version)
             return std::nullopt;
         return stored->state;
@@ -207,15 +230,14 @@
     // over this gateway's own conclusion, because servers are stopped according to the record.
     static double shareOf(const Rollout &rollout)
     {
-        const auto state = recordedState(rollout);
-        if (state == RolloutState::Completed)
+        if (rollout.recordedEnd == RolloutState::Completed)
             return allTraffic;
-        if (state == RolloutState::RolledBack)
+        if (rollout.recordedEnd == RolloutState::RolledBack)
             return 0;
         return rollout.controller.shares().front().share;
     }
 
-    static bool hasRecordedEnd(const Rollout &rollout)
+    static bool isEndRecorded(const Rollout &rollout)
     {
         const auto state = recordedState(rollout);
         return state && *state != RolloutState::Running;
@@ -233,7 +255,7 @@
 
     std::optional<RolloutStatus> dueWrite(Rollout &rollout, RolloutState state, Instant now) const
     {
-        if (hasRecordedEnd(rollout) || recordedState(rollout) == state) {
+        if (isEndRecorded(rollout) || recordedState(rollout) == state || !rollout.order.confirmed) {
             rollout.pendingState = std::nullopt;
             return std::nullopt;
         }
@@ -250,7 +272,7 @@
             return std::nullopt;
         rollout.writtenAt = now;
         return RolloutStatus {rollout.order.service, rollout.order.version, state,
-                              rollout.stored ? rollout.stored->rowVersion : 0};
+                              rollout.stored ? rollout.stored->position : StorePosition {}};
     }
 
     bool hasServer(const std::string &service, const std::string &version) const
@@ -304,6 +326,7 @@
                     - boundedFraction(order.duration, readDelayFraction, maxReadDelay);
             d->updatePlan(name, rollout, now);
         }
+        rollout.order = order;
         if (!statuses)
             continue;
         rollout.stored = std::nullopt;
@@ -311,6 +334,8 @@
             if (status.service == order.service)
                 rollout.stored = status;
         }
+        if (Private::isEndRecorded(rollout))
+            rollout.recordedEnd = Private::recordedState(rollout);
     }
     d->statusesKnown = statuses.has_value();
     std::erase_if(d->rollouts, [&](const auto &it) { return !names.contains(it.first); });
@@ -401,17 +426,21 @@
 
 void GatewayRollouts::mergePeerReport(const RolloutReport &report, Instant now)
 {
-    const auto it = d->rollouts.find(report.rollout);
+    const auto it = d->findReported(report.rollout);
     if (it == d->rollouts.end())
         return;
+    const std::string &name = it->first;
     Private::Rollout &rollout = it->second;
     // A gateway that started recently read the order late, so the earliest deadline applies.
     if (now + report.remaining < rollout.deadline) {
         rollout.deadline = now + report.remaining;
-        d->updatePlan(report.rollout, rollout, now);
+        d->updatePlan(name, rollout, now);
     }
-    rollout.controller.mergeEvidence(report.evidence);
-    rollout.controller.mergeProgress(report.rollout, report.progress, now);
+    Evidence evidence;
+    for (const auto &[key, counts] : report.evidence)
+        evidence[{name, key.daemon, key.route, key.newVersion}] = counts;
+    rollout.controller.mergeEvidence(evidence);
+    rollout.controller.mergeProgress(name, report.progress, now);
 }
 
 RolloutTick GatewayRollouts::tick(
@@ -424,12 +453,17 @@
         const RolloutOrder &order = rollout.order;
         d->updatePlan(name, rollout, now);
         const bool isLeader = d->statusesKnown && d->rankAmongHeard == 0;
-        if (Private::hasRecordedEnd(rollout)) {
-            const bool completed = Private::recordedState(rollout) == RolloutState::Completed;
+        if (rollout.recordedEnd) {
+            const bool completed = rollout.recordedEnd == RolloutState::Completed;
             Private::recordStep(rollout,
                                 {rollout.controller.progress().at(name).stage,
                                  completed ? RolloutEnd::Done : RolloutEnd::RolledBack, "recorded"},
                                 result);
+            // The row may have been lost by a return of the store.
+            if (d->statusesKnown) {
+                if (const auto write = d->dueWrite(rollout, *rollout.recordedEnd, now))
+                    result.writes.push_back(*write);
+            }
             continue;
         }
         for (const RolloutAction &action : rollout.controller.tick(now, isLeader, 1)) {
--- a/src/gatewayrollouts.h
+++ b/src/gatewayrollouts.h
@@ -1,7 +1,9 @@
 // Rollouts as executed by a gateway: selects the version for each request, collects evidence from
 // the answers, and determines which statuses to write. RolloutController provides the verdicts and
 // the stages. Gateways exchange evidence and progress in their reports. The status row is written
-// conditionally on its last version and is authoritative for how a rollout ended.
+// conditionally on its last version and is authoritative for how a rollout ended. If the store
+// loses it by returning from an older copy, the gateways that have read it write it again once the
+// order has been written again.
 //
 // While a version is unproven, each gateway counts the requests that it sends to it against its own
 // share of the exposure allowed for the deployment, so that the total stays within the limit.
@@ -77,7 +79,7 @@
 
 struct RolloutTick
 {
-    std::vector<RolloutStatus> writes; // rowVersion: the row version that each write requires
+    std::vector<RolloutStatus> writes; // position: that of the row which each write requires
     std::vector<RolloutStep> steps;
 };
 
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -108,7 +108,9 @@
     std::string service;
     std::string version;
     Duration duration {};
-    std::uint64_t rowVersion = 0; // of the row that holds the order
+    StorePosition position;  // of the row that holds the order
+    StorePosition orderedAt; // of that row before it was written again after returns of the store
+    bool confirmed = true;   // the row was read in the store's present era
 
     auto operator<=>(const RolloutOrder &) const = default;
 };
@@ -124,7 +126,7 @@
     std::string service;
     std::string version; // version named by the order
     RolloutState state = RolloutState::Running;
-    std::uint64_t rowVersion = 0; // 0: not written yet
+    StorePosition position; // of the row; version 0: not written yet
 
     auto operator<=>(const RolloutStatus &) const = default;
 };
--- a/test/correctness/gatewayrollouts.cpp
+++ b/test/correctness/gatewayrollouts.cpp
@@ -26,6 +26,11 @@
     return std::get<StateChart>(readStateChart(CORNELSHED_SOURCE_DIR "/charts/rollout.toml"));
 }
 
+RolloutOrder makeOrder(Duration duration)
+{
+    return {"writer", "v2", duration, {1, orderRowVersion}, {1, orderRowVersion}};
+}
+
 struct VersionModel
 {
     double failureShare = 0; // of its answers
@@ -109,7 +114,7 @@
         std::vector<RolloutStatus> statuses;
         if (m_status)
             statuses.push_back(*m_status);
-        gateway.setOrders({{"writer", "v2", settings.duration, orderRowVersion}}, statuses, now);
+        gateway.setOrders({makeOrder(settings.duration)}, statuses, now);
     }
 
 private:
@@ -142,9 +147,9 @@
                 [&](const std::string &, const std::string &) { return oldRequestsRunning() == 0; },
                 now);
         for (RolloutStatus it : result.writes) {
-            if (it.rowVersion != (m_status ? m_status->rowVersion : 0))
+            if (it.position.version != (m_status ? m_status->position.version : 0))
                 continue; // the row was written by another gateway in the meantime
-            it.rowVersion = m_nextRowVersion++;
+            it.position = {1, m_nextRowVersion++};
             m_status = it;
             if (it.state == RolloutState::Running)
                 continue;
@@ -281,7 +286,7 @@
     REQUIRE(rolledBack.ends == Ends {RolloutState::RolledBack});
     GatewayRollouts &late = rolledBack.addGateway();
     const Instant now = start + bad.duration;
-    const RolloutOrder order {"writer", "v2", bad.duration, orderRowVersion};
+    const RolloutOrder order = makeOrder(bad.duration);
     late.setOrders({order}, std::nullopt, now); // the status has not been read yet
     CHECK_FALSE(late.choose("writer", "r", false, now).allows("v2"));
     rolledBack.readRows(late, now);
@@ -300,7 +305,7 @@
 TEST_CASE("a recorded end overrides the gateway's own verdict and is never overwritten")
 {
     const Duration duration = 12s;
-    const RolloutOrder order {"writer", "v2", duration, orderRowVersion};
+    const RolloutOrder order = makeOrder(duration);
     for (const RolloutState recorded : {RolloutState::Completed, RolloutState::RolledBack}) {
         const bool completed = recorded == RolloutState::Completed;
         GatewayRollouts gateway(rolloutChart(), GatewayRolloutSettings {"g"});
@@ -313,8 +318,8 @@
         gateway.setOrders({order}, std::vector<RolloutStatus> {}, start);
         // A peer reports the opposite of the recorded end.
         const RolloutEnd reported = completed ? RolloutEnd::RolledBack : RolloutEnd::Done;
-        gateway.mergePeerReport({"writer#40", 10s, {2, reported, "told"}, {}}, start + 1s);
-        const RolloutStatus row {"writer", "v2", recorded, orderRowVersion + 5};
+        gateway.mergePeerReport({"writer/v2#1.40", 10s, {2, reported, "told"}, {}}, start + 1s);
+        const RolloutStatus row {"writer", "v2", recorded, {1, orderRowVersion + 5}};
         gateway.setOrders({order}, std::vector<RolloutStatus> {row}, start + 1s);
         for (Duration at = 1s; at < duration; at += 100ms) {
             const auto idle = [](const std::string &, const std::string &) { return true; };
@@ -325,3 +330,58 @@
         CHECK(choice.allows("v1") == !completed);
     }
 }
+
+// Guards against an end that is lost or taken back when the store returns from a copy without it.
+TEST_CASE("an end that the store has lost holds, and is written again once the order is")
+{
+    const Duration duration = 12s;
+    const auto idle = [](const std::string &, const std::string &) { return true; };
+    GatewayRollouts gateway(rolloutChart(), GatewayRolloutSettings {"g"});
+    BackendRecord newServer; // the old ones have stopped
+    newServer.service = "writer";
+    newServer.version = "v2";
+    gateway.setBackends({newServer});
+    RolloutOrder order = makeOrder(duration);
+    RolloutStatus row {"writer", "v2", RolloutState::Completed, {1, orderRowVersion + 5}};
+    gateway.setOrders({order}, std::vector {row}, start);
+    order.confirmed = false;
+    const auto completes = [&](Instant now) {
+        return !gateway.choose("writer", "r", false, now).allows("v1");
+    };
+    gateway.setOrders({order}, std::nullopt, start + 1s);
+    CHECK(gateway.tick(idle, start + 1s).writes.empty());
+    CHECK(completes(start + 1s));
+    gateway.setOrders({order}, std::vector<RolloutStatus> {}, start + 2s);
+    CHECK(gateway.tick(idle, start + 2s).writes.empty());
+    CHECK(completes(start + 2s));
+    order.confirmed = true;
+    order.position = {2, 30};
+    row = {"writer", "v2", RolloutState::Running, {2, 20}}; // of the copy
+    gateway.setOrders({order}, std::vector {row}, start + 3s);
+    row.state = RolloutState::Completed;
+    CHECK(gateway.tick(idle, start + 3s).writes == std::vector {row});
+    CHECK(completes(start + 3s));
+    row.position = {2, 31};
+    gateway.setOrders({order}, std::vector {row}, start + 5s);
+    CHECK(gateway.tick(idle, start + 5s).writes.empty());
+}
+
+// Guards against a rollout of which gateways that start after a return know nothing.
+TEST_CASE("gateways that read an order before and after a return take it for the same")
+{
+    GatewayRollouts before(rolloutChart(), GatewayRolloutSettings {"a"});
+    GatewayRollouts after(rolloutChart(), GatewayRolloutSettings {"b"});
+    RolloutOrder order = makeOrder(12s);
+    order.position = {2, 3};
+    before.setOrders({order}, std::vector<RolloutStatus> {}, start);
+    before.mergePeerReport({"writer/v2#1.40", 8s, {2, RolloutEnd::Open, ""}, {}}, start);
+    order.orderedAt = order.position;
+    after.setOrders({order}, std::vector<RolloutStatus> {}, start);
+    after.mergePeerReport(before.reports(start).front(), start);
+    REQUIRE(after.reports(start).size() == 1);
+    CHECK(after.reports(start)[0].progress.stage == 2);
+    CHECK(after.reports(start)[0].remaining == 8s);
+    // An order of the same era that is not known here is another one.
+    after.mergePeerReport({"writer/v2#2.9", 1s, {0, RolloutEnd::RolledBack, ""}, {}}, start);
+    CHECK(after.reports(start)[0].progress.end == RolloutEnd::Open);
+}
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -259,16 +259,16 @@
     const std::uint64_t orderVersion = fixture.rows.version();
     fixture.run(60ms);
     REQUIRE(fixture.state->rollouts.size() == 1);
-    CHECK(fixture.state->rollouts[0].rowVersion == orderVersion);
+    CHECK(fixture.state->rollouts[0].position.version == orderVersion);
     REQUIRE(fixture.state->rolloutStatuses);
     CHECK(fixture.state->rolloutStatuses->empty());
 
-    RolloutStatus status {"w", "v2", RolloutState::Completed, 0};
+    RolloutStatus status {"w", "v2", RolloutState::Completed, {}};
     fixture.watcher.writeStatus(status);
     fixture.run(60ms);
     REQUIRE(fixture.state->rolloutStatuses->size() == 1);
     CHECK(fixture.state->rolloutStatuses->front().state == RolloutState::Completed);
-    CHECK(fixture.state->rolloutStatuses->front().rowVersion > orderVersion);
+    CHECK(fixture.state->rolloutStatuses->front().position.version > orderVersion);
     // A gateway that assumes that the row does not exist yet must not overwrite it.
     status.state = RolloutState::RolledBack;
     fixture.watcher.writeStatus(status);
--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -38,7 +38,7 @@
     Member(boost::asio::io_context &context, const std::shared_ptr<StoreContent> &content,
            const std::string &name)
         : store(context, content),
-          watcher(context, store, m_codec, {20ms, 20ms, 20ms, 5ms},
+          watcher(context, store, m_codec, {20ms, 20ms, 20ms, 5ms, 20ms, 300ms},
                   {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
                    [this](RowTable table, const ReadProof &proof) {
                        freshness.recordOwnRead(table, proof);
@@ -232,3 +232,68 @@
     fleet.run(2500ms);
     CHECK(member.state->backends.size() == 2);
 }
+
+// Guards against requests to a withdrawn zone, and against a rollout that starts anew, because the
+// copy lacks their orders.
+TEST_CASE("orders that the copy lacks hold until operators could write them again")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    const std::string rollout = R"({"service":"w","to":"v2","duration_s":60})";
+    fleet.content->set(RowTable::Orders, "evacuate/a", "{}");
+    fleet.content->set(RowTable::Orders, "evacuate/b", "{}");
+    fleet.content->set(RowTable::Orders, "rollout/w", rollout);
+    fleet.run(60ms);
+    REQUIRE(member.state->rollouts.size() == 1);
+    const StorePosition orderedAt = member.state->rollouts[0].orderedAt;
+    fleet.content->returnFromCopy();
+    fleet.run(60ms);
+    CHECK(member.state->withdrawnZones == std::set<std::string> {"a", "b"});
+    REQUIRE(member.state->rollouts.size() == 1);
+    CHECK_FALSE(member.state->rollouts[0].confirmed);
+    fleet.content->set(RowTable::Orders, "evacuate/a", "{}");
+    fleet.content->set(RowTable::Orders, "rollout/w", rollout);
+    fleet.run(60ms);
+    REQUIRE(member.state->rollouts.size() == 1);
+    CHECK(member.state->rollouts[0].confirmed);
+    CHECK(member.state->rollouts[0].orderedAt == orderedAt);
+    CHECK(member.state->rollouts[0].position.era == 2);
+    // The zone that is never withdrawn again is used again.
+    fleet.run(300ms);
+    CHECK(member.state->withdrawnZones == std::set<std::string> {"a"});
+    CHECK(member.state->rollouts.size() == 1);
+    // Another order after that time is a new one.
+    fleet.content->set(RowTable::Orders, "rollout/w", rollout);
+    fleet.run(60ms);
+    CHECK(member.state->rollouts[0].orderedAt > orderedAt);
+    fleet.content->erase(RowTable::Orders, "rollout/w");
+    fleet.run(60ms);
+    CHECK(member.state->rollouts.empty());
+}
+
+// Guards against a status that overwrites another gateway's, because its version is given out
+// again.
+TEST_CASE("a row version of an earlier era is no condition for a write")
+{
+    Fleet fleet;
+    Member &member = fleet.add("g");
+    fleet.content->set(RowTable::Orders, "rollout/w",
+                       R"({"service":"w","to":"v2","duration_s":60})");
+    fleet.run(60ms);
+    fleet.content->keepCopy();
+    fleet.content->set(RowTable::Statuses, "rollout/w", R"({"to":"v2","state":"running"})");
+    fleet.run(60ms);
+    REQUIRE(member.state->rolloutStatuses.value().size() == 1);
+    RolloutStatus status = member.state->rolloutStatuses->front();
+    fleet.content->returnFromCopy();
+    fleet.content->set(RowTable::Statuses, "rollout/w", R"({"to":"v2","state":"completed"})");
+    fleet.run(60ms);
+    REQUIRE(member.state->rolloutStatuses->front().state == RolloutState::Completed);
+    REQUIRE(member.state->rolloutStatuses->front().position.version == status.position.version);
+    status.state = RolloutState::RolledBack;
+    member.watcher.writeStatus(status);
+    fleet.run(60ms);
+    CHECK(member.state->rolloutStatuses->front().state == RolloutState::Completed);
+}
