A gateway registers again when the store has lost its row

A gateway that had written its row, but not read it back when the store returned without it, never wrote it again: it still counted the write as under way.

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -616,6 +616,7 @@
             if (!ec)
                 d->expireOrders();
         });
+        registering = false;
         publish(); // statuses of rollouts are unknown until they are read again
         for (const auto &it : readers)
             it->handleStoreReturn();
--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -297,3 +297,18 @@
     fleet.run(60ms);
     CHECK(member.state->rolloutStatuses->front().state == RolloutState::Completed);
 }
+
+// Guards against a gateway that its peers count as gone, as the copy lacks its row.
+TEST_CASE("a gateway registers again when the copy lacks its row, after each of two returns")
+{
+    Fleet fleet;
+    fleet.content->keepCopy();
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    for (int n = 0; n < 2; ++n) {
+        fleet.content->returnFromCopy();
+        fleet.run(n == 0 ? 5ms : 60ms);
+    }
+    REQUIRE(member.state->gateways.size() == 1);
+    CHECK(fleet.content->rows(RowTable::Gateways).contains("g"));
+}
