--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -428,8 +428,14 @@
     bool handleConfiguration(RouteTableContent content, const StoredRow &row)
     {
         const std::uint64_t currentVersion = routes ? routes->content().version : 0;
-        if (routes && content.version <= currentVersion)
+        if (routes && content.version <= currentVersion) {
+            EventLog("configuration_not_newer")
+                    .field("version", content.version)
+                    .field("in_force", currentVersion)
+                    .field("row_era", readerOf(RowTable::Orders).position().era)
+                    .field("row_version", row.version);
             return false;
+        }
         EventLog("configuration_applied")
                 .field("version", content.version)
                 .field("previous", currentVersion)
