Test of bytes without end waits for the server's view before it checks it

The check failed once beside five builds (load 22 on 8 cores): it read a counter that the stub server's thread sets when its next write fails, and nothing waited for that thread. The gateway had closed the connection; the caller had its 502.

--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <thread>
 
 using namespace cornelshed;
@@ -394,14 +395,14 @@
              std::string(16000, 'x')},
             {"/query/a", streamResponseHead("r-1"), chunk("data: " + std::string(16000, 'x'))}};
     for (const EndlessResponse &it : responses) {
-        std::atomic<int> closed = 0;
+        std::promise<bool> closed;
         Fixture fixture([&](const StubRequest &request, StubReply &reply) {
             if (requestIdOf(request) != "r-1") {
                 sendCompleteResponse(request, reply);
                 return;
             }
             reply.send(it.start);
-            closed += reply.sendUntilClosed(it.repeated, 10us) ? 1 : 0;
+            closed.set_value(reply.sendUntilClosed(it.repeated, 10us));
         });
         CAPTURE(it.target);
         CAPTURE(it.start);
@@ -410,7 +411,9 @@
         // as not run.
         CHECK(fixture.sendAndReceive(requestText("POST", it.target, "r-1")).status == 502);
         CHECK(fixture.sendAndReceive(requestText("GET", "/look/b", "r-2")).status == 200);
-        CHECK(closed == 1);
+        auto result = closed.get_future();
+        REQUIRE(result.wait_for(10s) == std::future_status::ready);
+        CHECK(result.get());
     }
 }
 
