Open requests are compared with the scheduler once a second

A request that is neither queued nor running would wait for its time limit, and nobody would see it. There was no check that each open request has an owner, and none that the scheduler's entries have a request.

auditRequests() puts each open request into exactly one state: queued, running, both (a silent attempt), or waiting for a set time. What is left over is counted in cornelshed_gateway_unowned_requests, logged as request_unowned and given back: queued again, or answered if it may have run. A backend server that the scheduler has chosen and the gateway no longer has leads back to the queue, without that server; reading found no order of events in which this happens.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -850,6 +850,14 @@
     return it->second.record;
 }
 
+std::vector<RequestId> DirectScheduler::queuedRequests() const
+{
+    std::vector<RequestId> ids;
+    for (const auto &[id, key] : d->queueKeys)
+        ids.push_back(id);
+    return ids;
+}
+
 std::size_t DirectScheduler::waiting() const
 {
     return d->queueKeys.size();
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -226,6 +226,7 @@
     void ended(const RequestId &id, const AttemptReport &report, Instant now);
 
     std::optional<BackendRecord> backend(const std::string &id) const;
+    std::vector<RequestId> queuedRequests() const;
     std::size_t waiting() const;
     std::size_t running() const;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -10,6 +10,7 @@
 #include "listener.h"
 #include "monotonicclock.h"
 #include "promptquarantine.h"
+#include "requestaudit.h"
 #include "stabledigest.h"
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,8 @@
 constexpr Duration shutdownMargin = 300ms;
 // A peer that has run for less does not know yet what its peers know.
 constexpr Duration peerStartTime = 1s;
+// Interval at which the open requests are compared with the scheduler.
+constexpr Duration auditInterval = 1s;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
 
@@ -75,7 +78,7 @@
           metrics(metricsRegistry),
           listener(std::make_shared<detail::Listener>(std::vector {&asioContext})),
           scheduler(settings.scheduling), dueTimer(asioContext), drainTimer(asioContext),
-          drainLimitTimer(asioContext),
+          drainLimitTimer(asioContext), auditTimer(asioContext),
           firstEventTimes(metrics.summary("cornelshed_gateway_first_event_seconds",
                                           "From a request's arrival to its first event")),
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
@@ -94,6 +97,11 @@
                       [this] { return static_cast<double>(scheduler.waiting()); });
         metrics.gauge("cornelshed_gateway_running", "Requests at backend servers",
                       [this] { return static_cast<double>(scheduler.running()); });
+        metrics.gauge("cornelshed_gateway_unowned_requests",
+                      "Requests that nothing would end before their time limit", [this] {
+                          return static_cast<double>(
+                                  auditRequests(openRequests(), scheduler).faults());
+                      });
         metrics.gauge("cornelshed_gateway_buffered_bytes",
                       "Bytes of responses that are not complete yet",
                       [this] { return static_cast<double>(bufferedBytes); });
@@ -176,6 +184,7 @@
     {
         const AdmittedRequest &admitted = exchange.admitted();
         const bool retry = !exchange.triedBackends().empty();
+        const bool requeued = id != admitted.id;
         const auto wait = std::chrono::duration_cast<Duration>(admitted.route.objective
                                                                * maxWaitObjectiveShare);
         DirectRequest request;
@@ -192,8 +201,8 @@
         request.sessionAffinityKey = admitted.metadata.sessionAffinityKey;
         request.excluded = exchange.excludedBackends();
         request.version =
-                rollouts.choose(admitted.service, admitted.metadata.requestId, retry, now);
-        request.isRetry = retry;
+                rollouts.choose(admitted.service, admitted.metadata.requestId, requeued, now);
+        request.isRetry = requeued;
         return request;
     }
 
@@ -247,9 +256,7 @@
     void startRequest(const StartAction &action)
     {
         const auto found = queued.find(action.request);
-        const auto record = scheduler.backend(action.backend);
-        const auto entry = backends.find(action.backend);
-        if (found == queued.end() || !record || entry == backends.end()) {
+        if (found == queued.end()) {
             // The place was withdrawn after the scheduler had chosen the backend server.
             neverSent(action.request);
             return;
@@ -262,6 +269,13 @@
             exchange->callerDisconnected();
             return;
         }
+        const auto record = scheduler.backend(action.backend);
+        const auto entry = backends.find(action.backend);
+        if (!record || entry == backends.end()) {
+            neverSent(action.request);
+            exchange->handleMissingBackend(action.backend);
+            return;
+        }
         // The part may have been quarantined while the request waited. A stream that is resumed has
         // shown that it crashes nothing.
         const auto untilTrial = exchange->answerStarted()
@@ -296,6 +310,63 @@
         exchange->handleRefusal(action);
     }
 
+    std::vector<OpenRequest> openRequests() const
+    {
+        std::vector<OpenRequest> open;
+        for (const auto &[id, exchange] : exchanges)
+            open.push_back(exchange->openRequest());
+        return open;
+    }
+
+    // Gives requests that nothing would end back to the queue, or answers them.
+    void audit()
+    {
+        if (advancing) // with actions that are not carried out yet
+            return;
+        const RequestAudit found = auditRequests(openRequests(), scheduler);
+        if (found.faults() == 0)
+            return;
+        counter("unowned_requests_total", "Requests that were found to be unowned")
+                .add(found.faults());
+        for (const auto &[id, state] : found.unowned) {
+            const auto entry = exchanges.find(id);
+            if (entry == exchanges.end())
+                continue;
+            const auto exchange = entry->second; // a copy, as ending an exchange releases it
+            EventLog("request_unowned", EventLevel::Error)
+                    .field("request", exchange->admitted().metadata.requestId)
+                    .field("state", nameOf(state));
+            if (exchange->queuedId())
+                queued.erase(*exchange->queuedId());
+            exchange->recover(state);
+        }
+        for (const RequestId &it : found.strayQueued) {
+            EventLog("request_unowned", EventLevel::Error)
+                    .field("sequence", it.sequence)
+                    .field("state", "ended_but_queued");
+            queued.erase(it);
+            scheduler.remove(it);
+        }
+        for (const RequestId &it : found.strayStarted) {
+            EventLog("request_unowned", EventLevel::Error)
+                    .field("sequence", it.sequence)
+                    .field("state", "ended_but_started");
+            neverSent(it);
+        }
+        advance(monotonicNow());
+    }
+
+    void auditAtInterval()
+    {
+        audit();
+        auditTimer.expires_after(auditInterval);
+        auditTimer.async_wait([weak = weak_from_this()](auto ec) {
+            const auto self = weak.lock();
+            if (!ec && self)
+                self->auditAtInterval();
+        });
+    }
+
     void armDueTimer(Instant now)
     {
         const Instant due = scheduler.nextDue();
@@ -626,6 +697,7 @@
     {
         if (!closing || !exchanges.empty())
             return;
+        audit();
         std::erase_if(channels, [](const auto &it) { return it.expired(); });
         if (channels.empty() || monotonicNow() >= drainDeadline) {
             if (const auto done = std::exchange(onDrained, nullptr))
@@ -674,6 +746,7 @@
     asio::steady_timer dueTimer;
     asio::steady_timer drainTimer;
     asio::steady_timer drainLimitTimer;
+    asio::steady_timer auditTimer;
     DurationSummary &firstEventTimes;
     DurationSummary &answerTimes;
     detail::GatewayAdmission admission;
@@ -710,13 +783,16 @@
                  GatewayTrafficSettings settings, StateChart rolloutChart, Metrics &metrics)
     : d(std::make_shared<Private>(context, protocol, std::move(settings), std::move(rolloutChart),
                                   metrics))
-{ }
+{
+    d->auditAtInterval();
+}
 
 Gateway::~Gateway()
 {
     d->dueTimer.cancel();
     d->drainTimer.cancel();
     d->drainLimitTimer.cancel();
+    d->auditTimer.cancel();
     d->listener->stop();
 }
 
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -29,7 +29,7 @@
 constexpr double silenceGapFactor = 4;
 // Time from a search without result to the next one.
 constexpr Duration searchPause = 100ms;
-// The same after backend servers have refused to resume a stream refusedAttemptLimit times.
+// The same after backend servers have refused the request more than refusedAttemptLimit times.
 constexpr Duration refusedSearchPause = 400ms;
 // A body that is not a stream makes progress with each of this many bytes.
 constexpr std::size_t progressBytes = 1024;
@@ -217,6 +217,7 @@
 
 void GatewayExchange::armSearchTimer(Instant at)
 {
+    m_searchTimerSet = true;
     m_searchTimer.expires_at(toSteadyTime(at, monotonicNow()));
     m_searchTimer.async_wait([self = shared_from_this()](auto ec) {
         if (!ec)
@@ -224,8 +225,15 @@
     });
 }
 
+void GatewayExchange::cancelSearchTimer()
+{
+    m_searchTimerSet = false;
+    m_searchTimer.cancel();
+}
+
 void GatewayExchange::searchTimerExpired()
 {
+    m_searchTimerSet = false;
     if (m_finished || m_queuedId)
         return;
     const Instant now = monotonicNow();
@@ -233,9 +241,13 @@
         armSearchTimer(m_lastProgressAt + silenceLimit());
         return;
     }
-    // Without a further attempt the current one continues, as it may still respond.
-    if (!mayRunAgain() || !hasTimeForRetry())
+    // Without a further attempt the current one continues, as it may still respond. Without any,
+    // the request waits for its deadline.
+    if (!mayRunAgain() || !hasTimeForRetry()) {
+        if (!m_attemptRunning)
+            armSearchTimer(m_admitted.deadline);
         return;
+    }
     if (!m_retryTaken && !m_services.hasRetry(m_admitted.service)) {
         armSearchTimer(now + searchPause);
         return;
@@ -282,12 +294,18 @@
             && m_history.ran + (m_attemptRunning ? 1 : 0) < m_history.attemptLimit;
 }
 
-// Whether a stream without an attempt may wait until it can be resumed.
+// Whether a request without an attempt, whose answer has begun, may wait until it is queued again.
 bool GatewayExchange::mayResumeLater() const
 {
     return m_history.answerStarted && mayRunAgain() && hasTimeForRetry();
 }
 
+void GatewayExchange::waitForPlace()
+{
+    const bool isOftenRefused = m_history.refused > refusedAttemptLimit;
+    armSearchTimer(monotonicNow() + (isOftenRefused ? refusedSearchPause : searchPause));
+}
+
 // --- response of an attempt ---
 
 void GatewayExchange::handleHead(std::uint32_t status, Headers headers)
@@ -456,7 +474,7 @@
 {
     m_attemptRunning = false;
     m_call = nullptr;
-    m_searchTimer.cancel();
+    cancelSearchTimer();
     if (end == AttemptEnd::NotRun)
         ++m_history.refused;
     else
@@ -466,7 +484,10 @@
         m_services.withdraw(*this);
     const NextSteps steps = afterAttempt(end, m_history);
     if (steps.preferred != NextStep::Retry) {
-        takeStep(steps.preferred);
+        if (steps.preferred != NextStep::Deliver && mayResumeLater())
+            waitForPlace();
+        else
+            takeStep(steps.preferred);
         return;
     }
     const bool inTime = hasTimeForRetry();
@@ -485,10 +506,12 @@
                            : suspect ? "suspected_prompt"
                            : inTime  ? "budget"
                                      : "deadline");
-    if (suspect && m_history.answerStarted)
-        abortResponse();
+    if (retry)
+        takeStep(NextStep::Retry);
+    else if (!suspect && mayResumeLater())
+        waitForPlace();
     else
-        takeStep(retry ? NextStep::Retry : steps.withoutRetry);
+        takeStep(steps.withoutRetry);
 }
 
 void GatewayExchange::takeStep(NextStep step)
@@ -508,12 +531,7 @@
         fail(502, "the backend server gave no answer", std::nullopt);
         break;
     case NextStep::AbortResponse:
-        if (mayResumeLater())
-            armSearchTimer(
-                    monotonicNow()
-                    + (m_history.refused > refusedAttemptLimit ? refusedSearchPause : searchPause));
-        else
-            abortResponse();
+        abortResponse();
         break;
     }
 }
@@ -526,7 +544,7 @@
 void GatewayExchange::stopAttempt(AttemptOutcome outcome)
 {
     m_attemptRunning = false;
-    m_searchTimer.cancel();
+    cancelSearchTimer();
     m_responseHandler->detach();
     m_call->abandon();
     m_call = nullptr;
@@ -593,6 +611,32 @@
         fail(503, "no backend server is free", retryAfterDelay(refusal.retryAfter));
 }
 
+void GatewayExchange::handleMissingBackend(const std::string &backend)
+{
+    m_excludedBackends.insert(backend);
+    m_services.requeue(*this);
+}
+
+OpenRequest GatewayExchange::openRequest() const
+{
+    return {m_admitted.id, m_queuedId, m_attemptRunning ? std::optional(m_attemptId) : std::nullopt,
+            m_searchTimerSet};
+}
+
+void GatewayExchange::recover(RequestState state)
+{
+    // The connection of a running attempt ends it.
+    if (m_finished || state == RequestState::NotStarted)
+        return;
+    m_queuedId.reset();
+    if (m_attemptRunning)
+        armSearchTimer(monotonicNow() + searchPause);
+    else if (m_history.ran == 0 && hasTimeForRetry())
+        m_services.requeue(*this);
+    else
+        handleRefusal({m_admitted.id, RefusalReason::NoBackend, {}, 0});
+}
+
 void GatewayExchange::callerDisconnected()
 {
     if (m_finished)
@@ -642,7 +686,7 @@
         m_services.withdraw(*this);
     takeBody();
     m_deadlineTimer.cancel();
-    m_searchTimer.cancel();
+    cancelSearchTimer();
     if (m_responseHandler)
         m_responseHandler->detach(); // breaks the reference cycle with the handler
     m_services.exchangeEnded(*this, status);
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -12,6 +12,7 @@
 #include "eventsplitter.h"
 #include "ingressprotocol.h"
 #include "promptquarantine.h"
+#include "requestaudit.h"
 #include "routetable.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -110,9 +111,15 @@
     void startAttempt(const RequestId &id, const BackendRecord &backend, BackendClient &client);
 
     // The scheduler refused the queued request. Ends the exchange unless an attempt is running, or
-    // a stream that has begun may still be resumed.
+    // the request may be queued again later.
     void handleRefusal(const RefuseAction &refusal);
 
+    // The scheduler chose this backend server, but the gateway no longer has it.
+    void handleMissingBackend(const std::string &backend);
+
+    // Ends the exchange or queues it again after an audit has found it in this state.
+    void recover(RequestState state);
+
     void callerDisconnected() override;
 
     // Ends the exchange, whose answer has not started, because a part of its prompt crashes backend
@@ -123,6 +130,7 @@
     // run only if that is certain.
     void shutDown();
 
+    OpenRequest openRequest() const;
     const AdmittedRequest &admitted() const { return m_admitted; }
     const AttemptHistory &history() const { return m_history; }
     const std::set<std::string> &triedBackends() const { return m_triedBackends; }
@@ -151,6 +159,7 @@
     void armDeadline();
     void deadlineExpired();
     void armSearchTimer(Instant at);
+    void cancelSearchTimer();
     void searchTimerExpired();
     Duration silenceLimit() const;
     void recordProgress();
@@ -158,6 +167,7 @@
     bool hasTimeForRetry() const;
     bool mayRunAgain() const;
     bool mayResumeLater() const;
+    void waitForPlace();
 
     void handleHead(std::uint32_t status, Headers headers);
     void handleBody(const std::string &data);
@@ -197,7 +207,8 @@
     // Id of the place in the scheduler's queue; empty: none. While an attempt is running, it is
     // silent, and only it works on the request: it is cancelled before the queued one starts.
     std::optional<RequestId> m_queuedId;
-    bool m_retryTaken = false; // from the budget, for the next attempt
+    bool m_searchTimerSet = false;
+    bool m_retryTaken = false;      // from the budget, for the next attempt
 
     // --- current attempt ---
     bool m_attemptRunning = false;
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -16,6 +16,7 @@
 
 #include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -64,13 +65,18 @@
         done.get_future().wait();
     }
 
-    // Value of a gauge or counter; -1 if there is none of this name.
+    // Value of a gauge or counter, summed over its labels; 0 if there is none of this name.
     double metric(const std::string &name)
     {
         std::string text;
         runOnTrafficThread([&] { text = m_metrics.text(); });
-        const auto at = text.find("\n" + name + " ");
-        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+        std::istringstream lines(text);
+        double sum = 0;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(name + " ") || line.starts_with(name + "{"))
+                sum += std::stod(line.substr(line.rfind(' ') + 1));
+        }
+        return sum;
     }
 
     // Applies the deployment and confirms that it is up to date.
@@ -80,6 +86,11 @@
         auto state = std::make_shared<DeploymentState>();
         state->routes = std::make_shared<const RouteTable>(content);
         state->backends = backends;
+        configure(state, view);
+    }
+
+    void configure(const std::shared_ptr<const DeploymentState> &state, const GossipView &view = {})
+    {
         runOnTrafficThread([&] {
             m_gateway->applyState(state, view);
             m_gateway->recordTableRead(RowTable::Orders, {timeSinceBoot(), 1, 1});
