A request whose silent attempt was cancelled is queued again if the next server refuses it

Callers got 502 for idempotent requests whose answer had not begun: the gateway had cancelled a silent attempt for a place elsewhere, the server there refused the request (503, not run), and no other place became free within 0.75 of the objective.

Cause: only a begun stream was queued again after that. The gateway has taken the request from a server that might have answered, so it now goes on as for a begun stream: as long as time and attempts allow, also at servers that refused it. Requests whose attempt failed by itself are treated as before.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -279,6 +279,7 @@
             .field("backend", m_backendId)
             .field("silent_ms", (monotonicNow() - m_lastProgressAt) / 1ms);
     ++m_history.ran;
+    m_cancelledSilent = true;
     stopAttempt(AttemptOutcome::TimedOut);
 }
 
@@ -294,10 +295,11 @@
             && m_history.ran + (m_attemptRunning ? 1 : 0) < m_history.attemptLimit;
 }
 
-// Whether a request without an attempt, whose answer has begun, may wait until it is queued again.
+// Whether a request without an attempt may wait until it is queued again: one whose answer has
+// begun, or whose attempt was cancelled although it might have answered.
 bool GatewayExchange::mayResumeLater() const
 {
-    return m_history.answerStarted && mayRunAgain() && hasTimeForRetry();
+    return (m_history.answerStarted || m_cancelledSilent) && mayRunAgain() && hasTimeForRetry();
 }
 
 void GatewayExchange::waitForPlace()
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -208,6 +208,7 @@
     // silent, and only it works on the request: it is cancelled before the queued one starts.
     std::optional<RequestId> m_queuedId;
     bool m_searchTimerSet = false;
+    bool m_cancelledSilent = false; // an attempt that might have answered
     bool m_retryTaken = false;      // from the budget, for the next attempt
 
     // --- current attempt ---
--- a/test/error/silentserver.cpp
+++ b/test/error/silentserver.cpp
@@ -162,25 +162,32 @@
     CHECK(closedBeforeSecond.load());
 }
 
-// Guards against a begun stream that is broken off because the other servers refuse to go on with
-// it for a moment.
-TEST_CASE("a stream is resumed later if the servers that should go on with it refuse at first")
+// Guards against a request that is given up because the servers that should go on with it, after a
+// silent one, refuse it for a moment.
+TEST_CASE("a request is resumed later if the servers that should go on with it refuse at first")
 {
-    std::atomic<int> attempts = 0;
-    Fixture fixture([&](const StubRequest &request, StubReply &reply) {
-        const int n = ++attempts;
-        if (n == 1)
-            pauseInStream(request, reply);
-        else if (n == 2)
-            sendNotRun(request, reply);
-        else
-            finishStream(request, reply, lastEvent);
-    });
-    fixture.caller.send(callerRequest("POST", "/quote/a", "r-1", callerWait));
-    const auto answer = fixture.caller.receive();
-    CHECK(answer.status == 200);
-    CHECK(answer.body == streamEvents(1, lastEvent));
-    CHECK(attempts.load() == 3);
+    for (const std::string path : {"/look/a", "/quote/a"}) {
+        CAPTURE(path);
+        std::atomic<int> attempts = 0;
+        Fixture fixture([&](const StubRequest &request, StubReply &reply) {
+            const int n = ++attempts;
+            if (n == 1 && path == "/quote/a")
+                pauseInStream(request, reply);
+            else if (n == 1)
+                std::this_thread::sleep_for(silence);
+            else if (n == 2)
+                sendNotRun(request, reply);
+            else if (path == "/quote/a")
+                finishStream(request, reply, lastEvent);
+            else
+                sendAnswer(request, reply, "done");
+        });
+        fixture.caller.send(callerRequest("POST", path, "r-1", callerWait));
+        const auto answer = fixture.caller.receive();
+        CHECK(answer.status == 200);
+        CHECK(answer.body == (path == "/look/a" ? "done" : streamEvents(1, lastEvent)));
+        CHECK(attempts.load() == 3);
+    }
 }
 
 // Guards against a request that is run by a second server after the first one has gone on.
