The soak checks that no gateway finds a request without an owner

Added: a request_unowned line in a gateway's log is a failure of the soak, which runs gateways and agents as processes that are killed, stopped and paused. Nothing else of the test changes.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -1,9 +1,9 @@
 // Guards against requests that are executed twice, requests that are refused as not run although
 // they ran, responses that belong to another request, truncated streams, prompts that go on
-// crashing backend servers, and limits of backend servers that are not kept, while several faults
-// overlap: processes are killed, stopped and paused, and connections are disturbed. Real gateways
-// and admission agents run as processes in front of scripted backend servers and a scripted store.
-// Faults are injected by signals and by loopback proxies.
+// crashing backend servers, requests without an owner, and limits of backend servers that are not
+// kept, while several faults overlap: processes are killed, stopped and paused, and connections are
+// disturbed. Real gateways and admission agents run as processes in front of scripted backend
+// servers and a scripted store. Faults are injected by signals and by loopback proxies.
 //
 // CORNELSHED_SOAK_SEED sets the first seed (default 1) and CORNELSHED_SOAK_SEEDS the number of
 // seeds (default 1):
@@ -27,6 +27,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -316,6 +317,7 @@
         for (std::thread &it : callers)
             it.join();
         checkExecutions();
+        checkOwners();
     }
 
     int answered() const { return m_answered; }
@@ -470,6 +472,18 @@
         }
     }
 
+    // A gateway logs each request that it finds with nothing to end it.
+    void checkOwners()
+    {
+        for (int n = 0; n < gatewayCount; ++n) {
+            std::ifstream log(m_folder.file(gatewayName(n) + ".log"));
+            for (std::string line; std::getline(log, line);) {
+                if (line.find("event=request_unowned") != std::string::npos)
+                    report(gatewayName(n) + ": " + line);
+            }
+        }
+    }
+
     void report(const std::string &problem)
     {
         const std::lock_guard lock(m_mutex);
