Keys: a return's copy neither confirms a configuration nor replaces a peer's

Cause, found in review: a read just after a return of the store proves that a gateway's copy equals the store, not that it holds the newest configuration that operators were acknowledged. A gateway that had been cut off, or that started then, read the copy's older configuration, took it for the newest, and accepted keys that had been taken away.

Keys are now accepted by reads sent at least two seconds after the return, in which what was lost is written again, or by the last proof from before it. Reports tell gateways that start of the return. They also carry the version in force: a gateway whose own is lower, and to which the store does not show that version, takes its own for outdated and refuses keyed requests with a time to return until it has it. The bound is ten seconds from the first read without it, several times the time in which operators write again, so that a wrong version, or one that is not written again, keeps no gateway out for good. A gateway that starts waits at most 300 ms for the first report.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -80,4 +80,7 @@
   uptimeMicros @8 :Int64;          # time since the sender started
   rollouts @9 :List(GossipRollout);
   promptParts @10 :List(GossipPromptPart);
+  configurationVersion @11 :UInt64;      # in force at the sender; 0: none
+  storeReturnEra @12 :UInt64;            # that began with the last return of the store
+  storeReturnAgeMicros @13 :Int64 = -1;  # since that return; -1: none known
 }
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c14a0518ea04717e, 7, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -994,6 +994,12 @@
   inline bool hasPromptParts() const;
   inline  ::capnp::List< ::cornelshed::wire::GossipPromptPart,  ::capnp::Kind::STRUCT>::Reader getPromptParts() const;
 
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getStoreReturnEra() const;
+
+  inline  ::int64_t getStoreReturnAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1083,6 +1089,15 @@
   inline void adoptPromptParts(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipPromptPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipPromptPart,  ::capnp::Kind::STRUCT>> disownPromptParts();
 
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::uint64_t getStoreReturnEra();
+  inline void setStoreReturnEra( ::uint64_t value);
+
+  inline  ::int64_t getStoreReturnAgeMicros();
+  inline void setStoreReturnAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2033,6 +2048,48 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t GossipReport::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipReport::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GossipReport::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipReport::Reader::getStoreReturnEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipReport::Builder::getStoreReturnEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GossipReport::Builder::setStoreReturnEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GossipReport::Reader::getStoreReturnAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t GossipReport::Builder::getStoreReturnAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void GossipReport::Builder::setStoreReturnAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -14,6 +14,9 @@
 // The store states its time in whole milliseconds.
 constexpr Duration storeClockResolution = std::chrono::milliseconds(1);
 
+// A return that is longer ago than this is not reported to peers.
+constexpr Duration returnMemory = std::chrono::minutes(1);
+
 std::size_t indexOf(RowTable table)
 {
     return static_cast<std::size_t>(table);
@@ -47,7 +50,7 @@
     if (era < m_era)
         return;
     if (era > m_era)
-        enterEra(era);
+        enterEra(era, proof.sentAt);
     // The store itself has the last word on its era.
     if (m_reportedEra && (m_reportedEra->era <= era || m_reportedEra->heardAt < proof.sentAt))
         m_reportedEra.reset();
@@ -58,18 +61,54 @@
         updateAnchor(proof);
     if (state.provenAt && proof.sentAt <= *state.provenAt)
         return;
-    state.provenAt = proof.sentAt;
+    prove(state, proof.sentAt);
     state.provenStoreTime = std::max(state.provenStoreTime, proof.storeTime);
 }
 
-void FreshnessTracker::enterEra(std::uint64_t era)
+// A daemon that has read no earlier era cannot know how old this one is.
+void FreshnessTracker::enterEra(std::uint64_t era, Duration sentAt)
 {
+    const bool hasRead = std::any_of(m_tableStates.begin(), m_tableStates.end(),
+                                     [](const TableState &it) { return it.provenAt.has_value(); });
+    m_returnedAt = hasRead ? std::optional(sentAt) : std::nullopt;
     m_era = era;
     m_anchor.reset();
     for (TableState &it : m_tableStates)
         it.provenStoreTime = Duration::zero();
 }
 
+void FreshnessTracker::prove(TableState &state, Duration at)
+{
+    state.provenAt = at;
+    if (at >= confirmsFrom())
+        state.confirmedAt = at;
+}
+
+Duration FreshnessTracker::confirmsFrom() const
+{
+    return m_returnedAt ? *m_returnedAt + m_rewriteTime : Duration::min();
+}
+
+std::optional<StoreReturn> FreshnessTracker::lastReturn(Duration sinceBoot) const
+{
+    if (!m_returnedAt || sinceBoot - *m_returnedAt > returnMemory)
+        return std::nullopt;
+    return StoreReturn {m_era, sinceBoot - *m_returnedAt};
+}
+
+void FreshnessTracker::recordPeerReturn(const StoreReturn &storeReturn, Duration sinceBoot)
+{
+    const Duration at = sinceBoot - storeReturn.age;
+    if (storeReturn.era != m_era || (m_returnedAt && *m_returnedAt <= at))
+        return;
+    const bool wasUnknown = !m_returnedAt;
+    m_returnedAt = at;
+    for (TableState &it : m_tableStates) {
+        if (wasUnknown && it.confirmedAt && *it.confirmedAt < confirmsFrom())
+            it.confirmedAt.reset();
+    }
+}
+
 // Keeps the anchor that gives the later local times, which waste less of each proof.
 void FreshnessTracker::updateAnchor(const ReadProof &proof)
 {
@@ -110,7 +149,7 @@
     }
     if (*provenAt <= *state.provenAt)
         return ProofUse::None;
-    state.provenAt = provenAt;
+    prove(state, *provenAt);
     state.provenStoreTime = std::max(state.provenStoreTime, proof.storeTime);
     return ProofUse::Extended;
 }
@@ -131,4 +170,9 @@
     return m_tableStates.at(indexOf(table)).provenAt;
 }
 
+std::optional<Duration> FreshnessTracker::confirmedAt(RowTable table) const
+{
+    return m_tableStates.at(indexOf(table)).confirmedAt;
+}
+
 } // namespace cornelshed
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -9,7 +9,10 @@
 // daemon serve all, in fleets in which two given daemons rarely exchange messages directly.
 //
 // Proofs of an earlier era of the store extend nothing once a later one is known, and the clocks
-// are related again in each era. What has been proven before stays proven for its moment.
+// are related again in each era. What has been proven before stays proven for its moment. Just
+// after a return a read proves that a copy equals the store, but not that it holds what operators
+// were acknowledged: they first have to write again what the store has lost. Only a later read
+// confirms that.
 
 #ifndef CORNELSHED_FRESHNESS_H
 #define CORNELSHED_FRESHNESS_H
@@ -47,6 +50,15 @@
     bool operator==(const SharedProof &) const = default;
 };
 
+// A return of the store from an older copy of itself, as reported to peers.
+struct StoreReturn
+{
+    std::uint64_t era = 0; // that began with it
+    Duration age {};
+
+    bool operator==(const StoreReturn &) const = default;
+};
+
 using SharedProofs = std::array<std::optional<SharedProof>, sharedTables.size()>;
 
 enum class ProofUse : std::uint8_t {
@@ -61,6 +73,11 @@
 class FreshnessTracker
 {
 public:
+    // rewriteTime: how long after a return operators write again what the store has lost.
+    explicit FreshnessTracker(Duration rewriteTime = std::chrono::seconds(2))
+        : m_rewriteTime(rewriteTime)
+    { }
+
     void recordOwnRead(RowTable table, const ReadProof &proof);
 
     // sinceBoot: the present time.
@@ -69,13 +86,21 @@
     // In order of sharedTables; empty for tables that were not read in the present era.
     SharedProofs share() const;
 
+    // The return with which the present era began; empty if it is not known or long ago.
+    std::optional<StoreReturn> lastReturn(Duration sinceBoot) const;
+    // A daemon that started after the return learns of it from its peers only.
+    void recordPeerReturn(const StoreReturn &storeReturn, Duration sinceBoot);
+
     std::optional<Duration> provenAt(RowTable table) const; // time since boot; empty if never read
+    // Like provenAt(), but not by reads before the end of the rewrite time.
+    std::optional<Duration> confirmedAt(RowTable table) const;
 
 private:
     struct TableState
     {
-        std::optional<Duration> provenAt; // time since boot
-        Duration provenStoreTime {};      // in the present era; 0: not read in it
+        std::optional<Duration> provenAt;    // time since boot
+        std::optional<Duration> confirmedAt; // time since boot; never later than provenAt
+        Duration provenStoreTime {};         // in the present era; 0: not read in it
         StorePosition lastChange;
         StorePosition appliedUpTo;
     };
@@ -96,12 +121,16 @@
     // the clocks have not been related, or no longer agree.
     std::optional<Duration> earliestLocalTime(Duration storeTime, Duration sinceBoot) const;
     void updateAnchor(const ReadProof &proof);
-    void enterEra(std::uint64_t era);
+    void enterEra(std::uint64_t era, Duration sentAt);
+    void prove(TableState &state, Duration at);
+    Duration confirmsFrom() const; // reads sent from then on confirm; time since boot
 
     std::array<TableState, sharedTables.size()> m_tableStates; // by RowTable
     std::optional<ClockAnchor> m_anchor;                       // of the present era
     std::uint64_t m_era = 0;                                   // the latest one that was read
     std::optional<ReportedEra> m_reportedEra;
+    std::optional<Duration> m_returnedAt; // start of the present era, if it is known; since boot
+    Duration m_rewriteTime;
 };
 
 } // namespace cornelshed
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gatewayexchange.h"
 #include "listener.h"
 #include "monotonicclock.h"
+#include "peerconfigurations.h"
 #include "promptquarantine.h"
 #include "stabledigest.h"
 
@@ -513,12 +514,35 @@
         return state && state->routes ? state->routes->content().version : 0;
     }
 
-    Duration proofAge() const
+    // Age of the proof that the configuration in force is the newest.
+    Duration proofAge() const { return ageOf(Duration(confirmedAtMicros.load())); }
+
+    static Duration ageOf(Duration provenTime)
     {
-        const Duration provenTime = provenAt(RowTable::Orders);
         return provenTime == Duration::zero() ? Duration::max() : timeSinceBoot() - provenTime;
     }
 
+    void updateConfirmation()
+    {
+        const bool isOutdated =
+                peerConfigurations.outdates(versionInForce(), hasPeers(), timeSinceBoot());
+        if (isOutdated && !std::exchange(loggedAsOutdated, isOutdated))
+            EventLog("configuration_outdated", EventLevel::Warning)
+                    .field("in_force", versionInForce())
+                    .field("at_peers", peerConfigurations.newest());
+        loggedAsOutdated = isOutdated;
+        const auto confirmedTime =
+                isOutdated ? std::nullopt : freshness.confirmedAt(RowTable::Orders);
+        confirmedAtMicros = confirmedTime.value_or(Duration::zero()).count();
+    }
+
+    bool hasPeers() const
+    {
+        return state
+                && std::any_of(state->gateways.begin(), state->gateways.end(),
+                               [&](const auto &it) { return it.name != settings.name; });
+    }
+
     Duration provenAt(RowTable table) const
     {
         return Duration(provenAtMicros.at(static_cast<std::size_t>(table)).load());
@@ -659,6 +683,11 @@
     FreshnessTracker freshness;
     // Copy of the proof times in freshness for other threads: microseconds since boot; 0: never.
     std::array<std::atomic<std::int64_t>, sharedTables.size()> provenAtMicros {};
+    PeerConfigurations peerConfigurations;
+    bool loggedAsOutdated = false;
+    // When the configuration in force was last confirmed to be the newest, in microseconds since
+    // boot; 0: never, or a peer has a newer one.
+    std::atomic<std::int64_t> confirmedAtMicros {0};
     std::atomic<bool> draining {false};
     Instant dueAt = instantNever; // when dueTimer expires
     std::function<void()> onDrained;
@@ -709,6 +738,7 @@
 void Gateway::reload(const GatewayTrafficSettings &settings)
 {
     d->admission.setKeyCheckMaxProofAge(settings.keyCheckMaxProofAge);
+    d->settings.keyCheckMaxProofAge = settings.keyCheckMaxProofAge;
     d->settings.readyMaxProofAge = settings.readyMaxProofAge;
     d->settings.answeredLogInterval = settings.answeredLogInterval;
 }
@@ -731,6 +761,9 @@
 {
     d->freshness.recordOwnRead(table, proof);
     d->publishProof(table);
+    if (table == RowTable::Orders)
+        d->peerConfigurations.recordRead(d->versionInForce(), proof.sentAt);
+    d->updateConfirmation();
 }
 
 Duration Gateway::provenAt(RowTable table) const
@@ -750,7 +783,9 @@
             d->freshness.share(),
             d->rollouts.active() ? d->rollouts.reports(monotonicNow())
                                  : std::vector<RolloutReport> {},
-            d->quarantine.reports(monotonicNow())};
+            d->quarantine.reports(monotonicNow()),
+            d->versionInForce(),
+            d->freshness.lastReturn(timeSinceBoot())};
 }
 
 std::vector<RowTable> Gateway::applyPeerReport(const GossipReport &report)
@@ -772,6 +807,10 @@
         else if (use == ProofUse::Extended)
             d->publishProof(table);
     }
+    if (report.storeReturn)
+        d->freshness.recordPeerReturn(*report.storeReturn, sinceBoot);
+    d->peerConfigurations.recordPeer(report.configurationVersion, sinceBoot);
+    d->updateConfirmation();
     const Instant now = monotonicNow();
     d->scheduler.peerReport(stableDigest(report.name), report.loads, now);
     for (const RolloutReport &it : report.rollouts)
@@ -791,6 +830,7 @@
 void Gateway::setView(const GossipView &view)
 {
     d->view = view;
+    d->updateConfirmation();
     d->scheduler.setGateways(view.possiblyAliveCount, view.rank, view.heardTimeout);
     d->rollouts.setGateways(view.possiblyAliveCount, view.rankAmongHeard);
     d->quarantine.setGateways(view.heardCount, view.rankAmongHeard);
@@ -815,7 +855,10 @@
 
 bool Gateway::ready() const
 {
-    return !d->draining && d->proofAge() < d->settings.readyMaxProofAge;
+    // Keys are checked for a while without confirmation, such as just after a return of the store.
+    return !d->draining
+            && Private::ageOf(d->provenAt(RowTable::Orders)) < d->settings.readyMaxProofAge
+            && d->proofAge() < d->settings.keyCheckMaxProofAge;
 }
 
 void Gateway::drain(Duration announce, Duration limit, std::function<void()> done)
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -171,6 +171,11 @@
     auto promptParts = root.initPromptParts(static_cast<unsigned>(report.promptParts.size()));
     for (unsigned i = 0; i < promptParts.size(); ++i)
         encodePromptPart(report.promptParts[i], promptParts[i]);
+    root.setConfigurationVersion(report.configurationVersion);
+    if (report.storeReturn) {
+        root.setStoreReturnEra(report.storeReturn->era);
+        root.setStoreReturnAgeMicros(report.storeReturn->age.count());
+    }
     return detail::packDatagram(message);
 }
 
@@ -195,6 +200,10 @@
             report.rollouts.push_back(decodeRollout(it, sender));
         for (const auto it : root.getPromptParts())
             report.promptParts.push_back(decodePromptPart(it));
+        report.configurationVersion = root.getConfigurationVersion();
+        if (root.getStoreReturnAgeMicros() >= 0)
+            report.storeReturn = StoreReturn {root.getStoreReturnEra(),
+                                              decodeTime(root.getStoreReturnAgeMicros())};
         const auto proofs = root.getProofs();
         for (unsigned i = 0; i < proofs.size() && i < report.proofs.size(); ++i) {
             if (proofs[i].getStoreTimeMicros() > 0)
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -41,6 +41,8 @@
     SharedProofs proofs;
     std::vector<RolloutReport> rollouts;
     std::vector<PromptPartReport> promptParts;
+    std::uint64_t configurationVersion = 0; // in force; 0: none
+    std::optional<StoreReturn> storeReturn; // the last one, if it was not long ago
 
     bool operator==(const GossipReport &) const = default;
 };
--- a/test/correctness/gatewayparts.cpp
+++ b/test/correctness/gatewayparts.cpp
@@ -6,6 +6,7 @@
 #include "backendregistry.h"
 #include "eventsplitter.h"
 #include "freshness.h"
+#include "peerconfigurations.h"
 #include "routetable.h"
 #include "windowedretrybudget.h"
 
@@ -299,6 +300,66 @@
     CHECK(tracker.recordPeerRead(RowTable::Orders, {{2, 41}, 65s}, 7s) == ProofUse::Extended);
 }
 
+// Guards against keys that are accepted after operators took them away in a configuration that the
+// store has lost and that no gateway had read.
+TEST_CASE("reads confirm nothing until operators could write again what a return has lost")
+{
+    FreshnessTracker tracker(2s);
+    tracker.recordOwnRead(RowTable::Orders, {1s, {1, 5}, {1, 5}, 60s});
+    CHECK(tracker.confirmedAt(RowTable::Orders) == std::optional<Duration>(1s));
+    CHECK_FALSE(tracker.lastReturn(1s).has_value());
+    tracker.recordOwnRead(RowTable::Orders, {4s, {2, 3}, {2, 3}, 63s});
+    tracker.recordOwnRead(RowTable::Orders, {5s, {2, 3}, {2, 3}, 64s});
+    CHECK(tracker.recordPeerRead(RowTable::Orders, {{2, 3}, 64900ms}, 6s) == ProofUse::Extended);
+    CHECK(tracker.provenAt(RowTable::Orders).value() > 5s);
+    CHECK(tracker.confirmedAt(RowTable::Orders) == std::optional<Duration>(1s));
+    CHECK(tracker.lastReturn(6s) == std::optional(StoreReturn {2, 2s}));
+    // A daemon that starts does not know of the return before a peer tells it.
+    FreshnessTracker started(2s);
+    started.recordOwnRead(RowTable::Orders, {15s, {2, 3}, {2, 3}, 65s});
+    CHECK(started.confirmedAt(RowTable::Orders).has_value());
+    started.recordPeerReturn({1, 1s}, 15100ms); // of an earlier era
+    CHECK(started.confirmedAt(RowTable::Orders).has_value());
+    started.recordPeerReturn({2, 1s}, 15100ms);
+    CHECK_FALSE(started.confirmedAt(RowTable::Orders).has_value());
+    started.recordPeerReturn({2, 0s}, 15200ms); // the first to notice it is the nearest
+    for (FreshnessTracker *it : {&tracker, &started}) {
+        const Duration at = it == &tracker ? 6100ms : 16100ms;
+        it->recordOwnRead(RowTable::Orders, {at, {2, 4}, {2, 4}, 66s});
+        CHECK(it->confirmedAt(RowTable::Orders) == std::optional(at));
+    }
+}
+
+// Guards against a gateway that starts after a return and admits requests by the copy's older
+// configuration, and against a wrong version that keeps gateways out of service for good.
+TEST_CASE("a configuration is not the newest while peers have a newer one that the store lacks")
+{
+    PeerConfigurations started;
+    started.recordRead(8, 1s);
+    CHECK(started.outdates(8, true, 1010ms)); // before the first report of a peer
+    CHECK_FALSE(PeerConfigurations(started).outdates(8, false, 1010ms));
+    CHECK_FALSE(PeerConfigurations(started).outdates(8, true, 1310ms)); // peers are gone
+    started.recordPeer(11, 1020ms);
+    CHECK(started.outdates(8, true, 1030ms));
+    started.recordRead(8, 1100ms);
+    CHECK(started.outdates(8, true, 5s));
+    CHECK_FALSE(started.outdates(11, true, 5s)); // once it is written again
+    CHECK(started.outdates(8, true, 11s));
+    CHECK_FALSE(started.outdates(8, true, 11200ms)); // it is given up
+
+    // While all goes well, a newer version is only about to be read.
+    PeerConfigurations running;
+    running.recordPeer(8, 1s);
+    CHECK_FALSE(running.outdates(8, true, 2s));
+    running.recordPeer(9, 3s);
+    running.recordRead(8, 2990ms); // sent before
+    CHECK_FALSE(running.outdates(8, true, 3100ms));
+    // Cut off from the store for longer than the limit, then reading a copy.
+    running.recordRead(8, 20s);
+    CHECK(running.outdates(8, true, 20s));
+    CHECK_FALSE(running.outdates(8, true, 30100ms));
+}
+
 TEST_CASE("property: no daemon considers its copy fresh at a time when it lacked a change, also if "
           "the store returns from older copies")
 {
--- a/test/support/gatewayrunner.h
+++ b/test/support/gatewayrunner.h
@@ -87,10 +87,10 @@
     }
 
     // Confirms the configuration as of this time since boot, as if the store was last read then.
-    void proveConfigurationAt(Duration sinceBoot)
+    void proveConfigurationAt(Duration sinceBoot, const StorePosition &position = {1, 1})
     {
         runOnTrafficThread([&] {
-            m_gateway->recordTableRead(RowTable::Orders, {sinceBoot, {1, 1}, {1, 1}, {}});
+            m_gateway->recordTableRead(RowTable::Orders, {sinceBoot, position, position, {}});
         });
     }
 
