Backend servers that leave or ask for a pause get no further request

What callers saw: requests went on to a server that had said in its answers that it leaves, until the store listed it as draining, which it may never do and cannot in an outage: streams and requests were cut off when it stopped. A server that turned requests away and named the time for which it wants none got the next ones 40 ms later, and each was an attempt in vain. Cause: the adapter read neither header.

The adapter now reads both and counts what it cannot read. backendstatements says which answers count, backendavailability keeps what was said, by id and start: a server that leaves gets nothing from the answer on, whatever the store says, until a later start of it is listed; one that asked for a pause gets nothing until its end, 5 minutes at most. Requested slots are released, granted ones are given back unused. Peers learn of leaving servers from the reports. If all servers of a service pause, requests wait by rank if the end comes in time and are refused at once otherwise. request_ended says by cause what kept a refused request from backend servers.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -15,6 +15,8 @@
   limit @4 :Float64 = -1;   # requests per second that the backend server named to the sender as its
                             # limit; negative: none
   limitAgeMicros @5 :Int64 = -1;  # since the answer that named it, or named none; -1: none known
+  leavingStartMs @6 :Int64 = -1;  # latest start of the backend server (Unix time) that said that it
+                                  # leaves; -1: none
 }
 
 struct GossipAllowance {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -40,7 +40,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da793db429c6b3c3, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(da793db429c6b3c3, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -198,6 +198,8 @@
 
   inline  ::int64_t getLimitAgeMicros() const;
 
+  inline  ::int64_t getLeavingStartMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -244,6 +246,9 @@
   inline  ::int64_t getLimitAgeMicros();
   inline void setLimitAgeMicros( ::int64_t value);
 
+  inline  ::int64_t getLeavingStartMs();
+  inline void setLeavingStartMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1190,6 +1195,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::int64_t GossipLoad::Reader::getLeavingStartMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t GossipLoad::Builder::getLeavingStartMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void GossipLoad::Builder::setLeavingStartMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t GossipAllowance::Reader::getOrganisation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/backendavailability.cpp
+++ b/src/backendavailability.cpp
@@ -20,6 +20,10 @@
 constexpr double coldRateFactor = 1.25;
 // Requests per second by which grants that are sent late may exceed the limits.
 constexpr double coldMargin = 1;
+// A longer pause ends after this time: a wrong value must not take a backend server away for good.
+constexpr Duration longestPause = 5min;
+// That a backend server leaves is kept for this time after its record is gone.
+constexpr Duration leavingKeepTime = 1h;
 // Window over which gateways without a grant share a named limit. Where there are agents, these use
 // up the limit, and the gateways that do not reach them get a part of what may go beyond it.
 constexpr Duration namedLimitWindow = 4s;
@@ -44,10 +48,14 @@
         return "not_listed";
     case AvailabilityReason::Draining:
         return "draining";
+    case AvailabilityReason::Leaving:
+        return "leaving";
     case AvailabilityReason::Misdirected:
         return "misdirected";
     case AvailabilityReason::ZoneWithdrawn:
         return "zone_withdrawn";
+    case AvailabilityReason::Paused:
+        return "paused";
     case AvailabilityReason::AgentDecides:
         return "agent_decides";
     case AvailabilityReason::NoAgent:
@@ -77,6 +85,36 @@
     return {spare - gateways, gateways};
 }
 
+bool BackendState::recordLeaving(std::int64_t startedAtMs)
+{
+    const bool before = isLeaving();
+    leavingStart = std::max(startedAtMs, leavingStart.value_or(startedAtMs));
+    return !before && isLeaving();
+}
+
+bool BackendState::recordPause(std::int64_t startedAtMs, Duration pause, Instant now)
+{
+    if (startedAtMs < latestStart)
+        return false;
+    const bool before = pausedUntil > now;
+    pausedUntil = std::max(pausedUntil, now + std::min(pause, longestPause));
+    return !before && pausedUntil > now;
+}
+
+void BackendState::setRecord(const BackendRecord &newRecord)
+{
+    if (newRecord.startedAtMs > latestStart)
+        pausedUntil = {};
+    latestStart = std::max(latestStart, newRecord.startedAtMs);
+    record = newRecord;
+}
+
+bool BackendState::isForgettable(Instant now) const
+{
+    const bool kept = leavingStart && now < unlistedAt + leavingKeepTime;
+    return !listed && running == 0 && !kept && pausedUntil <= now;
+}
+
 void BackendState::recordStart(Instant now)
 {
     recentStarts.push_back(now);
@@ -112,6 +150,8 @@
         return AvailabilityReason::NotListed;
     if (backend.record.draining)
         return AvailabilityReason::Draining;
+    if (backend.isLeaving())
+        return AvailabilityReason::Leaving;
     if (backend.misdirected)
         return AvailabilityReason::Misdirected;
     if (m_withdrawnZones.contains(backend.record.availabilityZone))
@@ -124,6 +164,8 @@
 {
     if (const auto reason = standing(backend); reason != AvailabilityReason::Available)
         return reason;
+    if (backend.pausedUntil > now)
+        return AvailabilityReason::Paused;
     if (backend.liveness.hasAgent(now))
         return AvailabilityReason::AgentDecides;
     if (backend.liveness.mayBeUnresponsive(probeDelay(backend), backend.unresponsiveReports, now))
@@ -148,6 +190,8 @@
 {
     if (const auto reason = standing(backend); reason != AvailabilityReason::Available)
         return reason;
+    if (backend.pausedUntil > now)
+        return AvailabilityReason::Paused;
     if (!backend.liveness.hasAgent(now))
         return AvailabilityReason::NoAgent;
     if (backend.fullUntil > now)
@@ -155,9 +199,11 @@
     return isEjected(backend) ? AvailabilityReason::Ejected : AvailabilityReason::Available;
 }
 
-AvailabilityReason BackendAvailability::forGrant(const BackendState &backend, Instant /*now*/) const
+AvailabilityReason BackendAvailability::forGrant(const BackendState &backend, Instant now) const
 {
-    return standing(backend);
+    const auto reason = standing(backend);
+    const bool paused = reason == AvailabilityReason::Available && backend.pausedUntil > now;
+    return paused ? AvailabilityReason::Paused : reason;
 }
 
 bool BackendAvailability::isEjected(const BackendState &backend) const
--- a/src/backendavailability.h
+++ b/src/backendavailability.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -23,8 +24,10 @@
     Available,
     NotListed,     // it has no record any more
     Draining,      // by its record
+    Leaving,       // it said in an answer that it leaves
     Misdirected,   // another backend server has its address
     ZoneWithdrawn, // no requests go to its availability zone
+    Paused,        // it asked for a pause
     AgentDecides,  // its agent responds, so that it gets requests only with a grant
     NoAgent,       // a slot cannot be requested, as its agent does not respond
     Unresponsive,  // neither its agent nor the server responds, and this gateway must not probe it
@@ -60,16 +63,38 @@
     ServerSlot outlierSlot = noServerSlot;
     double coldRate = 0; // requests per second that it may get while cold; 0: no limit
     bool listed = false;
+    Instant unlistedAt {};     // if not listed
     bool misdirected = false;  // another one has its address; reset when its record changes
     std::uint32_t running = 0; // requests of this gateway
     std::uint32_t peerRunning = 0;
     std::uint32_t unresponsiveReports = 0; // peers that report it as unresponsive
     Instant coldUntil {};
     Instant fullUntil {};
+    // The latest startedAtMs of its records. A store that was restored from a copy lists an earlier
+    // one for a while, but the answers come from the latest.
+    std::int64_t latestStart = 0;
+    Instant pausedUntil {}; // at the request of the latest start
+    // The latest start of it that said in an answer that it leaves.
+    std::optional<std::int64_t> leavingStart;
     std::deque<Instant> recentStarts; // of this gateway, in the last window of named limits
     NamedLimit namedLimit;
     BackendLiveness liveness;
 
+    bool isLeaving() const { return leavingStart && latestStart <= *leavingStart; }
+
+    // The start of the backend server that has this startedAtMs said that it leaves, or asked for a
+    // pause of this length. Returns whether that keeps requests from it that it could get before.
+    bool recordLeaving(std::int64_t startedAtMs);
+    bool recordPause(std::int64_t startedAtMs, Duration pause, Instant now);
+
+    // Takes over a record of the backend server. What an earlier start asked for ends with a new
+    // one; that it leaves holds for all records of the same or an earlier start.
+    void setRecord(const BackendRecord &newRecord);
+
+    // Whether nothing of it is needed any more. What it said is kept for a while after its record
+    // is gone: the record may come back, such as after an outage of the store or from a copy of it.
+    bool isForgettable(Instant now) const;
+
     void recordStart(Instant now);
     // Requests of this gateway that were started within this time, at most the window.
     std::size_t startsWithin(Duration time, Instant now) const;
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -98,6 +98,7 @@
     {
         std::string backend;
         std::string service;
+        std::int64_t backendStart = 0;
         std::uint64_t promptTokens = 0;
         std::uint64_t outputTokens = 0;
         bool probe = false; // for the outlier detector
@@ -237,8 +238,8 @@
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
         backend.recordStart(now);
-        StartedRequest started {backend.record.id, request.service, request.promptTokens,
-                                request.outputTokens};
+        StartedRequest started {backend.record.id, request.service, backend.latestStart,
+                                request.promptTokens, request.outputTokens};
         started.probe = outliers.state(backend.outlierSlot) == OutlierState::ProbeReady;
         outliers.probeStarted(backend.outlierSlot);
         startedRequests.emplace(request.id, std::move(started));
@@ -246,11 +247,12 @@
 
     // Expected wait of a request behind this many others, by this gateway's share of what the
     // backend servers do.
-    Duration expectedWait(const Service &service, std::size_t ahead) const
+    Duration expectedWait(const Service &service, const DirectRequest &request,
+                          std::size_t ahead) const
     {
         double perSecond = 0;
         for (const Backend *it : service.backends) {
-            if (!availability.isUsable(*it))
+            if (!availability.isUsable(*it) || it->pausedUntil > request.waitUntil)
                 continue;
             const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
             perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
@@ -278,8 +280,9 @@
                 it = erase(service, it, {});
                 continue;
             }
-            if (const auto refusal = refuse(service, queued, ahead, now)) {
-                actions.emplace_back(*refusal);
+            if (auto refusal = refuse(service, queued, ahead, now)) {
+                refusal->causes = causesFor(service, request, now);
+                actions.emplace_back(std::move(*refusal));
                 it = erase(service, it, {});
                 continue;
             }
@@ -358,21 +361,88 @@
                                        std::size_t ahead, Instant now) const
     {
         const DirectRequest &request = queued.request;
-        const Duration wait = expectedWait(service, ahead);
+        const CommonPause common = commonPause(service, request, now);
+        const Duration pause = common.endsAt ? *common.endsAt - now : Duration::zero();
+        const bool paused = pause > Duration::zero();
+        // Those ahead that start when the pause ends are no queue any more.
+        const std::size_t started = paused ? std::min<std::size_t>(ahead, common.freeSlots) : 0;
+        const Duration wait = pause + expectedWait(service, request, ahead - started);
         RefuseAction action {request.id, RefusalReason::WaitedTooLong, wait,
                              static_cast<std::uint32_t>(ahead)};
-        if (request.waitUntil <= now)
+        if (paused && *common.endsAt >= request.waitUntil) {
+            action.reason = RefusalReason::Paused;
             return action;
+        }
+        if (request.waitUntil <= now) {
+            if (!common.endsAt)
+                action.reason = RefusalReason::NoBackend;
+            return action;
+        }
         // The expected wait is checked only when a request arrives, and not again while it waits.
-        // It is not checked where agents respond, which know their queues better.
+        // It is not checked where agents respond, which know their queues better, unless all
+        // backend servers pause.
         const bool arrived = request.arrivedAt == now && !request.isRetry;
-        if (arrived && ahead > 0 && !anyAgent(service, now) && now + wait > request.waitUntil) {
+        if (arrived && ahead > 0 && now + wait > request.waitUntil
+            && (paused || !anyAgent(service, now))) {
             action.reason = RefusalReason::QueueTooLong;
             return action;
         }
         return std::nullopt;
     }
 
+    // The pause that all backend servers keep that the request may use.
+    struct CommonPause
+    {
+        std::optional<Instant> endsAt; // of the first one; nothing: the request may use none
+        std::uint32_t freeSlots = 0;   // of those whose pause ends while the request may wait
+    };
+
+    CommonPause commonPause(const Service &service, const DirectRequest &request, Instant now) const
+    {
+        CommonPause pause;
+        for (const Backend *it : service.backends) {
+            if (!allowsBackend(*it, request) || !availability.isUsable(*it))
+                continue;
+            const Instant unpaused = std::max(it->pausedUntil, now);
+            pause.endsAt = std::min(unpaused, pause.endsAt.value_or(unpaused));
+            const std::uint32_t running = it->running + it->peerRunning;
+            if (unpaused < request.waitUntil && running < it->record.slots)
+                pause.freeSlots += it->record.slots - running;
+        }
+        pause.freeSlots /= availability.gatewayCount();
+        return pause;
+    }
+
+    std::map<AvailabilityReason, std::uint32_t>
+    causesFor(const Service &service, const DirectRequest &request, Instant now) const
+    {
+        std::map<AvailabilityReason, std::uint32_t> causes;
+        for (const Backend *it : service.backends) {
+            if (allowsBackend(*it, request))
+                ++causes[availability.forStart(*it, request.reservedSlots, now)];
+        }
+        return causes;
+    }
+
+    // The start of the backend server that the request was sent to, or else the latest one.
+    std::int64_t startOf(const RequestId &id, const Backend &backend) const
+    {
+        const auto it = startedRequests.find(id);
+        return it != startedRequests.end() && it->second.backend == backend.record.id
+                ? it->second.backendStart
+                : backend.latestStart;
+    }
+
+    // Releases the slots that were requested for queued requests and are not granted yet.
+    void withdrawSlotRequests(const Backend &backend)
+    {
+        for (auto &[key, queued] : serviceOf(backend.record.service).queue) {
+            if (queued.slotRequests.erase(backend.record.id) > 0)
+                pendingActions.emplace_back(
+                        ReleaseSlotAction {queued.request.id, backend.record.id, true});
+        }
+    }
+
     static bool anyAgent(const Service &service, Instant now)
     {
         return std::any_of(service.backends.begin(), service.backends.end(),
@@ -444,8 +514,11 @@
         service.backends.clear();
     for (const auto &[name, rate] : coldRateOfService)
         d->serviceOf(name).coldRate = rate;
-    for (auto &[id, backend] : d->backends)
+    for (auto &[id, backend] : d->backends) {
+        if (backend.listed)
+            backend.unlistedAt = now;
         backend.listed = false;
+    }
     for (const BackendRecord &record : records) {
         auto [it, added] = d->backends.try_emplace(record.id);
         Private::Backend &backend = it->second;
@@ -472,13 +545,13 @@
             backend.misdirected = false;
         }
         Private::Service &service = d->serviceOf(record.service);
-        backend.record = record;
+        backend.setRecord(record);
         backend.listed = true;
         backend.coldRate = service.coldRate;
         service.backends.push_back(&backend);
     }
     for (auto it = d->backends.begin(); it != d->backends.end();) {
-        if (it->second.listed || it->second.running > 0) {
+        if (!it->second.isForgettable(now)) {
             ++it;
             continue;
         }
@@ -515,6 +588,8 @@
         it->second->liveness.peerReported(load.liveness, now);
         if (load.namedLimit)
             it->second->namedLimit.merge(*load.namedLimit, now);
+        if (load.leavingStart && it->second->recordLeaving(*load.leavingStart))
+            d->withdrawSlotRequests(*it->second);
     }
 }
 
@@ -524,9 +599,12 @@
     for (const auto &[id, backend] : d->backends) {
         const ReportedLiveness report = backend.liveness.ownReport(now);
         const auto limit = backend.namedLimit.ownReport(now);
-        if (backend.running > 0 || report != ReportedLiveness::None || limit)
-            loads.push_back(
-                    {backend.digest, backend.running, backend.pendingPrefillTokens, report, limit});
+        // What another gateway heard is passed on too: it does not change any more.
+        const auto leavingStart =
+                backend.listed && backend.isLeaving() ? backend.leavingStart : std::nullopt;
+        if (backend.running > 0 || report != ReportedLiveness::None || limit || leavingStart)
+            loads.push_back({backend.digest, backend.running, backend.pendingPrefillTokens, report,
+                             limit, leavingStart});
     }
     return loads;
 }
@@ -566,6 +644,33 @@
         it->second.namedLimit.recordAnswer(requestsPerSecond, now);
 }
 
+bool DirectScheduler::announcedLeaving(const RequestId &id, const std::string &backend)
+{
+    const auto it = d->backends.find(backend);
+    if (it == d->backends.end() || !it->second.recordLeaving(d->startOf(id, it->second)))
+        return false;
+    d->withdrawSlotRequests(it->second);
+    return true;
+}
+
+bool DirectScheduler::askedForPause(const RequestId &id, const std::string &backend, Duration pause,
+                                    Instant now)
+{
+    const auto it = d->backends.find(backend);
+    if (it == d->backends.end() || !it->second.recordPause(d->startOf(id, it->second), pause, now))
+        return false;
+    d->withdrawSlotRequests(it->second);
+    return true;
+}
+
+std::size_t DirectScheduler::countUnavailable(AvailabilityReason reason, Instant now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(d->backends.begin(), d->backends.end(), [&](const auto &it) {
+                return d->availability.forStart(it.second, 0, now) == reason;
+            }));
+}
+
 std::optional<double> DirectScheduler::namedLimit(const std::string &backend) const
 {
     const auto it = d->backends.find(backend);
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -72,6 +72,7 @@
     std::uint64_t promptTokens = 0; // of requests before their first event
     ReportedLiveness liveness = ReportedLiveness::None;
     std::optional<NamedLimitReport> namedLimit {}; // that the sender heard from the backend server
+    std::optional<std::int64_t> leavingStart {};   // see BackendState
 
     auto operator<=>(const PeerLoad &) const = default;
 };
@@ -107,7 +108,8 @@
 enum class RefusalReason : std::uint8_t {
     QueueTooLong, // on arrival, by the expected wait
     WaitedTooLong,
-    NoBackend // the service has no usable backend server
+    NoBackend, // the service has no usable backend server
+    Paused     // all usable backend servers asked for a pause that ends too late
 };
 
 struct RefuseAction
@@ -116,6 +118,8 @@
     RefusalReason reason = RefusalReason::QueueTooLong;
     Duration retryAfter {};
     std::uint32_t waitingAhead = 0;
+    // What kept it from the backend servers that it may use, and the number of these.
+    std::map<AvailabilityReason, std::uint32_t> causes {};
 
     bool operator==(const RefuseAction &) const = default;
 };
@@ -177,6 +181,15 @@
     // limit.
     void answered(const std::string &backend, std::optional<double> requestsPerSecond, Instant now);
 
+    // An answer to the request arrived in which the backend server said that it leaves, or asked
+    // for a pause. Return whether that is new.
+    bool announcedLeaving(const RequestId &id, const std::string &backend);
+    bool askedForPause(const RequestId &id, const std::string &backend, Duration pause,
+                       Instant now);
+
+    // The number of backend servers that get no request now for this reason.
+    std::size_t countUnavailable(AvailabilityReason reason, Instant now) const;
+
     // The limit in force, in requests per second over all gateways; nothing: none.
     std::optional<double> namedLimit(const std::string &backend) const;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway.h"
 
 #include "admissionclient.h"
+#include "backendstatements.h"
 #include "callerchannel.h"
 #include "eventlog.h"
 #include "gatewayadmission.h"
@@ -74,8 +75,8 @@
         : ioContext(asioContext), ingressProtocol(callerProtocol), settings(std::move(traffic)),
           metrics(metricsRegistry),
           listener(std::make_shared<detail::Listener>(std::vector {&asioContext})),
-          scheduler(settings.scheduling), dueTimer(asioContext), drainTimer(asioContext),
-          drainLimitTimer(asioContext),
+          scheduler(settings.scheduling), statements(scheduler, metrics), dueTimer(asioContext),
+          drainTimer(asioContext), drainLimitTimer(asioContext),
           firstEventTimes(metrics.summary("cornelshed_gateway_first_event_seconds",
                                           "From a request's arrival to its first event")),
           answerTimes(metrics.summary("cornelshed_gateway_answer_seconds",
@@ -338,19 +339,10 @@
             recordCrash(*it->second, now);
     }
 
-    void replyReceived(const std::string &backend, const BackendReply &reply) override
+    void replyReceived(const RequestId &id, const std::string &backend,
+                       const BackendReply &reply) override
     {
-        // Only the backend server itself can lift its limit.
-        const bool isOwn = !reply.misdirected && (reply.authenticated || reply.notRun);
-        if (!isOwn)
-            return;
-        const auto before = scheduler.namedLimit(backend);
-        scheduler.answered(backend, reply.requestsPerSecond, monotonicNow());
-        const auto after = scheduler.namedLimit(backend);
-        if (before.has_value() != after.has_value())
-            EventLog(after ? "backend_limit_named" : "backend_limit_lifted")
-                    .field("backend", backend)
-                    .field("requests_per_second", after.value_or(0));
+        statements.replyReceived(id, backend, reply);
     }
 
     // --- prompts that crash backend servers ---
@@ -471,6 +463,7 @@
                 .field("tried", exchange.triedBackends().size())
                 .field("ran", history.ran)
                 .field("not_run", history.refused)
+                .field("kept_from", exchange.unavailable())
                 .field("queue_ms", exchange.timeInQueue() / 1ms)
                 .field("total_ms", total / 1ms)
                 .field("first_event_ms", exchange.timeToFirstEvent() / 1ms)
@@ -640,6 +633,7 @@
     Metrics &metrics;
     std::shared_ptr<detail::Listener> listener;
     DirectScheduler scheduler;
+    detail::BackendStatements statements;
     asio::steady_timer dueTimer;
     asio::steady_timer drainTimer;
     asio::steady_timer drainLimitTimer;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -73,6 +73,22 @@
     return "unknown";
 }
 
+// The names under which refusals are logged; see descriptionOfProblem().
+const char *nameOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::QueueTooLong:
+        return "queue_too_long";
+    case RefusalReason::WaitedTooLong:
+        return "waited_too_long";
+    case RefusalReason::NoBackend:
+        return "no_backend";
+    case RefusalReason::Paused:
+        return "backends_paused";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 // Forwards the response of an attempt to the exchange while that attempt is the current one.
@@ -240,7 +256,7 @@
     m_status = status;
     m_reply = m_services.protocol().decodeReply(status, headers);
     m_responseHeaders = std::move(headers);
-    m_services.replyReceived(m_backendId, m_reply);
+    m_services.replyReceived(m_admitted.id, m_backendId, m_reply);
     if (isStreamedResponse())
         m_eventSplitter.emplace(m_lastEventId);
 }
@@ -503,8 +519,10 @@
 
 void GatewayExchange::handleRefusal(const RefuseAction &refusal)
 {
-    m_problem =
-            refusal.reason == RefusalReason::QueueTooLong ? "queue_too_long" : "waited_too_long";
+    m_problem = nameOf(refusal.reason);
+    for (const auto &[reason, count] : refusal.causes)
+        m_unavailable += std::string(m_unavailable.empty() ? "" : ",") + nameOf(reason) + ":"
+                + std::to_string(count);
     if (m_history.answerStarted)
         abortResponse();
     else if (m_history.ran > 0)
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -37,7 +37,8 @@
     virtual bool tryTakeRetry(const std::string &service) = 0;
 
     // The head of an answer of the backend server arrived.
-    virtual void replyReceived(const std::string &backend, const BackendReply &reply) = 0;
+    virtual void replyReceived(const RequestId &id, const std::string &backend,
+                               const BackendReply &reply) = 0;
 
     // Whether the prompt may be what crashes backend servers.
     virtual bool isSuspect(const PromptIdentity &prompt) const = 0;
@@ -123,6 +124,9 @@
     bool answerWentOn() const;
     bool answerStarted() const { return m_history.answerStarted; }
     const char *lastProblem() const { return m_problem; }
+    // If the scheduler refused it: what kept it from backend servers, and from how many, such as
+    // "leaving:1,paused:2".
+    const std::string &unavailable() const { return m_unavailable; }
     Duration timeInQueue() const { return m_timeInQueue; } // before the first attempt
     // From the arrival to the start of a streamed response; 0 before.
     Duration timeToFirstEvent() const { return m_timeToFirstEvent; }
@@ -188,6 +192,7 @@
     Duration m_timeInQueue {};                  // from the arrival to the first attempt
     Duration m_timeToFirstEvent {};             // from the arrival; 0 before
     const char *m_problem = "";                 // latest failure, for the log; empty: none
+    std::string m_unavailable;
     bool m_finished = false;
 };
 
--- a/src/ingressprotocol.h
+++ b/src/ingressprotocol.h
@@ -55,6 +55,9 @@
     // Requests per second that the backend server takes from all gateways together, if it names a
     // limit; not negative.
     std::optional<double> requestsPerSecond;
+    bool leaving = false;          // it is about to stop and wants no further request
+    std::optional<Duration> pause; // it wants no request for this time; not negative
+    bool noticeMalformed = false;  // a header for one of these two has a value without a meaning
 
     bool operator==(const BackendReply &) const = default;
 };
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -149,6 +149,8 @@
             loads[i].setLimit(limit->perSecond.value_or(-1));
             loads[i].setLimitAgeMicros(limit->age.count());
         }
+        if (report.loads[i].leavingStart)
+            loads[i].setLeavingStartMs(*report.loads[i].leavingStart);
     }
     auto allowances = root.initAllowances(static_cast<unsigned>(report.consumedTokens.size()));
     unsigned n = 0;
@@ -186,7 +188,10 @@
         for (const auto it : root.getLoads())
             report.loads.push_back({it.getBackend(), it.getRunning(), it.getPromptTokens(),
                                     decodeSign(it.getSign()),
-                                    decodeNamedLimit(it.getLimit(), it.getLimitAgeMicros())});
+                                    decodeNamedLimit(it.getLimit(), it.getLimitAgeMicros()),
+                                    it.getLeavingStartMs() < 0
+                                            ? std::nullopt
+                                            : std::optional<std::int64_t>(it.getLeavingStartMs())});
         for (const auto it : root.getAllowances())
             report.consumedTokens[it.getOrganisation()] = it.getTaken();
         const std::string sender = report.name + "#" + std::to_string(report.incarnation);
--- a/src/requestreport.cpp
+++ b/src/requestreport.cpp
@@ -34,9 +34,11 @@
                                                           "configuration_applied"};
 
 // Events, and the field whose value must equal that of the same field in a line of the request.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 3> relatedEvents {
+constexpr std::array<std::pair<std::string_view, std::string_view>, 5> relatedEvents {
         {{"backend_listed", "backend"},
          {"backend_gone", "backend"},
+         {"backend_leaving", "backend"},
+         {"backend_paused", "backend"},
          {"allowance_changed", "organisation"}}};
 
 struct ProblemDescription
@@ -45,7 +47,7 @@
     std::string_view description;
 };
 
-constexpr std::array<ProblemDescription, 29> problemDescriptions {{
+constexpr std::array<ProblemDescription, 31> problemDescriptions {{
         {"allowance", "its organisation had used up its allowance; it has not run"},
         {"no_route", "no route of the configuration in force matches it; it has not run"},
         {"unknown_key",
@@ -58,6 +60,12 @@
         {"waited_too_long",
          "no backend server had room for it within its waiting limit; see the field ran for "
          "earlier attempts"},
+        {"no_backend",
+         "its service had no backend server that it could be sent to within its waiting limit; see "
+         "the field ran for earlier attempts"},
+        {"backends_paused",
+         "all backend servers of its service asked for a pause; see the field ran for earlier "
+         "attempts"},
         {"prompt_quarantined", "a part of its prompt has crashed several backend servers"},
         {"deadline", "its time limit passed"},
         {"caller_left", "the caller closed the connection"},
@@ -209,6 +217,9 @@
     const std::string outcome =
             status == "0" ? "its connection was closed" : "the caller got " + status;
     std::string sentence = outcome + ": " + std::string(descriptionOfProblem(problem));
+    const std::string causes = fieldOf(last, "kept_from");
+    if (!causes.empty())
+        sentence += "; it was kept from these numbers of backend servers: " + causes;
     const std::string wait = fieldOf(last, "retry_after_ms");
     if (!wait.empty() && wait[0] != '-')
         sentence += "; told to retry after " + wait + " ms";
