Soak: a backend server that leaves, one that asks for pauses, and the users' bounds on both

The bounds are judged by what callers sent and what the servers saw: no request that was sent half a second after a caller got the word of leaving, and no more than two from half a second after a refusal to the end of the pause, unless the gateway was stopped or restarted or the connections were cut meanwhile.

--- a/test/correctness/requestreport.cpp
+++ b/test/correctness/requestreport.cpp
@@ -101,6 +101,20 @@
     CHECK_FALSE(has(text, "peer_heard"));
 }
 
+// An operator would look for full servers where all of them asked for a pause.
+TEST_CASE("a request that got no backend server: what kept it from each, by cause")
+{
+    RequestReport account(requestId);
+    account.addLine("g",
+                    logLine("54.867",
+                            "event=request_ended request=" + requestId
+                                    + " status=503 problem=backends_paused backend=\"\" "
+                                      "kept_from=leaving:1,paused:3 total_ms=1"));
+    CHECK(has(account.text(),
+              "the caller got 503: all backend servers of its service asked for a pause"));
+    CHECK(has(account.text(), "numbers of backend servers: leaving:1,paused:3"));
+}
+
 TEST_CASE("truncated lines are counted, and a missing end of the request is reported")
 {
     RequestReport account(requestId);
--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -1,9 +1,9 @@
 // Guards against requests that are executed twice, requests that are refused as not run although
 // they ran, responses that belong to another request, truncated streams, prompts that go on
-// crashing backend servers, and limits of backend servers that are not kept, while several faults
-// overlap: processes are killed, stopped and paused, and connections are disturbed. Real gateways
-// and admission agents run as processes in front of scripted backend servers and a scripted store.
-// Faults are injected by signals and by loopback proxies.
+// crashing backend servers, and limits, pauses and departures of backend servers that are not kept,
+// while several faults overlap: processes are killed, stopped and paused, and connections are
+// disturbed. Real gateways and admission agents run as processes in front of scripted backend
+// servers and a scripted store. Faults are injected by signals and by loopback proxies.
 //
 // CORNELSHED_SOAK_SEED sets the first seed (default 1) and CORNELSHED_SOAK_SEEDS the number of
 // seeds (default 1):
@@ -12,6 +12,7 @@
 #include "childprocess.h"
 #include "faultproxy.h"
 #include "loopback.h"
+#include "noticebounds.h"
 #include "platformrows.h"
 #include "temporaryfolder.h"
 #include "types.h"
@@ -23,6 +24,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -53,6 +55,14 @@
 constexpr int limitedRequestsAllowed = namedLimit * 6 + 5;
 constexpr int deadlyRequestsAllowed = 3;
 
+// The backend server that leaves, from this time after the start on, though the store goes on
+// listing it; and the one that refuses one in so many requests and asks for a pause.
+constexpr int leavingBackend = 1;
+constexpr auto leavingAfter = 3s;
+constexpr int pausingBackend = 2;
+constexpr std::size_t pausingInterval = 20;
+constexpr auto pauseLength = 1200ms;
+
 std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
 {
     const char *text = std::getenv(name);
@@ -118,18 +128,37 @@
 {
     std::atomic<int> limited {0}; // at the server that names a limit
     std::atomic<int> deadly {0};  // with a prompt that crashes servers
+    NoticeBounds notices;
+    const std::chrono::steady_clock::time_point leavesAt =
+            std::chrono::steady_clock::now() + leavingAfter;
 };
 
 BackendStub::Handler backendScript(ExecutionCounts &executions, BoundedArrivals &arrivals,
-                                   bool isLimited)
+                                   int backend)
 {
-    return [&executions, &arrivals, isLimited](const StubRequest &request, StubReply &reply) {
+    const bool isLimited = backend == 0;
+    return [&executions, &arrivals, isLimited, backend](const StubRequest &request,
+                                                        StubReply &reply) {
         const std::string id = header(request, "X-Request-Id");
+        if (backend == pausingBackend) {
+            arrivals.notices.arrivedAtPausing(id);
+            if (std::hash<std::string> {}(id) % pausingInterval == 0) {
+                reply.send("HTTP/1.1 503 x\r\nX-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\n"
+                           + "Retry-After: 1.2\r\nContent-Length: 0\r\n\r\n");
+                arrivals.notices.pauseAsked(id, pauseLength);
+                return;
+            }
+        }
         executions.add(id);
         arrivals.limited += isLimited ? 1 : 0;
         std::string commonHeaders = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
         if (isLimited)
             commonHeaders += "Server-Limit: " + std::to_string(namedLimit) + "\r\n";
+        if (backend == leavingBackend) {
+            arrivals.notices.arrivedAtLeaving(id);
+            if (std::chrono::steady_clock::now() >= arrivals.leavesAt)
+                commonHeaders += "Server-Leaving: 1\r\n";
+        }
         if (header(request, "X-Prefix-Hash").find(deadlyPart) != std::string::npos) {
             ++arrivals.deadly;
             reply.send("HTTP/1.1 200 OK\r\n" + commonHeaders
@@ -257,7 +286,7 @@
         std::vector<std::uint16_t> ports;
         for (int n = 0; n < backendCount; ++n) {
             m_backends.push_back(
-                    std::make_unique<BackendStub>(backendScript(m_executions, m_arrivals, n == 0)));
+                    std::make_unique<BackendStub>(backendScript(m_executions, m_arrivals, n)));
             m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0." + std::to_string(n + 2),
                                                              m_backends.back()->port()));
             ports.push_back(m_proxies.back()->port());
@@ -300,8 +329,7 @@
         std::thread processFaults([&] { repeatUntilEnd([this] { injectProcessFault(); }); });
         repeatUntilEnd([this] { injectConnectionFault(); });
         processFaults.join();
-        for (const auto &it : m_proxies)
-            it->set(ProxyFault::None);
+        clearConnectionFaults();
         for (const auto &it : m_processes)
             it->signal(SIGCONT);
         std::this_thread::sleep_for(recoveryDuration);
@@ -316,12 +344,15 @@
         for (std::thread &it : callers)
             it.join();
         checkExecutions();
+        for (const std::string &it : m_arrivals.notices.violations())
+            report(it);
     }
 
     int answered() const { return m_answered; }
     bool recovered() const { return m_recovered; }
     int limitedWhileCalm() const { return m_limitedWhileCalm; }
     int deadlyWhileCalm() const { return m_deadlyWhileCalm; }
+    const NoticeBounds &notices() const { return m_arrivals.notices; }
     std::vector<std::string> problems() const { return m_problems; }
     void keepLogs() { m_folder.keep(); }
 
@@ -367,7 +398,9 @@
 
     void injectProcessFault()
     {
-        RestartableProcess &process = *m_processes[m_processRandom.below(m_processes.size())];
+        const std::size_t index = m_processRandom.below(m_processes.size());
+        RestartableProcess &process = *m_processes[index];
+        const auto from = std::chrono::steady_clock::now();
         switch (m_processRandom.below(4)) {
         case 0:
             process.restart(SIGKILL);
@@ -381,37 +414,55 @@
             process.signal(SIGCONT);
             break;
         }
+        // The agents come first.
+        if (index >= backendCount)
+            m_arrivals.notices.gatewayDisturbed(static_cast<int>(index) - backendCount, from);
         std::this_thread::sleep_for(std::chrono::milliseconds(m_processRandom.below(300)));
     }
 
     void injectConnectionFault()
     {
-        FaultProxy &proxy = *m_proxies[m_proxyRandom.below(m_proxies.size())];
+        const std::size_t index = m_proxyRandom.below(m_proxies.size());
         // The fault may remain set on return, so that it overlaps with the next one.
-        proxy.set(static_cast<ProxyFault>(1 + m_proxyRandom.below(4)));
+        setConnectionFault(index, static_cast<ProxyFault>(1 + m_proxyRandom.below(4)));
         std::this_thread::sleep_for(std::chrono::milliseconds(25 + m_proxyRandom.below(250)));
         if (m_proxyRandom.below(2) == 0)
-            proxy.set(ProxyFault::None);
+            setConnectionFault(index, ProxyFault::None);
         if (m_proxyRandom.below(3) != 0)
             return;
-        for (const auto &it : m_proxies)
-            it->set(ProxyFault::None);
+        clearConnectionFaults();
         std::this_thread::sleep_for(std::chrono::milliseconds(m_proxyRandom.below(100)));
     }
 
+    void setConnectionFault(std::size_t index, ProxyFault fault)
+    {
+        m_proxies[index]->set(fault);
+        if (index == pausingBackend)
+            m_arrivals.notices.setPausingCut(fault != ProxyFault::None);
+    }
+
+    void clearConnectionFaults()
+    {
+        for (std::size_t index = 0; index < m_proxies.size(); ++index)
+            setConnectionFault(index, ProxyFault::None);
+    }
+
     // Sends requests as one caller, and keeps each connection until it is closed.
     void runCaller(int n)
     {
         std::unique_ptr<Caller> caller;
+        int gateway = 0; // that the caller is connected to
         const char *const paths[] = {"/order/", "/look/", "/quote/"};
         for (int i = 0; !m_stopped; ++i) {
             std::string id = std::to_string(m_seed);
             id.append("-").append(std::to_string(n)).append("-").append(std::to_string(i));
             const std::string path = paths[i % 3];
             try {
-                if (!caller)
+                if (!caller) {
+                    gateway = (n + i) % gatewayCount;
                     caller = std::make_unique<Caller>(static_cast<std::uint16_t>(m_basePort + 2),
-                                                      gatewayAddress((n + i) % gatewayCount));
+                                                      gatewayAddress(gateway));
+                }
                 std::string text = "POST ";
                 text.append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ");
                 const bool isDeadly = path == "/quote/" && i % deadlyInterval == 2;
@@ -423,8 +474,14 @@
                     const std::lock_guard lock(m_mutex);
                     m_nonIdempotentIds.push_back(id);
                 }
+                m_arrivals.notices.requestSent(id, gateway);
                 caller->send(text);
                 const CallerAnswer answer = caller->receive();
+                const bool saysLeaving =
+                        std::any_of(answer.headers.begin(), answer.headers.end(),
+                                    [](const auto &it) { return it.first == "Server-Leaving"; });
+                if (saysLeaving)
+                    m_arrivals.notices.leavingPassedOn(gateway);
                 check(id, path, answer);
                 if (isDeadly && answer.status == 200)
                     report(id + " was answered though no backend server can");
@@ -519,5 +576,7 @@
         CHECK(soak.recovered());
         CHECK(soak.limitedWhileCalm() <= limitedRequestsAllowed);
         CHECK(soak.deadlyWhileCalm() <= deadlyRequestsAllowed);
+        CHECK(soak.notices().judgedPauses() > 0);
+        CHECK(soak.notices().leavingHeard() > 0);
     }
 }
