Scheduler: the wait of a queued request is computed only when it may be refused

It was computed for each queued request in each pass, and looking for a common pause of all backend servers doubled that. Now a request that neither arrives nor has waited too long costs nothing unless a backend server of its service pauses. No change of behaviour; the tests pass as they were.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -91,6 +91,7 @@
         std::map<std::pair<std::uint64_t, std::uint64_t>, QueuedRequest> queue; // by order, arrival
         std::vector<Backend *> backends;                                        // only listed ones
         double coldRate = 0;
+        Instant pausedUntil {};                        // no backend server pauses longer
         double serviceSeconds = initialServiceSeconds; // mean time that a request runs
         double eventSeconds = 0;                       // mean time between events; 0: unknown
     };
@@ -361,6 +362,11 @@
                                        std::size_t ahead, Instant now) const
     {
         const DirectRequest &request = queued.request;
+        // The expected wait is checked only when a request arrives, and not again while it waits.
+        const bool arrived = request.arrivedAt == now && !request.isRetry;
+        const bool expired = request.waitUntil <= now;
+        if (!arrived && !expired && service.pausedUntil <= now)
+            return std::nullopt;
         const CommonPause common = commonPause(service, request, now);
         const Duration pause = common.endsAt ? *common.endsAt - now : Duration::zero();
         const bool paused = pause > Duration::zero();
@@ -373,15 +379,13 @@
             action.reason = RefusalReason::Paused;
             return action;
         }
-        if (request.waitUntil <= now) {
+        if (expired) {
             if (!common.endsAt)
                 action.reason = RefusalReason::NoBackend;
             return action;
         }
-        // The expected wait is checked only when a request arrives, and not again while it waits.
         // It is not checked where agents respond, which know their queues better, unless all
         // backend servers pause.
-        const bool arrived = request.arrivedAt == now && !request.isRetry;
         if (arrived && ahead > 0 && now + wait > request.waitUntil
             && (paused || !anyAgent(service, now))) {
             action.reason = RefusalReason::QueueTooLong;
@@ -657,10 +661,15 @@
                                     Instant now)
 {
     const auto it = d->backends.find(backend);
-    if (it == d->backends.end() || !it->second.recordPause(d->startOf(id, it->second), pause, now))
+    if (it == d->backends.end())
         return false;
-    d->withdrawSlotRequests(it->second);
-    return true;
+    Private::Backend &target = it->second;
+    const bool isNew = target.recordPause(d->startOf(id, target), pause, now);
+    Private::Service &service = d->serviceOf(target.record.service);
+    service.pausedUntil = std::max(service.pausedUntil, target.pausedUntil);
+    if (isNew)
+        d->withdrawSlotRequests(target);
+    return isNew;
 }
 
 std::size_t DirectScheduler::countUnavailable(AvailabilityReason reason, Instant now) const
