attempt_cut names the last part and the content of a prompt

Callers of one route lost answers while 35 engines crashed one after the other under the same prompt. The log named only the shared parts of a cut request's prompt, so one prompt that comes again could not be told from several prompts of a session, nor from requests that were beside by chance. It now has the last part, a digest of the content, and whether the attempt resumed a stream.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -133,7 +133,9 @@
         if (const auto *refusal = std::get_if<detail::AdmissionRefusal>(&result))
             return refuse(channel, metadata, refusal->error, refusal->retryAfter);
         auto &admitted = std::get<AdmittedRequest>(result);
-        admitted.prompt = promptOf(admitted.metadata);
+        admitted.prompt = identifyPrompt(admitted.metadata, admitted.service, admitted.organisation,
+                                         admitted.request.method, admitted.request.target,
+                                         admitted.request.body);
         if (const auto untilTrial = quarantine.refusal(admitted.prompt, now)) {
             if (admitted.allowanceCost > 0)
                 admission.allowances().refund(admitted.organisation, admitted.allowanceCost);
@@ -154,15 +156,6 @@
         return exchange;
     }
 
-    static PromptIdentity promptOf(const CallerMetadata &metadata)
-    {
-        PromptIdentity prompt;
-        for (const std::string &it : metadata.sharedPromptParts)
-            prompt.sharedParts.push_back(stableDigest(it));
-        prompt.session = stableDigest(metadata.sessionAffinityKey);
-        return prompt;
-    }
-
     DirectRequest directRequest(const GatewayExchange &exchange, Instant now, bool retry)
     {
         const AdmittedRequest &admitted = exchange.admitted();
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -378,7 +378,10 @@
             .field("head_received", m_status ? "yes" : "no")
             .field("events", m_eventSplitter ? m_eventSplitter->count() : 0)
             .field("event_cut", m_eventSplitter && m_eventSplitter->pending() ? "yes" : "no")
-            .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts));
+            .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts))
+            .field("last_part", m_admitted.metadata.sessionAffinityKey)
+            .field("content", m_admitted.prompt.content.value_or(0))
+            .field("resumed", m_lastEventId ? "yes" : "no");
 }
 
 Duration GatewayExchange::attemptAge() const
--- /dev/null
+++ b/src/promptidentity.cpp
@@ -0,0 +1,65 @@
+// Digests of prompts and their parts.
+
+#include "promptidentity.h"
+
+#include "ingressprotocol.h"
+#include "stabledigest.h"
+
+namespace cornelshed {
+
+namespace {
+
+// The last part of one prompt may be a shared part of another one; these are different suspects.
+constexpr std::uint64_t lastPartSeed = stableDigest("last part");
+
+} // namespace
+
+std::vector<PromptPart> PromptIdentity::parts() const
+{
+    std::vector<PromptPart> parts;
+    parts.reserve(sharedParts.size() + 2);
+    std::uint32_t position = 0;
+    for (const std::uint64_t it : sharedParts)
+        parts.push_back({it, PromptPartKind::Shared, position++, session});
+    if (session != 0)
+        parts.push_back(
+                {session ^ lastPartSeed, PromptPartKind::Last, position++, content.value_or(0)});
+    if (content)
+        parts.push_back({*content, PromptPartKind::Whole, position, 0});
+    return parts;
+}
+
+PromptIdentity identifyPrompt(const CallerMetadata &metadata, const std::string &service,
+                              const std::string &organisation, const std::string &method,
+                              const std::string &target, const std::string &body)
+{
+    PromptIdentity prompt;
+    std::uint64_t content = stableDigest(service);
+    for (const std::string *it : {&method, &target, &metadata.sessionAffinityKey})
+        content = stableDigest(*it, content);
+    for (const std::string &it : metadata.sharedPromptParts) {
+        prompt.sharedParts.push_back(stableDigest(it));
+        content = stableDigest(it, content);
+    }
+    prompt.content = stableContentDigest(body, content);
+    if (!metadata.sessionAffinityKey.empty())
+        prompt.session = stableDigest(metadata.sessionAffinityKey);
+    if (!organisation.empty())
+        prompt.organisation = stableDigest(organisation);
+    return prompt;
+}
+
+const char *nameOf(PromptPartKind kind)
+{
+    switch (kind) {
+    case PromptPartKind::Shared:
+        return "shared";
+    case PromptPartKind::Last:
+        return "last";
+    case PromptPartKind::Whole:
+        return "whole";
+    }
+    return "";
+}
+
+} // namespace cornelshed
--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -16,6 +16,7 @@
 #ifndef CORNELSHED_PROMPTQUARANTINE_H
 #define CORNELSHED_PROMPTQUARANTINE_H
 
+#include "promptidentity.h"
 #include "types.h"
 
 #include <cstddef>
@@ -44,16 +45,6 @@
     bool operator==(const PromptQuarantineSettings &) const = default;
 };
 
-// The shared parts of a request's prompt and what identifies the request. Digests are the
-// stableDigest() of an id.
-struct PromptIdentity
-{
-    std::vector<std::uint64_t> sharedParts; // digests, in the order of the prompt
-    std::uint64_t session = 0;              // digest of the last part
-
-    bool operator==(const PromptIdentity &) const = default;
-};
-
 // A crash of a backend server under a request whose answer had just begun. Times are ages: they
 // count back from the report.
 struct PromptCrashReport
--- a/src/stabledigest.h
+++ b/src/stabledigest.h
@@ -4,21 +4,46 @@
 #ifndef CORNELSHED_STABLEDIGEST_H
 #define CORNELSHED_STABLEDIGEST_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
 namespace cornelshed {
 
+namespace detail {
+
+// The splitmix64 finaliser.
+constexpr std::uint64_t finishDigest(std::uint64_t digest)
+{
+    digest = (digest ^ (digest >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    digest = (digest ^ (digest >> 27U)) * 0x94d049bb133111ebULL;
+    return digest ^ (digest >> 31U);
+}
+
+} // namespace detail
+
 constexpr std::uint64_t stableDigest(std::string_view text,
                                      std::uint64_t seed = 0xcbf29ce484222325ULL)
 {
     std::uint64_t digest = seed;
     for (const char it : text)
         digest = (digest ^ static_cast<unsigned char>(it)) * 0x100000001b3ULL;
-    // The splitmix64 finaliser: FNV alone distributes short texts poorly over the upper bits.
-    digest = (digest ^ (digest >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    digest = (digest ^ (digest >> 27U)) * 0x94d049bb133111ebULL;
-    return digest ^ (digest >> 31U);
+    // FNV alone distributes short texts poorly over the upper bits.
+    return detail::finishDigest(digest);
+}
+
+// A digest of long texts, which takes eight bytes at a time.
+constexpr std::uint64_t stableContentDigest(std::string_view text, std::uint64_t seed)
+{
+    std::uint64_t digest = seed ^ (text.size() * 0x9e3779b97f4a7c15ULL);
+    for (std::size_t at = 0; at < text.size(); at += 8) {
+        std::uint64_t word = 0;
+        for (std::size_t i = 0; i < 8 && at + i < text.size(); ++i)
+            word |= std::uint64_t {static_cast<unsigned char>(text[at + i])} << (8 * i);
+        digest = (digest ^ word) * 0x9fb21c651e98df25ULL;
+        digest ^= digest >> 32U;
+    }
+    return detail::finishDigest(digest);
 }
 
 } // namespace cornelshed
