--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -47,18 +47,20 @@
 
 struct GossipCrash {          # of a backend server under a prompt with the part
   backend @0 :UInt64;       # digest of the backend server's id and start
-  session @1 :UInt64;       # digest of the prompt's last part
+  variant @1 :UInt64;       # tells the prompts with the part apart
   sentAgeMicros @2 :Int64;  # since the request was sent
   crashAgeMicros @3 :Int64;
+  organisation @4 :UInt64;  # digest of the name of the one that sent the request; 0: none
 }
 
-struct GossipPromptPart {   # a part of prompts that may crash backend servers
-  part @0 :UInt64;          # digest of its id
+struct GossipPromptPart {   # a part of prompts, or a whole one, that may crash backend servers
+  part @0 :UInt64;          # digest
   position @1 :UInt32;      # in the prompt, from 0
   crashes @2 :List(GossipCrash);
   quarantineAgeMicros @3 :Int64 = -1;  # -1: not quarantined
   quarantineMicros @4 :Int64;          # length of the quarantine
   clearedAgeMicros @5 :Int64 = -1;     # since an answer to a prompt with it went on; -1: never
+  kind @6 :UInt8;           # PromptPartKind in src/promptidentity.h
 }
 
 struct GossipEcho {          # of earlier releases; not sent
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -115,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f227f59ac6d91d3b, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f227f59ac6d91d3b, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -679,12 +679,14 @@
 
   inline  ::uint64_t getBackend() const;
 
-  inline  ::uint64_t getSession() const;
+  inline  ::uint64_t getVariant() const;
 
   inline  ::int64_t getSentAgeMicros() const;
 
   inline  ::int64_t getCrashAgeMicros() const;
 
+  inline  ::uint64_t getOrganisation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -716,8 +718,8 @@
   inline  ::uint64_t getBackend();
   inline void setBackend( ::uint64_t value);
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline  ::uint64_t getVariant();
+  inline void setVariant( ::uint64_t value);
 
   inline  ::int64_t getSentAgeMicros();
   inline void setSentAgeMicros( ::int64_t value);
@@ -725,6 +727,9 @@
   inline  ::int64_t getCrashAgeMicros();
   inline void setCrashAgeMicros( ::int64_t value);
 
+  inline  ::uint64_t getOrganisation();
+  inline void setOrganisation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -781,6 +786,8 @@
 
   inline  ::int64_t getClearedAgeMicros() const;
 
+  inline  ::uint8_t getKind() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -831,6 +838,9 @@
   inline  ::int64_t getClearedAgeMicros();
   inline void setClearedAgeMicros( ::int64_t value);
 
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1532,16 +1542,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GossipCrash::Reader::getSession() const {
+inline  ::uint64_t GossipCrash::Reader::getVariant() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipCrash::Builder::getSession() {
+inline  ::uint64_t GossipCrash::Builder::getVariant() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GossipCrash::Builder::setSession( ::uint64_t value) {
+inline void GossipCrash::Builder::setVariant( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
@@ -1574,6 +1584,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t GossipCrash::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipCrash::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GossipCrash::Builder::setOrganisation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipPromptPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1678,6 +1702,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint8_t GossipPromptPart::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t GossipPromptPart::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void GossipPromptPart::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipEcho::Reader::getPeer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -100,10 +100,10 @@
         metrics.gauge("cornelshed_gateway_backends", "Backend servers listed",
                       [this] { return static_cast<double>(backends.size()); });
         metrics.gauge("cornelshed_gateway_prompt_parts_remembered",
-                      "Parts of prompts in the table of suspects",
+                      "Parts of prompts, and whole ones, in the table of suspects",
                       [this] { return static_cast<double>(quarantine.remembered()); });
         metrics.gauge("cornelshed_gateway_prompt_parts_quarantined",
-                      "Parts of prompts that are kept from backend servers",
+                      "Parts of prompts, and whole ones, that are kept from backend servers",
                       [this] { return static_cast<double>(quarantine.quarantined()); });
         metrics.gauge("cornelshed_gateway_configuration_version", "Version in force; 0: none",
                       [this] { return static_cast<double>(versionInForce()); });
@@ -139,10 +139,9 @@
         if (const auto untilTrial = quarantine.refusal(admitted.prompt, now)) {
             if (admitted.allowanceCost > 0)
                 admission.allowances().refund(admitted.organisation, admitted.allowanceCost);
-            return refuse(
-                    channel, metadata,
-                    {503, "prompt_quarantined", "a part of the prompt crashes backend servers"},
-                    untilTrial);
+            logRefusedPrompt(admitted, now);
+            return refuse(channel, metadata,
+                          {503, "prompt_quarantined", detail::promptCrashesMessage}, untilTrial);
         }
         admitted.id = {settings.incarnation, ++lastRequestNumber};
         const auto exchange =
@@ -243,12 +242,13 @@
             exchange->callerDisconnected();
             return;
         }
-        // The part may have been quarantined while the request waited. A stream that is resumed has
-        // shown that it crashes nothing.
-        const auto untilTrial = exchange->answerStarted()
-                ? std::nullopt
-                : quarantine.refusalAtStart(exchange->admitted().prompt, monotonicNow());
+        // The prompt may have been quarantined while the request waited. A stream that is resumed
+        // has shown that the parts of its prompt crash nothing.
+        const PromptIdentity &prompt = exchange->admitted().prompt;
+        const auto untilTrial = quarantine.refusalAtStart(
+                exchange->answerStarted() ? prompt.wholeOnly() : prompt, monotonicNow());
         if (untilTrial) {
+            logRefusedPrompt(exchange->admitted(), monotonicNow());
             scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
             exchange->endQuarantined(*untilTrial);
             return;
@@ -358,29 +358,37 @@
         quarantine.recordAnswer(prompt, monotonicNow());
     }
 
-    void recordCrash(const GatewayExchange &exchange, Instant now)
+    void answerCompleted(const PromptIdentity &prompt) override
+    {
+        quarantine.recordCompletion(prompt, monotonicNow());
+    }
+
+    std::uint64_t backendDigest(const std::string &backend) const override
     {
         // A backend server that starts again under its id is another one that can crash.
-        const auto entry = backends.find(exchange.lastBackend());
+        const auto entry = backends.find(backend);
         const std::int64_t startedAtMs = entry == backends.end() ? 0 : entry->second.startedAtMs;
-        quarantine.recordCrash(
-                exchange.admitted().prompt,
-                stableDigest(exchange.lastBackend(), static_cast<std::uint64_t>(startedAtMs)),
-                now - exchange.attemptAge(), now);
+        return stableDigest(backend, static_cast<std::uint64_t>(startedAtMs));
+    }
+
+    void recordCrash(const GatewayExchange &exchange, Instant now)
+    {
+        quarantine.recordCrash(exchange.admitted().prompt, backendDigest(exchange.lastBackend()),
+                               now - exchange.attemptAge(), now);
         enforceQuarantine(now);
     }
 
-    // Takes requests back that hold a part which was quarantined just now, before they crash
-    // further backend servers.
+    // Takes requests back whose prompt was quarantined just now, before they crash further backend
+    // servers.
     void enforceQuarantine(Instant now)
     {
         const std::vector<std::uint64_t> parts = quarantine.takeNewlyQuarantined();
         if (parts.empty())
             return;
-        for (const std::uint64_t it : parts)
-            EventLog("prompt_part_quarantined", EventLevel::Warning)
-                    .field("part_digest", it)
-                    .field("remembered", quarantine.remembered());
+        for (const std::uint64_t it : parts) {
+            if (const auto part = quarantine.describe(it, now))
+                logQuarantine(*part);
+        }
         std::vector<std::shared_ptr<GatewayExchange>> held;
         for (const auto &[id, exchange] : exchanges) {
             if (!exchange->answerStarted() && quarantine.refusal(exchange->admitted().prompt, now))
@@ -388,16 +396,44 @@
         }
         // Posted: the caller of this function may be handling one of these requests.
         asio::post(ioContext, [self = shared_from_this(), held = std::move(held)] {
+            const Instant then = monotonicNow();
             for (const auto &it : held) {
-                if (it->answerStarted())
+                const AdmittedRequest &admitted = it->admitted();
+                const auto untilTrial = self->quarantine.refusal(admitted.prompt, then);
+                // It may have ended meanwhile.
+                if (!untilTrial || it->answerStarted() || !self->exchanges.contains(admitted.id))
                     continue;
-                if (const auto untilTrial =
-                            self->quarantine.refusal(it->admitted().prompt, monotonicNow()))
-                    it->endQuarantined(*untilTrial);
+                self->logRefusedPrompt(admitted, then);
+                it->endQuarantined(*untilTrial);
             }
         });
     }
 
+    static void logQuarantine(const PromptPartReport &part)
+    {
+        std::string crashes;
+        for (const PromptCrashReport &it : part.crashes)
+            crashes.append(crashes.empty() ? "" : ",")
+                    .append(std::to_string(it.backend))
+                    .append("@-")
+                    .append(std::to_string(it.crashAge / 1ms));
+        EventLog("prompt_quarantined", EventLevel::Warning)
+                .field("part", part.part)
+                .field("kind", nameOf(part.kind))
+                .field("length_ms", part.quarantine / 1ms)
+                .field("crashes", crashes);
+    }
+
+    void logRefusedPrompt(const AdmittedRequest &admitted, Instant now) const
+    {
+        if (const auto part = quarantine.refusedPart(admitted.prompt, now))
+            EventLog("prompt_refused", EventLevel::Warning)
+                    .field("request", admitted.metadata.requestId)
+                    .field("part", part->part)
+                    .field("kind", nameOf(part->kind))
+                    .field("quarantined_ms", part->quarantineAge.value_or(Duration {}) / 1ms);
+    }
+
     void recordOutcome(const GatewayExchange &exchange, const AttemptReport &report,
                        bool responseBegun)
     {
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -338,14 +338,14 @@
             logCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
         } else {
-            m_services.answerContinued(m_admitted.prompt);
+            m_services.answerCompleted(m_admitted.prompt);
             endAttempt(AttemptEnd::Success, AttemptOutcome::Answered);
         }
         return;
     }
     const AttemptEnd end = classifyAnswer(*m_status, m_reply);
     if (end == AttemptEnd::Success)
-        m_services.answerContinued(m_admitted.prompt);
+        m_services.answerCompleted(m_admitted.prompt);
     AttemptOutcome outcome = AttemptOutcome::Answered;
     if (end == AttemptEnd::NotRun) {
         m_problem = m_reply.misdirected ? "misdirected" : "backend_full";
@@ -381,6 +381,7 @@
             .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts))
             .field("last_part", m_admitted.metadata.sessionAffinityKey)
             .field("content", m_admitted.prompt.content.value_or(0))
+            .field("crash", m_services.backendDigest(m_backendId))
             .field("resumed", m_lastEventId ? "yes" : "no");
 }
 
@@ -535,10 +536,12 @@
         ++m_history.ran;
         abandonAttempt();
     }
-    if (m_history.ran > 0)
-        fail(502, "a part of the prompt crashes backend servers", std::nullopt);
+    if (m_history.answerStarted)
+        abortResponse();
+    else if (m_history.ran > 0)
+        fail(502, promptCrashesMessage, std::nullopt);
     else
-        fail(503, "a part of the prompt crashes backend servers", untilTrial);
+        fail(503, promptCrashesMessage, untilTrial);
 }
 
 void GatewayExchange::shutDown()
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -25,6 +25,9 @@
 class GatewayExchange;
 
 // Interface that the gateway provides to its exchanges.
+inline constexpr const char *promptCrashesMessage =
+        "the prompt, or a part of it, crashes backend servers";
+
 class ExchangeServices
 {
 public:
@@ -42,8 +45,12 @@
     // Whether the prompt may be what crashes backend servers.
     virtual bool isSuspect(const PromptIdentity &prompt) const = 0;
 
-    // The answer to the prompt went on beyond its beginning, or is complete.
+    // The answer to the prompt went on beyond its beginning.
     virtual void answerContinued(const PromptIdentity &prompt) = 0;
+    virtual void answerCompleted(const PromptIdentity &prompt) = 0;
+
+    // Digest of a backend server's id and start, which names its crash.
+    virtual std::uint64_t backendDigest(const std::string &backend) const = 0;
 
     // Queues the request for another attempt.
     virtual void requeue(GatewayExchange &exchange) = 0;
@@ -101,8 +108,8 @@
 
     void callerDisconnected() override;
 
-    // Ends the exchange, whose answer has not started, because a part of its prompt crashes backend
-    // servers and may not be tried again before this time. A running attempt is cancelled.
+    // Ends the exchange because its prompt crashes backend servers and may not be tried again
+    // before this time. A running attempt is cancelled.
     void endQuarantined(Duration untilTrial);
 
     // Ends the exchange because the process shuts down. The caller is told that the request was not
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -90,11 +90,13 @@
 {
     out.setPart(report.part);
     out.setPosition(report.position);
+    out.setKind(static_cast<std::uint8_t>(report.kind));
     auto crashes = out.initCrashes(static_cast<unsigned>(report.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i) {
         const PromptCrashReport &it = report.crashes[i];
         crashes[i].setBackend(it.backend);
-        crashes[i].setSession(it.session);
+        crashes[i].setVariant(it.variant);
+        crashes[i].setOrganisation(it.organisation);
         crashes[i].setSentAgeMicros(it.sentAge.count());
         crashes[i].setCrashAgeMicros(it.crashAge.count());
     }
@@ -116,8 +118,11 @@
     PromptPartReport report;
     report.part = in.getPart();
     report.position = in.getPosition();
+    // A kind that only a newer release knows matches no part here.
+    if (in.getKind() <= static_cast<std::uint8_t>(PromptPartKind::Whole))
+        report.kind = static_cast<PromptPartKind>(in.getKind());
     for (const auto it : in.getCrashes())
-        report.crashes.push_back({it.getBackend(), it.getSession(),
+        report.crashes.push_back({it.getBackend(), it.getVariant(), it.getOrganisation(),
                                   decodeTime(it.getSentAgeMicros()),
                                   decodeTime(it.getCrashAgeMicros())});
     if (in.getQuarantineAgeMicros() >= 0)
--- a/src/promptidentity.cpp
+++ b/src/promptidentity.cpp
@@ -25,7 +25,7 @@
         parts.push_back(
                 {session ^ lastPartSeed, PromptPartKind::Last, position++, content.value_or(0)});
     if (content)
-        parts.push_back({*content, PromptPartKind::Whole, position, 0});
+        parts.push_back({*content, PromptPartKind::Whole, position, session});
     return parts;
 }
 
--- a/src/promptidentity.h
+++ b/src/promptidentity.h
@@ -26,7 +26,7 @@
     std::uint64_t id = 0; // digest
     PromptPartKind kind = PromptPartKind::Shared;
     std::uint32_t position = 0; // in the prompt, from 0; the whole comes after the last part
-    // Tells the prompts with the part apart: by session, for the last part by content.
+    // Tells the prompts with the part apart: the content for the last part, otherwise the session.
     std::uint64_t variant = 0;
 
     bool operator==(const PromptPart &) const = default;
--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -2,20 +2,21 @@
 
 #include "promptquarantine.h"
 
+#include "promptsuspect.h"
+
 #include <algorithm>
 #include <map>
-#include <set>
-#include <tuple>
 #include <utility>
 
 namespace cornelshed {
 
+using detail::PromptCrash;
+using detail::PromptSuspect;
+
 namespace {
 
 using namespace std::chrono_literals;
 
-// Further crashes under a part add nothing to what is known of it.
-constexpr std::size_t crashLimit = 8;
 // Reports convert times to ages and back, and take some time to arrive. Times that differ by less
 // belong to the same event.
 constexpr Duration timeTolerance = 1s;
@@ -30,125 +31,80 @@
 // After the end of a quarantine, gateways take turns of this length; only in the first half of its
 // turn may a gateway send the trial, as the others see the turns at slightly different times.
 constexpr Duration trialTurn = 4s;
-// A part without any evidence is remembered for this time after the last crash, so that peers learn
-// that it was cleared.
-constexpr Duration clearedRetention = 10s;
-// Time between two announcements that a part without evidence still serves well.
-constexpr Duration clearedAnnounceInterval = 500ms;
 
 } // namespace
 
 class PromptQuarantine::Private
 {
 public:
-    struct Crash
-    {
-        std::uint64_t backend = 0;
-        std::uint64_t session = 0;
-        Instant sentAt {};
-        Instant crashedAt {};
-    };
-    struct Part
-    {
-        std::uint32_t position = 0;
-        std::vector<Crash> crashes; // of different backend servers, oldest first
-        std::optional<Instant> quarantinedAt;
-        Duration quarantine {};
-        std::optional<Instant> clearedAt; // the last answer that went on
-        Instant evidenceAt {};            // a crash or the quarantine was last recorded or cleared
-        Instant changedAt {};             // as it concerns peers
-
-        // Whether the crash is newer than the last answer.
-        bool mayBeCausedBy(const Crash &crash) const
-        {
-            return !clearedAt || crash.sentAt >= *clearedAt;
-        }
-    };
+    // Crashes under quarantined parts, by backend server.
+    using ExplainedCrashes = std::multimap<std::uint64_t, std::pair<PromptPartKind, PromptCrash>>;
 
     explicit Private(const PromptQuarantineSettings &given) : settings(given) { }
 
-    Part *find(std::uint64_t part)
+    PromptSuspect *find(std::uint64_t part)
     {
-        const auto it = parts.find(part);
-        return it == parts.end() ? nullptr : &it->second;
+        const auto it = suspects.find(part);
+        return it == suspects.end() ? nullptr : &it->second;
     }
 
-    const Part *find(std::uint64_t part) const
+    const PromptSuspect *find(std::uint64_t part) const
     {
-        const auto it = parts.find(part);
-        return it == parts.end() ? nullptr : &it->second;
+        const auto it = suspects.find(part);
+        return it == suspects.end() ? nullptr : &it->second;
     }
 
-    bool hasQuarantined(const PromptIdentity &prompt) const
+    bool hasQuarantined(const std::vector<PromptPart> &parts) const
     {
-        return std::any_of(prompt.sharedParts.begin(), prompt.sharedParts.end(), [&](auto it) {
-            const Part *part = find(it);
-            return part != nullptr && part->quarantinedAt;
+        return std::any_of(parts.begin(), parts.end(), [&](const PromptPart &it) {
+            const PromptSuspect *suspect = find(it.id);
+            return suspect != nullptr && suspect->isQuarantined();
         });
     }
 
-    // Backend servers whose crashes a quarantined part explains.
-    std::set<std::uint64_t> explainedBackends() const
+    ExplainedCrashes explainedCrashes() const
     {
-        std::set<std::uint64_t> backends;
-        for (const auto &[id, part] : parts) {
-            for (const Crash &it : part.crashes) {
-                if (part.quarantinedAt)
-                    backends.insert(it.backend);
+        ExplainedCrashes crashes;
+        for (const auto &[id, suspect] : suspects) {
+            for (const PromptCrash &it : suspect.crashes()) {
+                if (suspect.isQuarantined())
+                    crashes.emplace(it.backend, std::pair(suspect.kind(), it));
             }
         }
-        return backends;
+        return crashes;
     }
 
-    static bool hasCrash(const Part &part, std::uint64_t backend)
+    static bool isExplained(const ExplainedCrashes &explained, PromptPartKind part,
+                            const PromptCrash &crash)
     {
-        return std::any_of(part.crashes.begin(), part.crashes.end(),
-                           [&](const Crash &it) { return it.backend == backend; });
+        const auto [begin, end] = explained.equal_range(crash.backend);
+        return std::any_of(begin, end, [&](const auto &it) {
+            return PromptSuspect::explains(it.second.first, it.second.second, part, crash);
+        });
     }
 
     // Adds the crash unless it is known or cannot be due to the part.
-    void addCrash(std::uint64_t id, std::uint32_t position, const Crash &crash, Instant now)
+    void addCrash(const PromptPart &part, const PromptCrash &crash, Instant now)
     {
-        Part *part = find(id);
-        if (part == nullptr) {
-            makeRoom(now);
-            part = &parts[id];
-            part->position = position;
-            part->evidenceAt = now;
-            part->changedAt = now;
-        }
-        if (hasCrash(*part, crash.backend) || !part->mayBeCausedBy(crash))
-            return;
-        // The oldest crashes show how long a part has been suspect, the newest ones that it still
-        // is, and what they explain.
-        part->crashes.insert(std::upper_bound(part->crashes.begin(), part->crashes.end(), crash,
-                                              [](const Crash &a, const Crash &b) {
-                                                  return a.crashedAt < b.crashedAt;
-                                              }),
-                             crash);
-        if (part->crashes.size() > crashLimit) {
-            const auto middle = part->crashes.begin() + crashLimit / 2;
-            const bool isNews = middle->backend != crash.backend;
-            part->crashes.erase(middle);
-            if (!isNews)
-                return;
-        }
-        part->evidenceAt = now;
-        part->changedAt = now;
-        if (part->quarantinedAt)
-            explainOthers(id, *part, now);
+        PromptSuspect &suspect = remember(part.id, part.kind, part.position, now);
+        if (suspect.addCrash(crash, now) && suspect.isQuarantined())
+            explainOthers(part.id, suspect, now);
+    }
+
+    PromptSuspect &remember(std::uint64_t id, PromptPartKind kind, std::uint32_t position,
+                            Instant now)
+    {
+        if (PromptSuspect *known = find(id))
+            return *known;
+        makeRoom(now);
+        return suspects.emplace(id, PromptSuspect(kind, position, now)).first->second;
     }
 
-    // The other parts of the prompts are not to blame for the crashes under a quarantined one.
-    void explainOthers(std::uint64_t id, const Part &part, Instant now)
+    void explainOthers(std::uint64_t id, const PromptSuspect &quarantined, Instant now)
     {
-        for (auto &[other, it] : parts) {
-            if (other == id)
-                continue;
-            const auto removed = std::erase_if(
-                    it.crashes, [&](const Crash &crash) { return hasCrash(part, crash.backend); });
-            if (removed > 0)
-                it.changedAt = now;
+        for (auto &[other, it] : suspects) {
+            if (other != id)
+                it.removeExplained(quarantined, now);
         }
     }
 
@@ -157,97 +113,51 @@
     void makeRoom(Instant now)
     {
         expire(now);
-        if (parts.size() < settings.partLimit)
+        if (suspects.size() < settings.partLimit)
             return;
-        const auto weight = [](const auto &it) {
-            return std::make_tuple(it.second.quarantinedAt.has_value(), it.second.crashes.size(),
-                                   it.second.changedAt);
-        };
-        parts.erase(std::min_element(parts.begin(), parts.end(), [&](const auto &a, const auto &b) {
-            return weight(a) < weight(b);
-        }));
+        suspects.erase(std::min_element(suspects.begin(), suspects.end(),
+                                        [](const auto &a, const auto &b) {
+                                            return a.second.weight() < b.second.weight();
+                                        }));
     }
 
     void expire(Instant now)
     {
-        std::erase_if(parts, [&](const auto &it) {
-            const Part &part = it.second;
-            if (part.quarantinedAt)
-                return part.evidenceAt + part.quarantine + settings.retention <= now;
-            return part.evidenceAt + (part.crashes.empty() ? clearedRetention : settings.retention)
-                    <= now;
-        });
-    }
-
-    // Whether an answer went on after the quarantine began at that time, or too shortly before it:
-    // a part that crashes servers has no such answers.
-    bool isContradicted(const Part &part, Instant quarantinedAt) const
-    {
-        return part.clearedAt && *part.clearedAt + settings.answerFreeTime > quarantinedAt;
-    }
-
-    bool isConvicted(const Part &part, Instant now) const
-    {
-        if (part.quarantinedAt || part.crashes.size() < settings.crashes)
-            return false;
-        std::set<std::uint64_t> sessions;
-        Instant firstCrash = Instant::max();
-        Instant lastSent = Instant::min();
-        for (const Crash &it : part.crashes) {
-            sessions.insert(it.session);
-            firstCrash = std::min(firstCrash, it.crashedAt);
-            lastSent = std::max(lastSent, it.sentAt);
-        }
-        return sessions.size() >= settings.sessions && lastSent > firstCrash
-                && firstCrash + settings.settleTime <= now && !isContradicted(part, now);
+        std::erase_if(suspects, [&](const auto &it) { return it.second.isExpired(settings, now); });
     }
 
     // Quarantines the convicted parts, one after the other. Of parts with the same evidence the
-    // later one in the prompt comes first: fewer requests share it.
+    // more specific one comes first: fewer requests share it.
     void convict(Instant now)
     {
         for (;;) {
-            auto worst = parts.end();
-            for (auto it = parts.begin(); it != parts.end(); ++it) {
-                if (!isConvicted(it->second, now))
-                    continue;
-                const auto weight = [](const Part &part) {
-                    return std::make_pair(part.crashes.size(), part.position);
-                };
-                if (worst == parts.end() || weight(it->second) > weight(worst->second))
+            auto worst = suspects.end();
+            for (auto it = suspects.begin(); it != suspects.end(); ++it) {
+                if (it->second.isConvicted(settings, now)
+                    && (worst == suspects.end() || it->second.guilt() > worst->second.guilt()))
                     worst = it;
             }
-            if (worst == parts.end())
+            if (worst == suspects.end())
                 return;
             quarantine(worst->first, worst->second, now, settings.firstQuarantine, now);
         }
     }
 
-    void quarantine(std::uint64_t id, Part &part, Instant since, Duration length, Instant now)
+    void quarantine(std::uint64_t id, PromptSuspect &suspect, Instant since, Duration length,
+                    Instant now)
     {
-        if (!part.quarantinedAt)
+        if (!suspect.isQuarantined())
             newlyQuarantined.push_back(id);
-        part.quarantinedAt = since;
-        part.quarantine = length;
-        part.evidenceAt = now;
-        part.changedAt = now;
-        explainOthers(id, part, now);
+        suspect.quarantine(since, length, now);
+        explainOthers(id, suspect, now);
     }
 
-    // An answer to a prompt with the part went on at that time.
-    void clear(Part &part, Instant at, Instant now)
+    void clear(const std::vector<PromptPart> &parts, Instant now)
     {
-        const bool isNews = !part.clearedAt || *part.clearedAt + clearedAnnounceInterval <= at;
-        part.clearedAt = std::max(part.clearedAt.value_or(at), at);
-        const auto removed =
-                std::erase_if(part.crashes, [&](const Crash &it) { return it.sentAt < at; });
-        const bool released = part.quarantinedAt && isContradicted(part, *part.quarantinedAt);
-        if (released)
-            part.quarantinedAt.reset();
-        if (removed > 0 || released)
-            part.evidenceAt = now;
-        if (removed > 0 || released || isNews)
-            part.changedAt = now;
+        for (const PromptPart &it : parts) {
+            if (PromptSuspect *suspect = find(it.id))
+                suspect->clear(settings, now, now);
+        }
     }
 
     // Time until this gateway's next turn to send the trial, by the time since the quarantine
@@ -263,68 +173,93 @@
                 - sinceTurn;
     }
 
-    // Time until a request with the part may be sent by this gateway; nothing if it may be now.
-    std::optional<Duration> timeUntilTrial(std::uint64_t id, Instant now) const
+    // Time until a request of the organisation with the part may be sent by this gateway; nothing
+    // if it may be now.
+    std::optional<Duration> timeUntilTrial(std::uint64_t id, std::uint64_t organisation,
+                                           Instant now) const
     {
-        const Part *part = find(id);
-        if (part == nullptr || !part->quarantinedAt)
+        const PromptSuspect *suspect = find(id);
+        if (suspect == nullptr || !suspect->isQuarantined() || !suspect->appliesTo(organisation))
             return std::nullopt;
-        const Instant until = *part->quarantinedAt + part->quarantine;
+        const Instant until = *suspect->quarantinedUntil();
         if (now < until)
             return until - now;
         return timeUntilTurn(id, now - until);
     }
 
-    PromptPartReport reportOf(std::uint64_t id, const Part &part, Instant now) const
+    // The part of the prompt that may be tried last, and the time until then.
+    std::optional<std::pair<Duration, std::uint64_t>> refusal(const PromptIdentity &prompt,
+                                                              Instant now) const
     {
-        PromptPartReport report {id, part.position, {}, {}, part.quarantine, {}};
-        for (const Crash &it : part.crashes)
-            report.crashes.push_back({it.backend, it.session, now - it.sentAt, now - it.crashedAt});
-        if (part.quarantinedAt)
-            report.quarantineAge = now - *part.quarantinedAt;
-        if (part.clearedAt)
-            report.clearedAge = now - *part.clearedAt;
-        return report;
+        std::optional<std::pair<Duration, std::uint64_t>> longest;
+        if (suspects.empty())
+            return longest;
+        for (const PromptPart &it : prompt.parts()) {
+            const auto time = timeUntilTrial(it.id, prompt.organisation, now);
+            if (time && (!longest || *time > longest->first))
+                longest.emplace(*time, it.id);
+        }
+        return longest;
     }
 
-    void merge(const PromptPartReport &report, const std::set<std::uint64_t> &explained,
-               Instant now)
+    void merge(const PromptPartReport &report, const ExplainedCrashes &explained, Instant now)
     {
+        const PromptPart part {report.part, report.kind, report.position, 0};
         for (const PromptCrashReport &it : report.crashes) {
-            if (!explained.contains(it.backend))
-                addCrash(report.part, report.position,
-                         {it.backend, it.session, now - it.sentAge, now - it.crashAge}, now);
-        }
-        const bool concluded = report.quarantineAge || report.clearedAge;
-        if (concluded && find(report.part) == nullptr) {
-            makeRoom(now);
-            parts[report.part] = {report.position, {}, {}, {}, {}, now, now};
+            const PromptCrash crash {it.backend, it.variant, it.organisation, now - it.sentAge,
+                                     now - it.crashAge};
+            if (!isExplained(explained, part.kind, crash))
+                addCrash(part, crash, now);
         }
-        Part *part = find(report.part);
-        if (part == nullptr)
+        if (report.quarantineAge || report.clearedAge)
+            remember(part.id, part.kind, part.position, now);
+        PromptSuspect *suspect = find(report.part);
+        if (suspect == nullptr)
             return;
         if (report.clearedAge)
-            mergeCleared(*part, now - *report.clearedAge, now);
+            mergeCleared(*suspect, now - *report.clearedAge, now);
         if (report.quarantineAge)
-            mergeQuarantine(report.part, *part, now - *report.quarantineAge,
+            mergeQuarantine(report.part, *suspect, now - *report.quarantineAge,
                             std::min(report.quarantine, settings.longestQuarantine), now);
     }
 
-    void mergeCleared(Part &part, Instant clearedAt, Instant now)
+    void mergeCleared(PromptSuspect &suspect, Instant clearedAt, Instant now)
     {
-        if (!part.clearedAt || clearedAt > *part.clearedAt + clearedTolerance)
-            clear(part, clearedAt, now);
+        if (!suspect.clearedAt() || clearedAt > *suspect.clearedAt() + clearedTolerance)
+            suspect.clear(settings, clearedAt, now);
     }
 
-    void mergeQuarantine(std::uint64_t id, Part &part, Instant since, Duration length, Instant now)
+    void mergeQuarantine(std::uint64_t id, PromptSuspect &suspect, Instant since, Duration length,
+                         Instant now)
     {
-        const bool known = part.quarantinedAt && since <= *part.quarantinedAt + timeTolerance;
-        if (!known && !isContradicted(part, since))
-            quarantine(id, part, since, length, now);
+        const bool known =
+                suspect.quarantinedAt() && since <= *suspect.quarantinedAt() + timeTolerance;
+        if (!known && !suspect.isContradicted(settings, since))
+            quarantine(id, suspect, since, length, now);
+    }
+
+    // What changed recently. If there is more than fits, callers with many made-up parts must not
+    // delay what is known of those with the most evidence.
+    std::vector<PromptPartReport> changedReports(Instant now) const
+    {
+        std::vector<std::pair<std::uint64_t, const PromptSuspect *>> changed;
+        for (const auto &[id, it] : suspects) {
+            if (now - it.changedAt() < announceTime)
+                changed.emplace_back(id, &it);
+        }
+        const std::size_t count = std::min(changed.size(), reportLimit);
+        const auto end = changed.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(changed.begin(), end, changed.end(), [](const auto &a, const auto &b) {
+            return a.second->weight() > b.second->weight();
+        });
+        std::vector<PromptPartReport> result;
+        for (auto it = changed.begin(); it != end; ++it)
+            result.push_back(it->second->report(it->first, now));
+        return result;
     }
 
     PromptQuarantineSettings settings;
-    std::map<std::uint64_t, Part> parts; // by digest
+    std::map<std::uint64_t, PromptSuspect> suspects; // by digest of the part
     std::vector<std::uint64_t> newlyQuarantined;
     std::uint32_t heard = 1;
     std::uint32_t rankAmongHeard = 0;
@@ -348,56 +283,71 @@
 void PromptQuarantine::recordCrash(const PromptIdentity &prompt, std::uint64_t backend,
                                    Instant sentAt, Instant now)
 {
+    const std::vector<PromptPart> parts = prompt.parts();
     // Under a quarantined part, the crash says nothing about the others.
-    const bool explained = d->hasQuarantined(prompt);
-    for (std::uint32_t i = 0; i < prompt.sharedParts.size(); ++i) {
-        const Private::Part *part = d->find(prompt.sharedParts[i]);
-        if (!explained || (part != nullptr && part->quarantinedAt))
-            d->addCrash(prompt.sharedParts[i], i, {backend, prompt.session, sentAt, now}, now);
+    const bool explained = d->hasQuarantined(parts);
+    for (const PromptPart &it : parts) {
+        const PromptSuspect *suspect = d->find(it.id);
+        if (!explained || (suspect != nullptr && suspect->isQuarantined()))
+            d->addCrash(it, {backend, it.variant, prompt.organisation, sentAt, now}, now);
     }
     d->convict(now);
 }
 
 void PromptQuarantine::recordAnswer(const PromptIdentity &prompt, Instant now)
 {
-    if (d->parts.empty())
+    if (d->suspects.empty())
         return;
-    for (const std::uint64_t it : prompt.sharedParts) {
-        if (Private::Part *part = d->find(it))
-            d->clear(*part, now, now);
-    }
+    std::vector<PromptPart> parts = prompt.parts();
+    std::erase_if(parts, [](const PromptPart &it) { return it.kind == PromptPartKind::Whole; });
+    d->clear(parts, now);
+}
+
+void PromptQuarantine::recordCompletion(const PromptIdentity &prompt, Instant now)
+{
+    if (!d->suspects.empty())
+        d->clear(prompt.parts(), now);
 }
 
 std::optional<Duration> PromptQuarantine::refusal(const PromptIdentity &prompt, Instant now) const
 {
-    std::optional<Duration> longest;
-    for (const std::uint64_t it : prompt.sharedParts) {
-        const auto time = d->timeUntilTrial(it, now);
-        if (time && (!longest || *time > *longest))
-            longest = time;
-    }
-    return longest;
+    const auto refusal = d->refusal(prompt, now);
+    return refusal ? std::optional(refusal->first) : std::nullopt;
 }
 
 std::optional<Duration> PromptQuarantine::refusalAtStart(const PromptIdentity &prompt, Instant now)
 {
     if (const auto time = refusal(prompt, now))
         return time;
-    for (const std::uint64_t it : prompt.sharedParts) {
-        Private::Part *part = d->find(it);
-        if (part == nullptr || !part->quarantinedAt)
+    if (d->suspects.empty())
+        return std::nullopt;
+    for (const PromptPart &it : prompt.parts()) {
+        PromptSuspect *suspect = d->find(it.id);
+        if (suspect == nullptr || !suspect->isQuarantined()
+            || !suspect->appliesTo(prompt.organisation))
             continue;
-        const Duration next = std::min(part->quarantine * 2, d->settings.longestQuarantine);
-        d->quarantine(it, *part, now, next, now);
+        const Duration next =
+                std::min(suspect->quarantineLength() * 2, d->settings.longestQuarantine);
+        d->quarantine(it.id, *suspect, now, next, now);
     }
     return std::nullopt;
 }
 
+std::optional<PromptPartReport> PromptQuarantine::refusedPart(const PromptIdentity &prompt,
+                                                              Instant now) const
+{
+    const auto refusal = d->refusal(prompt, now);
+    return refusal ? describe(refusal->second, now) : std::nullopt;
+}
+
 bool PromptQuarantine::isSuspect(const PromptIdentity &prompt) const
 {
-    return std::any_of(prompt.sharedParts.begin(), prompt.sharedParts.end(), [&](auto it) {
-        const Private::Part *part = d->find(it);
-        return part != nullptr && (part->quarantinedAt || part->crashes.size() > 1);
+    if (d->suspects.empty())
+        return false;
+    const std::vector<PromptPart> parts = prompt.parts();
+    return std::any_of(parts.begin(), parts.end(), [&](const PromptPart &it) {
+        const PromptSuspect *suspect = d->find(it.id);
+        return suspect != nullptr && (suspect->isQuarantined() || suspect->crashes().size() > 1);
     });
 }
 
@@ -406,6 +356,12 @@
     return std::exchange(d->newlyQuarantined, {});
 }
 
+std::optional<PromptPartReport> PromptQuarantine::describe(std::uint64_t part, Instant now) const
+{
+    const PromptSuspect *suspect = d->find(part);
+    return suspect == nullptr ? std::nullopt : std::optional(suspect->report(part, now));
+}
+
 void PromptQuarantine::peerStarted(Instant now)
 {
     d->completeReportsUntil = now + peerStartAnnounceTime;
@@ -413,34 +369,30 @@
 
 std::vector<PromptPartReport> PromptQuarantine::reports(Instant now)
 {
-    std::vector<PromptPartReport> result;
-    if (d->parts.empty())
-        return result;
+    if (d->suspects.empty())
+        return {};
     d->expire(now);
-    for (const auto &[id, part] : d->parts) {
-        if (now - part.changedAt < announceTime && result.size() < reportLimit)
-            result.push_back(d->reportOf(id, part, now));
-    }
+    std::vector<PromptPartReport> result = d->changedReports(now);
     const bool isDue = d->completeReportAt == Instant::min()
             || now - d->completeReportAt >= completeReportInterval;
     if (!isDue && now >= d->completeReportsUntil)
         return result;
     d->completeReportAt = now;
     // Continues where the last complete report ended, if there are more parts than fit into one.
-    auto it = d->parts.upper_bound(d->lastReported);
-    for (std::size_t n = 0; n < d->parts.size() && result.size() < reportLimit; ++n, ++it) {
-        if (it == d->parts.end())
-            it = d->parts.begin();
+    auto it = d->suspects.upper_bound(d->lastReported);
+    for (std::size_t n = 0; n < d->suspects.size() && result.size() < reportLimit; ++n, ++it) {
+        if (it == d->suspects.end())
+            it = d->suspects.begin();
         d->lastReported = it->first;
-        if (now - it->second.changedAt >= announceTime)
-            result.push_back(d->reportOf(it->first, it->second, now));
+        if (now - it->second.changedAt() >= announceTime)
+            result.push_back(it->second.report(it->first, now));
     }
     return result;
 }
 
 void PromptQuarantine::merge(const std::vector<PromptPartReport> &reports, Instant now)
 {
-    const std::set<std::uint64_t> explained = d->explainedBackends();
+    const Private::ExplainedCrashes explained = d->explainedCrashes();
     for (const PromptPartReport &it : reports)
         d->merge(it, explained, now);
     // Only now: the evidence against the parts of one prompt must be compared as a whole.
@@ -454,14 +406,14 @@
 
 std::size_t PromptQuarantine::remembered() const
 {
-    return d->parts.size();
+    return d->suspects.size();
 }
 
 std::size_t PromptQuarantine::quarantined() const
 {
     return static_cast<std::size_t>(
-            std::count_if(d->parts.begin(), d->parts.end(),
-                          [](const auto &it) { return it.second.quarantinedAt.has_value(); }));
+            std::count_if(d->suspects.begin(), d->suspects.end(),
+                          [](const auto &it) { return it.second.isQuarantined(); }));
 }
 
 } // namespace cornelshed
--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -1,14 +1,18 @@
-// Finds parts of prompts that crash backend servers and keeps requests with such a part from
+// Finds prompts, and parts of prompts, that crash backend servers and keeps requests with them from
 // reaching further ones. Each gateway has one PromptQuarantine; they share what they know in their
 // reports, as no gateway sees more than a few of the crashes.
 //
 // A crash ends all requests on its backend server. Only those whose answer had just begun are
-// suspected, as an engine crashes when it begins to write. All shared parts of such a prompt are
-// suspects; an answer to any prompt with the part that goes on clears it. A part is quarantined
-// after crashes of several backend servers under requests of several sessions, at least one of
-// them sent after the first crash, without an answer in between: a failure of many servers at the
-// same moment thus convicts no part. Crashes explained by a quarantined part no longer count
-// against the other parts of the same prompts.
+// suspected, as an engine crashes when it begins to write. Suspects are all shared parts of such a
+// prompt, its last part, and the prompt as a whole. An answer to any prompt with a part that goes
+// on clears the part; only a complete answer clears a whole prompt.
+//
+// A part is quarantined after crashes of several backend servers under different prompts with it,
+// at least one of them sent after the first crash, without an answer in between: a failure of many
+// servers at the same moment thus convicts no part. For a whole prompt there are no different ones
+// to wait for. Of several parts that the same crashes convict, the most specific one is to blame,
+// and they no longer count against the others. Only those under a whole prompt still count against
+// its shared parts, of which one may be to blame for other prompts too.
 //
 // When the quarantine of a part ends, one gateway sends one request with it as a trial. If that
 // crashes too, the next trial follows after twice the time.
@@ -30,9 +34,9 @@
 struct PromptQuarantineSettings
 {
     std::uint32_t crashes = 3;  // of different backend servers, before a part is quarantined
-    std::uint32_t sessions = 2; // different ones among them
-    // From the first of the crashes: answers that clear a part, and what peers know of the same
-    // crashes, may take this time to arrive.
+    std::uint32_t variants = 2; // different prompts among them, except for a whole prompt
+    // From the first of the crashes, except for a whole prompt: answers that clear a part, and what
+    // peers know of the same crashes, may take this time to arrive.
     Duration settleTime = std::chrono::milliseconds(500);
     // A part is quarantined only if no answer to a prompt with it went on for this time.
     Duration answerFreeTime = std::chrono::seconds(2);
@@ -50,7 +54,8 @@
 struct PromptCrashReport
 {
     std::uint64_t backend = 0; // digest of its id and start
-    std::uint64_t session = 0;
+    std::uint64_t variant = 0; // of the prompts with the part, see PromptPart
+    std::uint64_t organisation = 0;
     Duration sentAge {};
     Duration crashAge {};
 
@@ -61,6 +66,7 @@
 struct PromptPartReport
 {
     std::uint64_t part = 0;
+    PromptPartKind kind = PromptPartKind::Shared;
     std::uint32_t position = 0; // in the prompt, from 0
     std::vector<PromptCrashReport> crashes;
     std::optional<Duration> quarantineAge;
@@ -86,8 +92,10 @@
     void recordCrash(const PromptIdentity &prompt, std::uint64_t backend, Instant sentAt,
                      Instant now);
 
-    // The answer to the prompt went on beyond its beginning, or is complete.
+    // The answer to the prompt went on beyond its beginning.
     void recordAnswer(const PromptIdentity &prompt, Instant now);
+    // The answer to the prompt is complete.
+    void recordCompletion(const PromptIdentity &prompt, Instant now);
 
     // If the prompt has a quarantined part: the time until it may be tried again. Nothing if a
     // request with it may be queued.
@@ -97,6 +105,9 @@
     // quarantine has ended, which begins the next one: that request is the trial.
     std::optional<Duration> refusalAtStart(const PromptIdentity &prompt, Instant now);
 
+    // What is known of the part because of which the prompt is refused, if it is.
+    std::optional<PromptPartReport> refusedPart(const PromptIdentity &prompt, Instant now) const;
+
     // Whether a part of the prompt is quarantined or has been seen in more than one crash, so that
     // a request that was cut is not to be sent a second time.
     bool isSuspect(const PromptIdentity &prompt) const;
@@ -106,6 +117,8 @@
 
     // Returns the parts that were quarantined since the last call, here or by a peer.
     std::vector<std::uint64_t> takeNewlyQuarantined();
+    // What is known of a part.
+    std::optional<PromptPartReport> describe(std::uint64_t part, Instant now) const;
 
     // A peer has started and does not know yet what this gateway knows.
     void peerStarted(Instant now);
--- /dev/null
+++ b/src/promptsuspect.cpp
@@ -0,0 +1,149 @@
+// Evidence for and against one part of prompts.
+
+#include "promptsuspect.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cornelshed::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Further crashes under a part add nothing to what is known of it.
+constexpr std::size_t crashLimit = 8;
+// A part without any evidence is remembered for this time after the last crash, so that peers learn
+// that it was cleared.
+constexpr Duration clearedRetention = 10s;
+// Time between two announcements that a part without evidence still serves well.
+constexpr Duration clearedAnnounceInterval = 500ms;
+
+} // namespace
+
+bool PromptSuspect::hasCrash(std::uint64_t backend) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(),
+                       [&](const PromptCrash &it) { return it.backend == backend; });
+}
+
+std::optional<Instant> PromptSuspect::quarantinedUntil() const
+{
+    return m_quarantinedAt ? std::optional(*m_quarantinedAt + m_quarantine) : std::nullopt;
+}
+
+bool PromptSuspect::isConvicted(const PromptQuarantineSettings &settings, Instant now) const
+{
+    if (m_quarantinedAt || m_crashes.size() < settings.crashes)
+        return false;
+    std::set<std::uint64_t> variants;
+    Instant firstCrash = Instant::max();
+    Instant lastSent = Instant::min();
+    for (const PromptCrash &it : m_crashes) {
+        variants.insert(it.variant);
+        firstCrash = std::min(firstCrash, it.crashedAt);
+        lastSent = std::max(lastSent, it.sentAt);
+    }
+    if (lastSent <= firstCrash || isContradicted(settings, now))
+        return false;
+    return m_kind == PromptPartKind::Whole
+            || (variants.size() >= settings.variants && firstCrash + settings.settleTime <= now);
+}
+
+bool PromptSuspect::isContradicted(const PromptQuarantineSettings &settings,
+                                   Instant quarantinedAt) const
+{
+    return m_clearedAt && *m_clearedAt + settings.answerFreeTime > quarantinedAt;
+}
+
+bool PromptSuspect::appliesTo(std::uint64_t organisation) const
+{
+    if (m_kind == PromptPartKind::Whole || m_crashes.empty())
+        return true;
+    const std::uint64_t first = m_crashes.front().organisation;
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &it) {
+        return it.organisation == organisation || it.organisation != first;
+    });
+}
+
+bool PromptSuspect::isExpired(const PromptQuarantineSettings &settings, Instant now) const
+{
+    if (m_quarantinedAt)
+        return m_evidenceAt + m_quarantine + settings.retention <= now;
+    return m_evidenceAt + (m_crashes.empty() ? clearedRetention : settings.retention) <= now;
+}
+
+bool PromptSuspect::addCrash(const PromptCrash &crash, Instant now)
+{
+    const bool isOlderThanAnswer = m_clearedAt && crash.sentAt < *m_clearedAt;
+    if (hasCrash(crash.backend) || isOlderThanAnswer)
+        return false;
+    m_crashes.insert(std::upper_bound(m_crashes.begin(), m_crashes.end(), crash,
+                                      [](const PromptCrash &a, const PromptCrash &b) {
+                                          return a.crashedAt < b.crashedAt;
+                                      }),
+                     crash);
+    // The oldest crashes show how long a part has been suspect, the newest ones that it still is,
+    // and what they explain.
+    if (m_crashes.size() > crashLimit) {
+        const auto middle = m_crashes.begin() + crashLimit / 2;
+        const bool isNews = middle->backend != crash.backend;
+        m_crashes.erase(middle);
+        if (!isNews)
+            return false;
+    }
+    m_evidenceAt = now;
+    m_changedAt = now;
+    return true;
+}
+
+void PromptSuspect::removeExplained(const PromptSuspect &quarantined, Instant now)
+{
+    const auto removed = std::erase_if(m_crashes, [&](const PromptCrash &it) {
+        return std::any_of(quarantined.m_crashes.begin(), quarantined.m_crashes.end(),
+                           [&](const PromptCrash &other) {
+                               return other.backend == it.backend
+                                       && explains(quarantined.m_kind, other, m_kind, it);
+                           });
+    });
+    if (removed > 0)
+        m_changedAt = now;
+}
+
+void PromptSuspect::quarantine(Instant since, Duration length, Instant now)
+{
+    m_quarantinedAt = since;
+    m_quarantine = length;
+    m_evidenceAt = now;
+    m_changedAt = now;
+}
+
+void PromptSuspect::clear(const PromptQuarantineSettings &settings, Instant at, Instant now)
+{
+    const bool isNews = !m_clearedAt || *m_clearedAt + clearedAnnounceInterval <= at;
+    m_clearedAt = std::max(m_clearedAt.value_or(at), at);
+    const auto removed =
+            std::erase_if(m_crashes, [&](const PromptCrash &it) { return it.sentAt < at; });
+    const bool released = m_quarantinedAt && isContradicted(settings, *m_quarantinedAt);
+    if (released)
+        m_quarantinedAt.reset();
+    if (removed > 0 || released)
+        m_evidenceAt = now;
+    if (removed > 0 || released || isNews)
+        m_changedAt = now;
+}
+
+PromptPartReport PromptSuspect::report(std::uint64_t id, Instant now) const
+{
+    PromptPartReport report {id, m_kind, m_position, {}, {}, m_quarantine, {}};
+    for (const PromptCrash &it : m_crashes)
+        report.crashes.push_back(
+                {it.backend, it.variant, it.organisation, now - it.sentAt, now - it.crashedAt});
+    if (m_quarantinedAt)
+        report.quarantineAge = now - *m_quarantinedAt;
+    if (m_clearedAt)
+        report.clearedAge = now - *m_clearedAt;
+    return report;
+}
+
+} // namespace cornelshed::detail
--- /dev/null
+++ b/src/promptsuspect.h
@@ -0,0 +1,95 @@
+// What one gateway knows of one part of prompts, or of one whole prompt: the crashes of backend
+// servers under it, the last answer that cleared it, and its quarantine.
+
+#ifndef CORNELSHED_PROMPTSUSPECT_H
+#define CORNELSHED_PROMPTSUSPECT_H
+
+#include "promptquarantine.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace cornelshed::detail {
+
+struct PromptCrash
+{
+    std::uint64_t backend = 0; // digest of its id and start
+    std::uint64_t variant = 0; // of the prompts with the part
+    std::uint64_t organisation = 0;
+    Instant sentAt {};
+    Instant crashedAt {};
+
+    bool operator==(const PromptCrash &) const = default;
+};
+
+class PromptSuspect
+{
+public:
+    PromptSuspect(PromptPartKind kind, std::uint32_t position, Instant now)
+        : m_kind(kind), m_position(position), m_evidenceAt(now), m_changedAt(now)
+    { }
+
+    PromptPartKind kind() const { return m_kind; }
+    const std::vector<PromptCrash> &crashes() const { return m_crashes; }
+    bool hasCrash(std::uint64_t backend) const;
+    bool isQuarantined() const { return m_quarantinedAt.has_value(); }
+    // The end of the quarantine, after which there may be a trial.
+    std::optional<Instant> quarantinedUntil() const;
+    Duration quarantineLength() const { return m_quarantine; }
+    Instant changedAt() const { return m_changedAt; } // as it concerns peers
+
+    // Whether the crashes suffice to quarantine the part.
+    bool isConvicted(const PromptQuarantineSettings &settings, Instant now) const;
+    // Whether an answer went on after the quarantine began at that time, or too shortly before it:
+    // a part that crashes servers has no such answers.
+    bool isContradicted(const PromptQuarantineSettings &settings, Instant quarantinedAt) const;
+    // Whether the quarantine applies to requests of the organisation. Callers name the parts of
+    // their prompts, so one organisation's crashes hold back another one only if the content is the
+    // same.
+    bool appliesTo(std::uint64_t organisation) const;
+    bool isExpired(const PromptQuarantineSettings &settings, Instant now) const;
+
+    // The suspects with the least weight are dropped first, those with the most reported first.
+    auto weight() const { return std::make_tuple(isQuarantined(), m_crashes.size(), m_changedAt); }
+    // Of those convicted at the same time, the one with the most weight is to blame.
+    auto guilt() const { return std::make_tuple(m_crashes.size(), m_kind, m_position); }
+
+    // Returns whether the crash was not known and may be due to the part.
+    bool addCrash(const PromptCrash &crash, Instant now);
+    // Whether the crash under a part that is quarantined explains the same one under this part: it
+    // does, unless that is a shared part of the prompt which is quarantined as a whole. It may be
+    // to blame for all prompts with it.
+    static bool explains(PromptPartKind quarantined, const PromptCrash &crash, PromptPartKind part,
+                         const PromptCrash &same)
+    {
+        return quarantined != PromptPartKind::Whole || part != PromptPartKind::Shared
+                || crash.variant != same.variant;
+    }
+    // Removes the crashes that the quarantined part explains.
+    void removeExplained(const PromptSuspect &quarantined, Instant now);
+    void quarantine(Instant since, Duration length, Instant now);
+    // An answer to a prompt with the part went on at that time.
+    void clear(const PromptQuarantineSettings &settings, Instant at, Instant now);
+    std::optional<Instant> clearedAt() const { return m_clearedAt; }
+    std::optional<Instant> quarantinedAt() const { return m_quarantinedAt; }
+
+    PromptPartReport report(std::uint64_t id, Instant now) const;
+
+private:
+    PromptPartKind m_kind;
+    std::uint32_t m_position;
+    std::vector<PromptCrash> m_crashes; // of different backend servers, oldest first
+    std::optional<Instant> m_quarantinedAt;
+    Duration m_quarantine {};
+    std::optional<Instant> m_clearedAt; // the last answer that went on
+    Instant m_evidenceAt;               // a crash or the quarantine was last recorded or cleared
+    Instant m_changedAt;
+};
+
+} // namespace cornelshed::detail
+
+#endif // CORNELSHED_PROMPTSUSPECT_H
--- /dev/null
+++ b/test/error/crashingwholeprompt.cpp
@@ -0,0 +1,63 @@
+// Guards against one prompt that crashes one engine after the other because it is sent again and
+// again under new request ids, and against sound requests that share something with it and are held
+// back. Gateways run in front of scripted engines and pass their reports to each other.
+
+#include "crashingengines.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+using namespace cornelshed;
+using namespace cornelshed::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *deadlyBody = "deadly";
+// Time between two deadly requests, as on the day that showed the fault.
+constexpr auto deadlyInterval = 200ms;
+constexpr std::size_t crashesAllowed = 3;
+
+bool hasDeadlyBody(const StubRequest &request)
+{
+    return request.body == deadlyBody;
+}
+
+// Requests beside the deadly prompt {"aa:60", "c1:40", deadlyBody}. The body has the same size.
+const std::array<PromptRequest, 3> soundRequests {{
+        {"aa:60", "c1:40", "sounds"}, // same session
+        {"aa:60", "c2:40", "sounds"}, // same first part
+        {"bb:60", "c1:40", "sounds"}, // same last part after another first one
+}};
+
+} // namespace
+
+TEST_CASE("one prompt under new request ids crashes three engines at most, whichever gateway it "
+          "comes to, and sound requests are answered at the first attempt")
+{
+    CrashingEngines fixture(hasDeadlyBody);
+    std::size_t soundAnswered = 0;
+    for (int n = 0; n < 12; ++n) {
+        GatewayRunner &gateway = n % 2 == 0 ? fixture.first : fixture.second;
+        const CallerAnswer deadly = fixture.request(gateway, {"aa:60", "c1:40", deadlyBody});
+        CHECK(deadly.status != 200);
+        fixture.restartCrashed();
+        fixture.exchangeReports();
+        for (const PromptRequest &it : soundRequests)
+            soundAnswered += fixture.request(gateway, it).status == 200 ? 1 : 0;
+        fixture.exchangeReports();
+        std::this_thread::sleep_for(deadlyInterval);
+    }
+    CHECK(fixture.deadlyArrivals() <= crashesAllowed);
+    CHECK(soundAnswered == 12 * soundRequests.size());
+    CHECK(fixture.soundArrivals() == soundAnswered);
+    for (GatewayRunner *it : {&fixture.first, &fixture.second}) {
+        const CallerAnswer refused = fixture.request(*it, {"aa:60", "c1:40", deadlyBody});
+        CHECK(refused.status == 503);
+        CHECK(std::atof(headerValue(refused.headers, "Retry-After").c_str()) > 30);
+    }
+}
