explain lists the crashes because of which a prompt was refused

A refused request's report ended with the reason. It now has the quarantine and the attempts that were cut under the same part or content, from the logs of all gateways that are given.

--- a/src/promptidentity.cpp
+++ b/src/promptidentity.cpp
@@ -9,11 +9,15 @@
 
 namespace {
 
-// The last part of one prompt may be a shared part of another one; these are different suspects.
 constexpr std::uint64_t lastPartSeed = stableDigest("last part");
 
 } // namespace
 
+std::uint64_t lastPartDigest(std::uint64_t session)
+{
+    return session ^ lastPartSeed;
+}
+
 std::vector<PromptPart> PromptIdentity::parts() const
 {
     std::vector<PromptPart> parts;
@@ -23,7 +27,7 @@
         parts.push_back({it, PromptPartKind::Shared, position++, session});
     if (session != 0)
         parts.push_back(
-                {session ^ lastPartSeed, PromptPartKind::Last, position++, content.value_or(0)});
+                {lastPartDigest(session), PromptPartKind::Last, position++, content.value_or(0)});
     if (content)
         parts.push_back({*content, PromptPartKind::Whole, position, session});
     return parts;
--- a/src/promptidentity.h
+++ b/src/promptidentity.h
@@ -52,6 +52,9 @@
                               const std::string &organisation, const std::string &method,
                               const std::string &target, const std::string &body);
 
+// The last part of one prompt may be a shared part of another one; these are different suspects.
+std::uint64_t lastPartDigest(std::uint64_t session);
+
 const char *nameOf(PromptPartKind kind);
 
 } // namespace cornelshed
--- a/src/requestreport.cpp
+++ b/src/requestreport.cpp
@@ -58,7 +58,7 @@
         {"waited_too_long",
          "no backend server had room for it within its waiting limit; see the field ran for "
          "earlier attempts"},
-        {"prompt_quarantined", "a part of its prompt has crashed several backend servers"},
+        {"prompt_quarantined", "its prompt, or a part of it, has crashed several backend servers"},
         {"deadline", "its time limit passed"},
         {"caller_left", "the caller closed the connection"},
         {"silent", "the backend server sent nothing within the expected time"},
@@ -169,12 +169,6 @@
             + std::chrono::seconds(*second) + std::chrono::milliseconds(*millisecond);
 }
 
-std::string fieldOf(const LogEvent &event, const std::string &key)
-{
-    const auto it = event.fields.find(key);
-    return it == event.fields.end() ? std::string() : it->second;
-}
-
 bool isGatewayEvent(const LogEvent &event)
 {
     return std::find(gatewayEvents.begin(), gatewayEvents.end(), event.name) != gatewayEvents.end();
@@ -187,9 +181,9 @@
         if (event.name != name)
             continue;
         const std::string field(key);
-        const std::string value = fieldOf(event, field);
+        const std::string value = event.field(field);
         return std::any_of(requestEvents.begin(), requestEvents.end(),
-                           [&](const LogEvent &it) { return fieldOf(it, field) == value; });
+                           [&](const LogEvent &it) { return it.field(field) == value; });
     }
     return false;
 }
@@ -198,8 +192,8 @@
 std::string summaryOf(const LogEvent &last)
 {
     const bool refused = last.name == "request_refused";
-    const std::string status = fieldOf(last, "status");
-    const std::string problem = fieldOf(last, refused ? "reason" : "problem");
+    const std::string status = last.field("status");
+    const std::string problem = last.field(refused ? "reason" : "problem");
     if (!refused && last.name != "request_ended")
         return "its end is not in this log";
     if (!status.empty() && status[0] == '2')
@@ -209,7 +203,7 @@
     const std::string outcome =
             status == "0" ? "its connection was closed" : "the caller got " + status;
     std::string sentence = outcome + ": " + std::string(descriptionOfProblem(problem));
-    const std::string wait = fieldOf(last, "retry_after_ms");
+    const std::string wait = last.field("retry_after_ms");
     if (!wait.empty() && wait[0] != '-')
         sentence += "; told to retry after " + wait + " ms";
     return sentence;
@@ -249,7 +243,8 @@
             ++m_sources[source].truncatedLines;
         return;
     }
-    if (fieldOf(*event, "request") == m_requestId) {
+    m_promptCrashes.add(source, *event);
+    if (event->field("request") == m_requestId) {
         m_sources[source].requestEvents.push_back(*event);
         return;
     }
@@ -285,7 +280,7 @@
         return text;
     const LogEvent &last = source.requestEvents.back();
     Duration arrival = source.requestEvents.front().time;
-    if (const std::string total = fieldOf(last, "total_ms"); !total.empty()) {
+    if (const std::string total = last.field("total_ms"); !total.empty()) {
         std::int64_t ms = 0;
         std::from_chars(total.data(), total.data() + total.size(), ms);
         arrival = std::min(arrival, last.time - std::chrono::milliseconds(ms));
@@ -300,11 +295,16 @@
                      [](const LogEvent &a, const LogEvent &b) { return a.time < b.time; });
     for (const LogEvent &it : events) {
         const auto ms = (it.time - last.time) / 1ms;
-        const bool namesRequest = fieldOf(it, "request") == m_requestId;
+        const bool namesRequest = it.field("request") == m_requestId;
         text += (namesRequest ? "  " : "    ") + std::to_string(ms) + " ms " + it.name + it.text
                 + '\n';
     }
-    return text + "  " + summaryOf(last) + '\n';
+    text += "  " + summaryOf(last) + '\n';
+    for (const LogEvent &it : source.requestEvents) {
+        if (it.name == "prompt_refused")
+            text += m_promptCrashes.text(name, it);
+    }
+    return text;
 }
 
 } // namespace cornelshed
--- a/src/requestreport.h
+++ b/src/requestreport.h
@@ -6,6 +6,8 @@
 #ifndef CORNELSHED_REQUESTREPORT_H
 #define CORNELSHED_REQUESTREPORT_H
 
+#include "logevent.h"
+#include "promptcrashlog.h"
 #include "types.h"
 
 #include <cstddef>
@@ -17,18 +19,6 @@
 
 namespace cornelshed {
 
-// A log line of key=value pairs. Text before the first pair, such as the prefix of an outer log, is
-// dropped.
-struct LogEvent
-{
-    std::string name;                          // value of the key event
-    Duration time {};                          // since 1970, by the writer's clock
-    std::map<std::string, std::string> fields; // without event, time and level
-    std::string text;                          // the fields as key=value pairs, in the line's order
-
-    bool operator==(const LogEvent &) const = default;
-};
-
 // Returns nothing for a line that is truncated or not a log event.
 std::optional<LogEvent> parseLogEvent(std::string_view line);
 
@@ -60,6 +50,7 @@
 
     std::string m_requestId;
     std::map<std::string, Source> m_sources; // by the source's name
+    PromptCrashLog m_promptCrashes;          // of all sources
 };
 
 } // namespace cornelshed
--- a/test/correctness/requestreport.cpp
+++ b/test/correctness/requestreport.cpp
@@ -47,6 +47,37 @@
     CHECK_FALSE(parseLogEvent("time=yesterday event=a"));
 }
 
+TEST_CASE("a refused prompt: the crashes that convicted it, from the logs of all gateways, and no "
+          "other request that was cut with the same server")
+{
+    RequestReport account(requestId);
+    const auto cut = [](const char *request, const char *backend, int crash, int content) {
+        return "event=attempt_cut request=" + std::string(request) + " backend=" + backend
+                + " shared_parts=aa last_part=c1 content=" + std::to_string(content)
+                + " crash=" + std::to_string(crash);
+    };
+    account.addLine("g", logLine("10.000", cut("r-1", "i-1", 501, 77)));
+    account.addLine("g", logLine("10.001", cut("beside", "i-1", 501, 78)));
+    account.addLine("h", logLine("10.300", cut("r-2", "i-2", 502, 77)));
+    account.addLine("g",
+                    logLine("11.000",
+                            "event=prompt_quarantined part=77 kind=whole length_ms=60000 "
+                            "crashes=501@-1000,502@-700,503@-2"));
+    account.addLine(
+            "g",
+            logLine("30.000", "event=prompt_refused request=" + requestId + " part=77 kind=whole"));
+    account.addLine("g",
+                    logLine("30.000",
+                            "event=request_refused request=" + requestId
+                                    + " status=503 reason=prompt_quarantined"));
+    const std::string text = account.text();
+    CHECK(has(text, "its prompt, or a part of it, has crashed several backend servers"));
+    CHECK(has(text, "g: attempt_cut request=r-1 backend=i-1"));
+    CHECK(has(text, "h: attempt_cut request=r-2 backend=i-2"));
+    CHECK(has(text, "crash 503@-2: its gateway's log is not among these"));
+    CHECK_FALSE(has(text, "beside"));
+}
+
 TEST_CASE("a refusal over an allowance: its inputs, and when the caller may retry")
 {
     RequestReport account(requestId);
