A server that crashes again under the same whole prompt counts again

A server that keeps its id and start over a crash, because only its engine process restarts or the list is late, was counted once. Two such servers crashed by turns for ever. For a whole prompt each crash counts now, if there are two servers at least: one server alone may be broken itself.

--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -11,9 +11,10 @@
 // A part is quarantined after crashes of several backend servers under different prompts with it,
 // at least one of them sent after the first crash, without an answer in between: a failure of many
 // servers at the same moment thus convicts no part. For a whole prompt there are no different ones
-// to wait for. Of several parts that the same crashes convict, the most specific one is to blame,
-// and they no longer count against the others. Only those under a whole prompt still count against
-// its shared parts, of which one may be to blame for other prompts too.
+// to wait for, and a server that crashes again under it counts again. Of several parts that the
+// same crashes convict, the most specific one is to blame, and they no longer count against the
+// others. Only those under a whole prompt still count against its shared parts, of which one may be
+// to blame for other prompts too.
 //
 // When the quarantine of a part ends, one gateway sends one request with it as a trial. If that
 // crashes too, the next trial follows after twice the time.
@@ -34,7 +35,7 @@
 
 struct PromptQuarantineSettings
 {
-    std::uint32_t crashes = 3;  // of different backend servers, before a part is quarantined
+    std::uint32_t crashes = 3;  // of backend servers, before a part is quarantined
     std::uint32_t variants = 2; // different prompts among them, except for a whole prompt
     // From the first of the crashes, except for a whole prompt: answers that clear a part, and what
     // peers know of the same crashes, may take this time to arrive.
--- a/src/promptsuspect.cpp
+++ b/src/promptsuspect.cpp
@@ -13,6 +13,11 @@
 
 // Further crashes under a part add nothing to what is known of it.
 constexpr std::size_t crashLimit = 8;
+// A crash under a whole prompt may be due to its backend server if there was no other one.
+constexpr std::size_t minBackends = 2;
+// Reports convert times to ages and back, and take some time to arrive. Times that differ by less
+// belong to the same crash.
+constexpr Duration timeTolerance = 1s;
 // A part without any evidence is remembered for this time after the last crash, so that peers learn
 // that it was cleared.
 constexpr Duration clearedRetention = 10s;
@@ -21,10 +26,12 @@
 
 } // namespace
 
-bool PromptSuspect::hasCrash(std::uint64_t backend) const
+bool PromptSuspect::hasCrash(const PromptCrash &crash) const
 {
-    return std::any_of(m_crashes.begin(), m_crashes.end(),
-                       [&](const PromptCrash &it) { return it.backend == backend; });
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &it) {
+        const bool isSameTime = std::chrono::abs(it.crashedAt - crash.crashedAt) <= timeTolerance;
+        return it.backend == crash.backend && (m_kind != PromptPartKind::Whole || isSameTime);
+    });
 }
 
 std::optional<Instant> PromptSuspect::quarantinedUntil() const
@@ -37,17 +44,20 @@
     if (m_quarantinedAt || m_crashes.size() < settings.crashes)
         return false;
     std::set<std::uint64_t> variants;
+    std::set<std::uint64_t> backends;
     Instant firstCrash = Instant::max();
     Instant lastSent = Instant::min();
     for (const PromptCrash &it : m_crashes) {
         variants.insert(it.variant);
+        backends.insert(it.backend);
         firstCrash = std::min(firstCrash, it.crashedAt);
         lastSent = std::max(lastSent, it.sentAt);
     }
     if (lastSent <= firstCrash || isContradicted(settings, now))
         return false;
-    return m_kind == PromptPartKind::Whole
-            || (variants.size() >= settings.variants && firstCrash + settings.settleTime <= now);
+    if (m_kind == PromptPartKind::Whole)
+        return backends.size() >= minBackends;
+    return variants.size() >= settings.variants && firstCrash + settings.settleTime <= now;
 }
 
 bool PromptSuspect::isContradicted(const PromptQuarantineSettings &settings,
@@ -76,7 +86,7 @@
 bool PromptSuspect::addCrash(const PromptCrash &crash, Instant now)
 {
     const bool isOlderThanAnswer = m_clearedAt && crash.sentAt < *m_clearedAt;
-    if (hasCrash(crash.backend) || isOlderThanAnswer)
+    if (hasCrash(crash) || isOlderThanAnswer)
         return false;
     m_crashes.insert(std::upper_bound(m_crashes.begin(), m_crashes.end(), crash,
                                       [](const PromptCrash &a, const PromptCrash &b) {
--- a/src/promptsuspect.h
+++ b/src/promptsuspect.h
@@ -35,7 +35,6 @@
 
     PromptPartKind kind() const { return m_kind; }
     const std::vector<PromptCrash> &crashes() const { return m_crashes; }
-    bool hasCrash(std::uint64_t backend) const;
     bool isQuarantined() const { return m_quarantinedAt.has_value(); }
     // The end of the quarantine, after which there may be a trial.
     std::optional<Instant> quarantinedUntil() const;
@@ -80,9 +79,13 @@
     PromptPartReport report(std::uint64_t id, Instant now) const;
 
 private:
+    bool hasCrash(const PromptCrash &crash) const;
+
     PromptPartKind m_kind;
     std::uint32_t m_position;
-    std::vector<PromptCrash> m_crashes; // of different backend servers, oldest first
+    // Oldest first. Of different backend servers, except for a whole prompt: a server that fails on
+    // the same content again after a while has crashed again.
+    std::vector<PromptCrash> m_crashes;
     std::optional<Instant> m_quarantinedAt;
     Duration m_quarantine {};
     std::optional<Instant> m_clearedAt; // the last answer that went on
--- a/test/correctness/crashingprompts.cpp
+++ b/test/correctness/crashingprompts.cpp
@@ -68,6 +68,26 @@
     CHECK(quarantine.quarantined() == 0);
 }
 
+TEST_CASE("two servers that crash under a prompt by turns, and keep their id and start, count as "
+          "often as they crash; one server alone does not")
+{
+    const PromptIdentity deadly = prompt({11}, 17, 31);
+    PromptQuarantine two;
+    PromptQuarantine one;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        const Instant at = start + n * 4s;
+        two.recordCrash(deadly, n % 2, at - 300ms, at);
+        one.recordCrash(deadly, 1, at - 300ms, at);
+        // The same crash, as peers pass it on.
+        PromptQuarantine peer;
+        peer.merge(two.reports(at + 10ms), at + 300ms);
+        two.merge(peer.reports(at + 310ms), at + 500ms);
+        CHECK(two.quarantined() == (n == 3 ? 1 : 0));
+    }
+    CHECK(two.refusal(deadly, start + 13s));
+    CHECK_FALSE(one.refusal(deadly, start + 13s));
+}
+
 TEST_CASE("only a complete answer clears a whole prompt, as it may crash servers in mid-stream")
 {
     PromptQuarantine quarantine;
