--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -47,6 +47,9 @@
 // One in this many streams has a prompt that crashes backend servers.
 constexpr int deadlyInterval = 10;
 constexpr const char *deadlyPart = "dead";
+// One in this many streams is the same prompt each time, which crashes backend servers as a whole.
+constexpr int deadlyWholeInterval = 30;
+constexpr const char *deadlyBody = "xx"; // others have the same length
 // Requests per second that the first backend server names as its limit.
 constexpr int namedLimit = 5;
 // What the users allow in calmDuration: half more, and five; and of the deadly prompts.
@@ -116,8 +119,9 @@
 // Arrivals at backend servers that a bound applies to.
 struct BoundedArrivals
 {
-    std::atomic<int> limited {0}; // at the server that names a limit
-    std::atomic<int> deadly {0};  // with a prompt that crashes servers
+    std::atomic<int> limited {0};     // at the server that names a limit
+    std::atomic<int> deadly {0};      // with a part of a prompt that crashes servers
+    std::atomic<int> deadlyWhole {0}; // with a prompt that does so as a whole
 };
 
 BackendStub::Handler backendScript(ExecutionCounts &executions, BoundedArrivals &arrivals,
@@ -130,8 +134,10 @@
         std::string commonHeaders = "X-Request-Id: " + id + "\r\nX-Response-Seal: s\r\n";
         if (isLimited)
             commonHeaders += "Server-Limit: " + std::to_string(namedLimit) + "\r\n";
-        if (header(request, "X-Prefix-Hash").find(deadlyPart) != std::string::npos) {
-            ++arrivals.deadly;
+        const bool isDeadlyWhole = request.body == deadlyBody;
+        if (isDeadlyWhole
+            || header(request, "X-Prefix-Hash").find(deadlyPart) != std::string::npos) {
+            ++(isDeadlyWhole ? arrivals.deadlyWhole : arrivals.deadly);
             reply.send("HTTP/1.1 200 OK\r\n" + commonHeaders
                        + "Transfer-Encoding: chunked\r\n\r\n");
             reply.close();
@@ -308,10 +314,12 @@
         const int answeredBefore = m_answered;
         const int limitedBefore = m_arrivals.limited;
         const int deadlyBefore = m_arrivals.deadly;
+        const int deadlyWholeBefore = m_arrivals.deadlyWhole;
         std::this_thread::sleep_for(calmDuration);
         m_recovered = m_answered > answeredBefore + 10;
         m_limitedWhileCalm = m_arrivals.limited - limitedBefore;
         m_deadlyWhileCalm = m_arrivals.deadly - deadlyBefore;
+        m_deadlyWholeWhileCalm = m_arrivals.deadlyWhole - deadlyWholeBefore;
         m_stopped = true;
         for (std::thread &it : callers)
             it.join();
@@ -322,6 +330,7 @@
     bool recovered() const { return m_recovered; }
     int limitedWhileCalm() const { return m_limitedWhileCalm; }
     int deadlyWhileCalm() const { return m_deadlyWhileCalm; }
+    int deadlyWholeWhileCalm() const { return m_deadlyWholeWhileCalm; }
     std::vector<std::string> problems() const { return m_problems; }
     void keepLogs() { m_folder.keep(); }
 
@@ -414,11 +423,15 @@
                                                       gatewayAddress((n + i) % gatewayCount));
                 std::string text = "POST ";
                 text.append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ");
-                const bool isDeadly = path == "/quote/" && i % deadlyInterval == 2;
+                const bool isDeadlyWhole = path == "/quote/" && i % deadlyWholeInterval == 5;
+                const bool isDeadly =
+                        isDeadlyWhole || (path == "/quote/" && i % deadlyInterval == 2);
                 text.append(id).append(
                         "\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\nX-Prefix-Hash: ");
-                text.append(isDeadly ? std::string("aa:60,") + deadlyPart + ":80," : "aa:60,");
-                text.append(id).append(":40\r\nContent-Length: 2\r\n\r\nab");
+                text.append(isDeadly && !isDeadlyWhole ? std::string("aa:60,") + deadlyPart + ":80,"
+                                                       : "aa:60,");
+                text.append(isDeadlyWhole ? "c1" : id).append(":40\r\nContent-Length: 2\r\n\r\n");
+                text.append(isDeadlyWhole ? deadlyBody : "ab");
                 if (path == "/order/") {
                     const std::lock_guard lock(m_mutex);
                     m_nonIdempotentIds.push_back(id);
@@ -492,6 +505,7 @@
     std::atomic<int> m_answered {0};
     int m_limitedWhileCalm = 0;
     int m_deadlyWhileCalm = 0;
+    int m_deadlyWholeWhileCalm = 0;
     bool m_recovered = false; // requests were answered again after the faults
     std::mutex m_mutex;       // guards the members below
     std::vector<std::string> m_nonIdempotentIds;
@@ -512,12 +526,14 @@
         for (const std::string &it : soak.problems())
             FAIL_CHECK(it);
         const bool isWithinBounds = soak.limitedWhileCalm() <= limitedRequestsAllowed
-                && soak.deadlyWhileCalm() <= deadlyRequestsAllowed;
+                && soak.deadlyWhileCalm() <= deadlyRequestsAllowed
+                && soak.deadlyWholeWhileCalm() <= deadlyRequestsAllowed;
         if (!soak.problems().empty() || !soak.recovered() || !isWithinBounds)
             soak.keepLogs();
         CHECK(soak.answered() > 50);
         CHECK(soak.recovered());
         CHECK(soak.limitedWhileCalm() <= limitedRequestsAllowed);
         CHECK(soak.deadlyWhileCalm() <= deadlyRequestsAllowed);
+        CHECK(soak.deadlyWholeWhileCalm() <= deadlyRequestsAllowed);
     }
 }
