--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -194,6 +194,7 @@
     m_triedBackends.insert(backend.id);
     m_attemptStart = now;
     m_lastProgressAt = now;
+    m_cut = false;
     m_status.reset();
     m_responseHeaders.clear();
     m_reply = {};
@@ -434,21 +435,21 @@
         const bool hasNoEvent = m_eventSplitter->count() == 0;
         if (m_eventSplitter->pending() || (hasNoEvent && isCloseDelimited(m_responseHeaders))) {
             m_problem = "event_cut";
-            logCut();
+            recordCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
         } else if (hasNoEvent && m_history.answerStarted && m_history.ran > 0) {
             // The stream broke off before its end, and this does not show that nothing is missing.
             m_problem = "stream_not_resumed";
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Failed);
         } else {
-            m_services.answerContinued(m_admitted.prompt);
+            m_services.answerCompleted(m_admitted.prompt);
             endAttempt(AttemptEnd::Success, AttemptOutcome::Answered);
         }
         return;
     }
     const AttemptEnd end = classifyAnswer(*m_status, m_reply);
     if (end == AttemptEnd::Success)
-        m_services.answerContinued(m_admitted.prompt);
+        m_services.answerCompleted(m_admitted.prompt);
     AttemptOutcome outcome = AttemptOutcome::Answered;
     if (end == AttemptEnd::NotRun) {
         m_problem = m_reply.misdirected ? "misdirected" : "backend_full";
@@ -466,14 +467,15 @@
     const bool sent = error != BackendError::NotSent;
     const bool broken = error == BackendError::NotSent || error == BackendError::Cut;
     if (error == BackendError::Cut)
-        logCut();
+        recordCut();
     endAttempt(sent ? AttemptEnd::MayHaveRun : AttemptEnd::NotRun,
                broken ? AttemptOutcome::Broken : AttemptOutcome::Failed);
 }
 
-// Shows what the backend server was doing when it was lost, and for which prompt.
-void GatewayExchange::logCut() const
+// Logs what the backend server was doing when it was lost, and for which prompt.
+void GatewayExchange::recordCut()
 {
+    m_cut = true;
     EventLog("attempt_cut", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
             .field("backend", m_backendId)
@@ -481,7 +483,11 @@
             .field("head_received", m_status ? "yes" : "no")
             .field("events", m_eventSplitter ? m_eventSplitter->count() : 0)
             .field("event_cut", m_eventSplitter && m_eventSplitter->pending() ? "yes" : "no")
-            .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts));
+            .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts))
+            .field("last_part", m_admitted.metadata.sessionAffinityKey)
+            .field("content", m_admitted.prompt.content.value_or(0))
+            .field("crash", m_services.backendDigest(m_backendId))
+            .field("resumed", m_lastEventId ? "yes" : "no");
 }
 
 Duration GatewayExchange::attemptAge() const
@@ -520,8 +526,9 @@
         return;
     }
     const bool inTime = hasTimeForRetry();
-    const bool suspect = outcome == AttemptOutcome::Broken && answerJustBegun()
-            && m_services.isSuspect(m_admitted.prompt);
+    const bool suspect = m_cut
+            && m_services.isSuspect(answerJustBegun() ? m_admitted.prompt
+                                                      : m_admitted.prompt.wholeOnly());
     const bool retry = inTime && !suspect && m_services.tryTakeRetry(m_admitted.service);
     EventLog(retry ? "attempt_repeated" : "attempt_not_repeated", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
@@ -687,10 +694,12 @@
         ++m_history.ran;
         abandonAttempt();
     }
-    if (m_history.ran > 0)
-        fail(502, "a part of the prompt crashes backend servers", std::nullopt);
+    if (m_history.answerStarted)
+        abortResponse();
+    else if (m_history.ran > 0)
+        fail(502, promptCrashesMessage, std::nullopt);
     else
-        fail(503, "a part of the prompt crashes backend servers", untilTrial);
+        fail(503, promptCrashesMessage, untilTrial);
 }
 
 void GatewayExchange::shutDown()
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -26,6 +26,9 @@
 class GatewayExchange;
 
 // Interface that the gateway provides to its exchanges.
+inline constexpr const char *promptCrashesMessage =
+        "the prompt, or a part of it, crashes backend servers";
+
 class ExchangeServices
 {
 public:
@@ -45,8 +48,12 @@
     // Whether the prompt may be what crashes backend servers.
     virtual bool isSuspect(const PromptIdentity &prompt) const = 0;
 
-    // The answer to the prompt went on beyond its beginning, or is complete.
+    // The answer to the prompt went on beyond its beginning.
     virtual void answerContinued(const PromptIdentity &prompt) = 0;
+    virtual void answerCompleted(const PromptIdentity &prompt) = 0;
+
+    // Digest of a backend server's id and start, which names its crash.
+    virtual std::uint64_t backendDigest(const std::string &backend) const = 0;
 
     // Queues the request for another attempt: calls setQueued(), and later startAttempt() or
     // handleRefusal(), unless the place in the queue is withdrawn.
@@ -123,8 +130,8 @@
 
     void callerDisconnected() override;
 
-    // Ends the exchange, whose answer has not started, because a part of its prompt crashes backend
-    // servers and may not be tried again before this time. A running attempt is cancelled.
+    // Ends the exchange because its prompt crashes backend servers and may not be tried again
+    // before this time. A running attempt is cancelled.
     void endQuarantined(Duration untilTrial);
 
     // Ends the exchange because the process shuts down. The caller is told that the request was not
@@ -146,6 +153,8 @@
     // Whether the answer of the current attempt, or of the last one, had begun but went no further
     // than its beginning.
     bool answerJustBegun() const;
+    // Whether the backend server broke the connection of the current attempt, or of the last one.
+    bool wasCut() const { return m_cut; }
     // Whether the caller or this gateway has enough of an answer to know that it went on.
     bool answerWentOn() const;
     bool answerStarted() const { return m_history.answerStarted; }
@@ -177,7 +186,7 @@
     void handleBody(const std::string &data);
     void handleFinished();
     void handleFailed(BackendError error);
-    void logCut() const;
+    void recordCut();
     bool isStreamedResponse() const;
     void forwardEvents(std::string_view data);
     void bufferBody(const std::string &data);
@@ -218,6 +227,7 @@
     // --- current attempt ---
     bool m_attemptRunning = false;
     RequestId m_attemptId;
+    bool m_cut = false;
     std::string m_backendId;
     std::shared_ptr<BackendExchange> m_call;
     std::shared_ptr<ResponseHandler> m_responseHandler;
