A server that failed may run a repeatable request again where no other can

Callers got 502 after 0.75 of the objective for idempotent requests of a service with one server left: the server had answered with an error, and the request was queued for a retry from which that server, the only one, was excluded. The server's answer was dropped.

A request that was never refused is now queued without exclusions if no other backend server of its service and version may be used. Servers that refused it are left alone as before, and so is the server of a silent attempt that runs on.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -658,6 +658,16 @@
     return loads;
 }
 
+bool DirectScheduler::hasUsableBackend(const DirectRequest &request) const
+{
+    const auto service = d->services.find(request.service);
+    return service != d->services.end()
+            && std::any_of(service->second.backends.begin(), service->second.backends.end(),
+                           [&](const Private::Backend *it) {
+                               return d->isUsable(*it) && Private::allowsBackend(*it, request);
+                           });
+}
+
 void DirectScheduler::add(DirectRequest request)
 {
     const Private::Queue::key_type key {request.order, d->arrivalCount++};
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -189,6 +189,9 @@
     void peerReport(std::uint64_t peer, const std::vector<PeerLoad> &loads, Instant now);
     std::vector<PeerLoad> ownLoads(Instant now) const;
 
+    // Whether any backend server may run the request, now or once it has a free slot.
+    bool hasUsableBackend(const DirectRequest &request) const;
+
     // Queues the request; advance() starts it.
     void add(DirectRequest request);
     void remove(const RequestId &id); // the caller left
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -203,6 +203,11 @@
         request.version =
                 rollouts.choose(admitted.service, admitted.metadata.requestId, requeued, now);
         request.isRetry = requeued;
+        // Where there is no other backend server, one that failed may run it again. One that
+        // refused it is left alone, and so is the one of a silent attempt.
+        const bool mayRunAgainThere = exchange.history().refused == 0 && !exchange.isRunning();
+        if (mayRunAgainThere && !scheduler.hasUsableBackend(request))
+            request.excluded.clear();
         return request;
     }
 
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -138,6 +138,7 @@
     const std::set<std::string> &excludedBackends() const { return m_excludedBackends; }
     // Id under which the scheduler started the current attempt or the last one.
     const RequestId &attemptId() const { return m_attemptId; }
+    bool isRunning() const { return m_attemptRunning; }
     // Whether an attempt is in progress, has run or may have run.
     bool everSent() const { return m_history.ran > 0 || m_attemptRunning; }
     const std::string &lastBackend() const { return m_backendId; }
