Soak: configuration changes and returns of the store beside its other faults

The store of the soak was a script whose rows never changed, so that no change of the configuration and no return from an older copy was played there. An operator changes the configuration and writes it again after returns. Checked: a key that was taken away is accepted nowhere 5 s after the acknowledgement, and a route that was added just after a return is served by each gateway within 2 s. The checks that were there are unchanged.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -1,9 +1,10 @@
 // Guards against requests that are executed twice, requests that are refused as not run although
 // they ran, responses that belong to another request, truncated streams, prompts that go on
-// crashing backend servers, and limits of backend servers that are not kept, while several faults
-// overlap: processes are killed, stopped and paused, and connections are disturbed. Real gateways
-// and admission agents run as processes in front of scripted backend servers and a scripted store.
-// Faults are injected by signals and by loopback proxies.
+// crashing backend servers, limits of backend servers that are not kept, and configurations that
+// are not in force in time or taken back, while several faults overlap: processes are killed,
+// stopped and paused, connections are disturbed, and the store returns from older copies. Real
+// gateways and admission agents run as processes in front of scripted backend servers and a store
+// in memory. Faults are injected by signals and by loopback proxies.
 //
 // CORNELSHED_SOAK_SEED sets the first seed (default 1) and CORNELSHED_SOAK_SEEDS the number of
 // seeds (default 1):
@@ -13,12 +14,10 @@
 #include "faultproxy.h"
 #include "loopback.h"
 #include "platformrows.h"
+#include "storestub.h"
 #include "temporaryfolder.h"
 #include "types.h"
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
-
 #include <doctest/doctest.h>
 
 #include <unistd.h>
@@ -52,6 +51,10 @@
 // What the users allow in calmDuration: half more, and five; and of the deadly prompts.
 constexpr int limitedRequestsAllowed = namedLimit * 6 + 5;
 constexpr int deadlyRequestsAllowed = 3;
+// What the users allow from the acknowledgement of a configuration until it is in force, and until
+// no request with a key that it took away may run.
+constexpr auto propagationBound = 2s;
+constexpr auto revocationBound = 5s;
 
 std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
 {
@@ -59,14 +62,6 @@
     return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
 }
 
-std::string base64(const std::string &bytes)
-{
-    using namespace boost::archive::iterators;
-    using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
-    std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
-    return text.append((3 - bytes.size() % 3) % 3, '=');
-}
-
 std::string header(const StubRequest &request, const std::string &name)
 {
     for (const auto &[key, text] : request.headers) {
@@ -163,59 +158,81 @@
             + R"("gap_aim_ms":200,"resumable":)" + (resumable ? "true" : "false") + "}";
 }
 
-// Scripts a store whose rows never change.
-class Store
+std::string serverRow(std::size_t number, std::uint16_t port)
+{
+    return R"({"service":"w","address":"127.0.0.)" + std::to_string(number + 2) + ":"
+            + std::to_string(port) + R"(","zone":"a","version":"v1","slots":4,"state":"ready"})";
+}
+
+// Plays the operator of the store: changes the configuration, and writes it again when the store
+// has returned from a copy without it. Each version adds a route and a key; the key of the version
+// before is taken away.
+class Operator
 {
 public:
-    Store(const std::vector<std::uint16_t> &backendPorts,
-          const std::vector<GatewayRecord> &gateways)
+    struct Version
     {
-        // The gateways learn of each other.
-        for (const GatewayRecord &it : gateways)
-            add("gateways", it.name, PlatformRows().encodeGateway(it));
-        add("op", "config",
-            R"({"version":3,"services":[{"name":"w","cold_per_s":0}],"routes":[)"
-                    + routeJson("/order/", "non_idempotent", false) + ","
-                    + routeJson("/look/", "idempotent", false) + ","
-                    + routeJson("/quote/", "streaming", true)
-                    + R"(],"tenants":[{"name":"acme","api_keys":["key-1"]}]})");
-        for (std::size_t n = 0; n < backendPorts.size(); ++n) {
-            add("servers", "i-" + std::to_string(n),
-                R"({"service":"w","address":"127.0.0.)" + std::to_string(n + 2) + ":"
-                        + std::to_string(backendPorts[n])
-                        + R"(","zone":"a","version":"v1","slots":4,"state":"ready"})");
-        }
+        std::uint64_t number = 0;
+        std::chrono::steady_clock::time_point acknowledgedAt;
+    };
+
+    explicit Operator(StoreStub &store) : m_store(store) { write(); }
+
+    void change()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_versions.push_back({m_versions.back().number + 3, {}});
+        write();
     }
 
-    BackendStub::Handler script()
+    // The store goes away and returns from the copy kept last.
+    void loseStore(std::chrono::milliseconds away, std::chrono::milliseconds untilRewritten)
     {
-        return [this](const StubRequest &request, StubReply &reply) {
-            if (request.method == "POST") {
-                reply.sendResponse(200, R"({"ver":9})");
-                return;
-            }
-            const bool feed = request.target.find("rows-feed") != std::string::npos;
-            std::string rows;
-            for (const char *table : {"op", "servers", "gateways"}) {
-                if (!feed
-                    && request.target.find(std::string("table=") + table + "&")
-                            != std::string::npos)
-                    rows = m_rows[table];
-            }
-            reply.sendResponse(200,
-                               R"({"rows":[)" + rows + R"(],"has_more":false,"ver":9,"now_ms":1})");
-        };
+        const std::lock_guard lock(m_mutex);
+        m_store.goAway();
+        std::this_thread::sleep_for(away);
+        m_store.returnFromCopy();
+        std::this_thread::sleep_for(untilRewritten);
+        writeRow();
+    }
+
+    std::vector<Version> versions() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_versions;
     }
 
+    static std::string path(std::uint64_t version)
+    {
+        return "/added-" + std::to_string(version) + "/";
+    }
+    static std::string key(std::uint64_t version) { return "key-v" + std::to_string(version); }
+
 private:
-    void add(const std::string &table, const std::string &key, const std::string &value)
+    void write()
     {
-        std::string &rows = m_rows[table];
-        rows += (rows.empty() ? "" : ",") + std::string(R"({"key":")") + key + R"(","value":")"
-                + base64(value) + R"(","ver":5})";
+        writeRow();
+        m_versions.back().acknowledgedAt = std::chrono::steady_clock::now();
     }
 
-    std::map<std::string, std::string> m_rows; // JSON, by table
+    void writeRow()
+    {
+        std::string routes = routeJson("/order/", "non_idempotent", false) + ","
+                + routeJson("/look/", "idempotent", false) + ","
+                + routeJson("/quote/", "streaming", true);
+        for (const Version &it : m_versions)
+            routes += "," + routeJson(path(it.number).c_str(), "idempotent", false);
+        const std::uint64_t number = m_versions.back().number;
+        m_store.set(RowTable::Orders, "config",
+                    R"({"version":)" + std::to_string(number)
+                            + R"(,"services":[{"name":"w","cold_per_s":0}],"routes":[)" + routes
+                            + R"(],"tenants":[{"name":"acme","api_keys":["key-1",")" + key(number)
+                            + R"("]}]})");
+    }
+
+    StoreStub &m_store;
+    mutable std::mutex m_mutex; // guards m_versions
+    std::vector<Version> m_versions {{3, {}}};
 };
 
 // A process that can be terminated and started again.
@@ -252,7 +269,8 @@
 {
 public:
     explicit SoakRun(std::uint64_t seed)
-        : m_seed(seed), m_processRandom(seed), m_proxyRandom(seed + 1000000)
+        : m_seed(seed), m_processRandom(seed), m_proxyRandom(seed + 1000000),
+          m_storeRandom(seed + 2000000)
     {
         std::vector<std::uint16_t> ports;
         for (int n = 0; n < backendCount; ++n) {
@@ -270,9 +288,13 @@
         gateways.reserve(gatewayCount);
         for (int n = 0; n < gatewayCount; ++n)
             gateways.push_back({gatewayName(n), gatewayAddress(n), m_basePort});
-        m_store = std::make_unique<Store>(ports, gateways);
-        m_storeServer = std::make_unique<BackendStub>(m_store->script());
-        m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0.1", m_storeServer->port()));
+        // The gateways learn of each other.
+        for (const GatewayRecord &it : gateways)
+            m_store.set(RowTable::Gateways, it.name, PlatformRows().encodeGateway(it));
+        for (std::size_t n = 0; n < ports.size(); ++n)
+            m_store.set(RowTable::Backends, "i-" + std::to_string(n), serverRow(n, ports[n]));
+        m_store.keepCopy();
+        m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0.1", m_store.port()));
         for (int n = 0; n < backendCount; ++n)
             startAgent(n);
         for (int n = 0; n < gatewayCount; ++n)
@@ -285,6 +307,7 @@
         callers.reserve(callerCount);
         for (int n = 0; n < callerCount; ++n)
             callers.emplace_back([this, n] { runCaller(n); });
+        std::thread keyProbes([this] { probeKeys(); });
         std::this_thread::sleep_for(1s);
         const auto until = std::chrono::steady_clock::now() + faultDuration;
         const auto repeatUntilEnd = [this, until](const auto &inject) {
@@ -298,8 +321,10 @@
         // Stopping a process takes seconds, so process faults have a thread of their own and
         // connection faults continue in the meantime.
         std::thread processFaults([&] { repeatUntilEnd([this] { injectProcessFault(); }); });
+        std::thread storeFaults([&] { repeatUntilEnd([this] { changeStore(); }); });
         repeatUntilEnd([this] { injectConnectionFault(); });
         processFaults.join();
+        storeFaults.join();
         for (const auto &it : m_proxies)
             it->set(ProxyFault::None);
         for (const auto &it : m_processes)
@@ -308,13 +333,16 @@
         const int answeredBefore = m_answered;
         const int limitedBefore = m_arrivals.limited;
         const int deadlyBefore = m_arrivals.deadly;
-        std::this_thread::sleep_for(calmDuration);
+        const auto calmUntil = std::chrono::steady_clock::now() + calmDuration;
+        probeChangeAfterReturn();
+        std::this_thread::sleep_until(calmUntil);
         m_recovered = m_answered > answeredBefore + 10;
         m_limitedWhileCalm = m_arrivals.limited - limitedBefore;
         m_deadlyWhileCalm = m_arrivals.deadly - deadlyBefore;
         m_stopped = true;
         for (std::thread &it : callers)
             it.join();
+        keyProbes.join();
         checkExecutions();
     }
 
@@ -399,6 +427,79 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(m_proxyRandom.below(100)));
     }
 
+    // Changes the configuration, keeps a copy of the store or lets it return from the last one.
+    void changeStore()
+    {
+        switch (m_storeRandom.below(4)) {
+        case 0:
+            m_store.keepCopy();
+            break;
+        case 1:
+            m_operator.loseStore(std::chrono::milliseconds(m_storeRandom.below(300)),
+                                 std::chrono::milliseconds(m_storeRandom.below(300)));
+            break;
+        default:
+            m_operator.change();
+            break;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50 + m_storeRandom.below(300)));
+    }
+
+    // Sends a request and returns the status of the answer; 0 if there is none.
+    int probe(int gateway, const std::string &path, const std::string &key)
+    {
+        const std::string id = "probe-" + std::to_string(m_seed) + "-" + std::to_string(++m_probes);
+        try {
+            Caller caller(static_cast<std::uint16_t>(m_basePort + 2), gatewayAddress(gateway));
+            caller.send("GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+                        + "\r\nX-Key: " + key
+                        + "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
+            const int status = caller.receive().status;
+            return m_executions.countOf(id) > 0 ? 200 : status;
+        } catch (const std::exception &) {
+            return 0; // the gateway is not running
+        }
+    }
+
+    // Keys that were taken away must stay away, whatever happens to the store and the gateways.
+    void probeKeys()
+    {
+        while (!m_stopped) {
+            const auto versions = m_operator.versions();
+            const auto now = std::chrono::steady_clock::now();
+            for (std::size_t n = 0; n + 1 < versions.size(); ++n) {
+                const bool isRevoked = now > versions[n + 1].acknowledgedAt + revocationBound;
+                const std::string key = Operator::key(versions[n].number);
+                if (isRevoked && probe(static_cast<int>(n) % gatewayCount, "/look/", key) == 200)
+                    report(key + " was accepted after it had been taken away");
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    // A change just after a return must be in force in time.
+    void probeChangeAfterReturn()
+    {
+        m_store.keepCopy();
+        m_operator.change();
+        m_operator.loseStore(100ms, 100ms);
+        m_operator.change();
+        std::this_thread::sleep_for(propagationBound);
+        const std::uint64_t version = m_operator.versions().back().number;
+        for (int n = 0; n < gatewayCount; ++n) {
+            int served = 0;
+            for (int i = 0; i < 10; ++i) {
+                const int status = probe(n, Operator::path(version), Operator::key(version));
+                served += status == 200 ? 1 : 0;
+                if (status == 401 || status == 404)
+                    report(gatewayName(n) + " answered " + std::to_string(status)
+                           + " for an added route");
+            }
+            if (served == 0)
+                report(gatewayName(n) + " does not serve an added route");
+        }
+    }
+
     // Sends requests as one caller, and keeps each connection until it is closed.
     void runCaller(int n)
     {
@@ -479,12 +580,14 @@
     std::uint64_t m_seed;
     SeededRandom m_processRandom;
     SeededRandom m_proxyRandom;
+    SeededRandom m_storeRandom;
+    std::atomic<int> m_probes {0};
     demo::TemporaryFolder m_folder;
     ExecutionCounts m_executions;
     BoundedArrivals m_arrivals;
     std::vector<std::unique_ptr<BackendStub>> m_backends;
-    std::unique_ptr<Store> m_store;
-    std::unique_ptr<BackendStub> m_storeServer;
+    StoreStub m_store;
+    Operator m_operator {m_store};
     std::vector<std::unique_ptr<FaultProxy>> m_proxies; // of each backend server, then of the store
     std::vector<std::unique_ptr<RestartableProcess>> m_processes;
     std::uint16_t m_basePort = 0;
