--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -5,6 +5,7 @@
 #include "inmemoryrowstore.h"
 #include "monotonicclock.h"
 #include "platformrows.h"
+#include "types.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -103,6 +104,14 @@
         context.run_for(duration);
     }
 
+    // Version of the configuration in the store.
+    std::uint64_t storedVersion() const
+    {
+        const StoredRow row = content->rows(RowTable::Orders).at("config");
+        const auto decoded = PlatformRows().decodeOrder(row.key, row.value);
+        return std::get<RouteTableContent>(decoded).version;
+    }
+
     // Writes rows of no meaning.
     void writeOthers(int count)
     {
@@ -312,3 +321,82 @@
     REQUIRE(member.state->gateways.size() == 1);
     CHECK(fleet.content->rows(RowTable::Gateways).contains("g"));
 }
+
+// Guards against any order of writes, returns, reads, restarts and reports that leaves a gateway
+// with a proof for a state that is not the newest, with an older configuration than before, or with
+// another state than its peers.
+TEST_CASE("random: proofs hold, configurations do not go back and gateways converge")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        INFO("seed " << seed);
+        SeededRandom random(seed);
+        Fleet fleet;
+        fleet.content->keepCopy();
+        std::vector<Member *> members;
+        std::vector<std::uint64_t> versions(3, 0); // highest seen in each gateway
+        members.reserve(versions.size());
+        for (std::size_t n = 0; n < versions.size(); ++n)
+            members.push_back(&fleet.add("g-" + std::to_string(n)));
+        int version = 3;
+        std::vector<std::pair<SharedProofs, std::size_t>> inFlight;
+        Duration changedAt {}; // last write or return
+        for (int step = 0; step < 60; ++step) {
+            const std::size_t n = random.below(members.size());
+            switch (random.below(9)) {
+            case 0:
+                fleet.content->keepCopy();
+                break;
+            case 1:
+                changedAt = timeSinceBoot();
+                fleet.content->returnFromCopy();
+                break;
+            case 2:
+            case 3:
+                changedAt = timeSinceBoot();
+                fleet.content->set(RowTable::Orders, "config", configurationRow(++version));
+                break;
+            case 4:
+                members[n]->disconnect(random.below(2) == 0);
+                break;
+            case 5:
+                members[n]->store.delayResponses(random.below(2) == 0);
+                break;
+            case 6:
+                if (random.below(4) == 0) {
+                    members[n] = &fleet.add("g-" + std::to_string(n)); // restarted
+                    versions[n] = 0;
+                }
+                break;
+            default:
+                break;
+            }
+            fleet.run(std::chrono::milliseconds(random.below(12)));
+            for (std::size_t i = 0; i < members.size(); ++i)
+                inFlight.emplace_back(members[i]->freshness.share(), random.below(members.size()));
+            while (!inFlight.empty() && random.below(4) != 0) {
+                const std::size_t i = random.below(inFlight.size());
+                members[inFlight[i].second]->hear(inFlight[i].first);
+                inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(i));
+            }
+            for (std::size_t i = 0; i < members.size(); ++i) {
+                CHECK(members[i]->version() >= versions[i]);
+                versions[i] = members[i]->version();
+                // Nothing was written since this proof, so the gateway holds what the store does.
+                const auto provenAt = members[i]->freshness.provenAt(RowTable::Orders);
+                if (provenAt && *provenAt > changedAt && members[i]->state)
+                    CHECK(versions[i] >= fleet.storedVersion());
+            }
+        }
+        for (Member *it : members) {
+            it->disconnect(false);
+            it->store.delayResponses(false);
+        }
+        fleet.run(60ms);
+        fleet.content->set(RowTable::Orders, "config", configurationRow(++version));
+        fleet.run(100ms);
+        for (const Member *it : members) {
+            CHECK(it->version() == static_cast<std::uint64_t>(version));
+            CHECK(it->state->gateways.size() == members.size());
+        }
+    }
+}
