--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -15,6 +15,8 @@
 #include <algorithm>
 #include <cctype>
 #include <iostream>
+#include <utility>
+#include <vector>
 
 namespace cornelshed::standins {
 
@@ -69,6 +71,11 @@
         : m_socket(socket), m_keepAlive(keepAlive)
     { }
 
+    void addHeader(std::string name, std::string value) override
+    {
+        m_headers.emplace_back(std::move(name), std::move(value));
+    }
+
     asio::awaitable<bool> send(unsigned status, std::string body) override
     {
         http::response<http::string_body> response;
@@ -76,6 +83,8 @@
         response.result(status);
         response.set(http::field::content_type, "application/json");
         response.keep_alive(m_keepAlive);
+        for (const auto &[name, value] : m_headers)
+            response.insert(name, value);
         response.body() = std::move(body);
         response.prepare_payload();
         boost::system::error_code ec;
@@ -91,6 +100,8 @@
         response.set(http::field::content_type, "text/event-stream");
         response.keep_alive(m_keepAlive);
         response.chunked(true);
+        for (const auto &[name, value] : m_headers)
+            response.insert(name, value);
         http::response_serializer<http::empty_body> serializer(response);
         boost::system::error_code ec;
         co_await http::async_write_header(m_socket, serializer,
@@ -122,6 +133,7 @@
 private:
     Tcp::socket &m_socket;
     bool m_keepAlive;
+    std::vector<std::pair<std::string, std::string>> m_headers;
     bool m_complete = false; // the complete response was written
 };
 
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -34,6 +34,9 @@
 public:
     virtual ~HttpResponseWriter() = default;
 
+    // Adds a header to the response, before send() or beginStream().
+    virtual void addHeader(std::string name, std::string value) = 0;
+
     virtual boost::asio::awaitable<bool> send(unsigned status, std::string body) = 0;
     virtual boost::asio::awaitable<bool> beginStream() = 0;
     virtual boost::asio::awaitable<bool> sendChunk(std::string data) = 0;
--- a/standins/serviceserver.cpp
+++ b/standins/serviceserver.cpp
@@ -26,8 +26,26 @@
         co_await response.send(200, m_ledger.toJson());
         co_return;
     }
+    if (request.method == "GET" && request.path == "/requests") {
+        co_await response.send(200, std::to_string(m_requestCount));
+        co_return;
+    }
     const std::string marker = findMarker(request.body);
     const LedgerKey key {request.header("idempotency-key"), request.header("x-request-id"), marker};
+    if (!key.requestId.empty())
+        response.addHeader("X-Request-Id", key.requestId);
+    const auto age = std::chrono::steady_clock::now() - m_startedAt;
+    if (m_notices.leavingAfter && age >= *m_notices.leavingAfter)
+        response.addHeader("Server-Leaving", "1");
+    ++m_requestCount;
+    if (m_notices.refusedInterval > 0 && m_requestCount % m_notices.refusedInterval == 0) {
+        response.addHeader("X-Not-Executed", "1");
+        if (!m_notices.retryAfter.empty())
+            response.addHeader("Retry-After", m_notices.retryAfter);
+        co_await response.send(503, "{}");
+        co_return;
+    }
+    response.addHeader("X-Response-Seal", "standin");
     const bool isRun = request.method == "POST";
     if (isRun)
         m_ledger.recordStart(key);
--- a/test/error/backendnotices.cpp
+++ b/test/error/backendnotices.cpp
@@ -3,6 +3,8 @@
 // request waits, is repeated or is new. A gateway runs in front of scripted backend servers.
 
 #include "gatewayrunner.h"
+#include "serviceserver.h"
+#include "standinhost.h"
 
 #include <doctest/doctest.h>
 
@@ -10,6 +12,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -34,6 +37,15 @@
             + headerValue(request.headers, "X-Request-Id") + "\r\n" + headers;
 }
 
+// Sends a request and returns the status of the answer.
+int statusOf(GatewayRunner &gateway, const std::string &id, const std::string &target = "/look/a")
+{
+    Caller caller(gateway.port());
+    caller.send("GET " + target + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+                + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 2000\r\n\r\n");
+    return caller.receive().status;
+}
+
 // Kinds of answers that a backend server may say something in.
 
 void answerWhole(const StubRequest &request, StubReply &reply, const std::string &notice)
@@ -107,10 +119,7 @@
 
     int send(const std::string &target = "/look/a")
     {
-        Caller caller(runner.port());
-        caller.send("GET " + target + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r-"
-                    + std::to_string(++m_sent) + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 2000\r\n\r\n");
-        return caller.receive().status;
+        return statusOf(runner, "r-" + std::to_string(++m_sent), target);
     }
 
     std::size_t arrivals() const { return first.requests().size(); }
@@ -196,10 +205,7 @@
     REQUIRE(fixture.arrivals() == 1);
     fixture.runner.reportTo(peer);
     for (int n = 0; n < 6; ++n) {
-        Caller caller(peer.port());
-        caller.send("GET /look/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: p-"
-                    + std::to_string(n) + "\r\nX-Key: key-1\r\nX-Deadline-Ms: 2000\r\n\r\n");
-        CHECK(caller.receive().status == 200);
+        CHECK(statusOf(peer, "p-" + std::to_string(n)) == 200);
     }
     CHECK(fixture.arrivals() == 1);
 }
@@ -233,3 +239,27 @@
     CHECK(std::chrono::steady_clock::now() - sentAt < 200ms);
     CHECK(fixture.arrivals() == 1);
 }
+
+// The stand-in would say something else than the platform's servers, and runs with it prove
+// nothing.
+TEST_CASE("the service stand-in leaves and asks for pauses, and a gateway keeps to both")
+{
+    using Service = StandInHost<standins::ServiceServer>;
+    const auto services = [](const standins::ServiceNotices &notices) {
+        return std::make_unique<Service>(0ms, std::string(), notices);
+    };
+    const auto leavingService = services({0ms, 0, {}});
+    const auto pausingService = services({std::nullopt, 1, "60"});
+    const auto plainService = services({});
+    GatewayRunner runner;
+    runner.configure(gatewayRouteTable(),
+                     {gatewayBackend("i-1", leavingService->port()),
+                      gatewayBackend("i-2", pausingService->port()),
+                      gatewayBackend("i-3", plainService->port())});
+    for (int n = 0; n < 12; ++n) {
+        CHECK(statusOf(runner, "r-" + std::to_string(n)) == 200);
+        std::this_thread::sleep_for(10ms); // longer in all than a refusal alone keeps requests away
+    }
+    CHECK(leavingService->call("GET", "/requests").body == "1");
+    CHECK(pausingService->call("GET", "/requests").body == "1");
+}
