Stand-in engine crashes on one prompt; bad input of prompt parts

POST /fault crash_on_prompt breaks off all requests when an answer to that prompt begins. Parts that are missing, malformed or hundreds neither keep a deadly prompt from being held back nor hold back a sound one.

--- a/standins/enginefault.cpp
+++ b/standins/enginefault.cpp
@@ -24,15 +24,16 @@
             {"bad_later", EngineFault::BadLater},
             {"bad_under_load", EngineFault::BadUnderLoad},
             {"bad_on_route", EngineFault::BadOnRoute},
+            {"crash_on_prompt", EngineFault::CrashOnPrompt},
     };
     const auto it = modes.find(mode);
     return it == modes.end() ? std::nullopt : std::optional(it->second);
 }
 
-void EngineFaultState::set(EngineFault fault, std::string route)
+void EngineFaultState::set(EngineFault fault, std::string subject)
 {
     m_fault = fault;
-    m_route = std::move(route);
+    m_subject = std::move(subject);
     m_arrivalCount = 0;
     m_cold = false;
     if (fault == EngineFault::Cold)
@@ -60,10 +61,11 @@
     case EngineFault::BadUnderLoad:
         return runningCount >= m_limits.badUnderLoadConcurrencyLimit;
     case EngineFault::BadOnRoute:
-        return route == m_route;
+        return route == m_subject;
     case EngineFault::None:
     case EngineFault::Cold:
     case EngineFault::Slow:
+    case EngineFault::CrashOnPrompt:
         break;
     }
     return false;
@@ -76,6 +78,11 @@
         m_cold = false;
 }
 
+bool EngineFaultState::crashesOn(const std::string &prompt) const
+{
+    return m_fault == EngineFault::CrashOnPrompt && prompt == m_subject;
+}
+
 double EngineFaultState::slowdown(std::size_t runningCount) const
 {
     if (m_cold && runningCount > m_limits.coldConcurrencyLimit)
--- a/standins/enginefault.h
+++ b/standins/enginefault.h
@@ -11,10 +11,19 @@
 
 namespace cornelshed::standins {
 
-enum class EngineFault { None, Cold, Slow, Failing, BadLater, BadUnderLoad, BadOnRoute };
+enum class EngineFault {
+    None,
+    Cold,
+    Slow,
+    Failing,
+    BadLater,
+    BadUnderLoad,
+    BadOnRoute,
+    CrashOnPrompt,
+};
 
-// Parses a mode of POST /fault: none, cold, slow, failing, bad_later, bad_under_load or
-// bad_on_route. Returns std::nullopt for any other text.
+// Parses a mode of POST /fault: none, cold, slow, failing, bad_later, bad_under_load, bad_on_route
+// or crash_on_prompt. Returns std::nullopt for any other text.
 std::optional<EngineFault> parseEngineFault(const std::string &mode);
 
 struct EngineFaultLimits
@@ -31,9 +40,9 @@
 public:
     explicit EngineFaultState(EngineFaultLimits limits) : m_limits(limits) { }
 
-    // Replaces the current fault. This ends the cold state, unless the new fault is Cold. route is
-    // only used by bad_on_route.
-    void set(EngineFault fault, std::string route);
+    // Replaces the current fault. This ends the cold state, unless the new fault is Cold. subject:
+    // the route of bad_on_route, or the prompt of crash_on_prompt.
+    void set(EngineFault fault, std::string subject);
 
     // Makes the engine cold, whichever fault is set.
     void turnCold();
@@ -43,6 +52,9 @@
     bool arrivalFails(const std::string &route, std::size_t runningCount);
     void requestCompleted();
 
+    // Whether the engine crashes when it begins to answer the prompt.
+    [[nodiscard]] bool crashesOn(const std::string &prompt) const;
+
     // Returns the factor on the duration of a step with this number of running requests; 1 if no
     // fault slows it down.
     [[nodiscard]] double slowdown(std::size_t runningCount) const;
@@ -51,7 +63,7 @@
 private:
     EngineFaultLimits m_limits;
     EngineFault m_fault = EngineFault::None;
-    std::string m_route;
+    std::string m_subject;
     bool m_cold = false;
     std::uint64_t m_arrivalCount = 0;   // since the fault was set
     std::uint64_t m_completedCount = 0; // since the engine turned cold
--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -46,6 +46,7 @@
     std::uint64_t produced = 0; // position after the last token produced; starts at resumeAfter
     bool finished = false;
     bool cancelled = false;
+    bool crashed = false; // cancelled, and the connection is to be aborted
     asio::steady_timer wakeTimer;
 };
 
@@ -100,6 +101,8 @@
     bool loadModelVersion(const json::object &body);
     // Discards the prefix cache and makes the engine cold.
     void turnCold();
+    // Breaks off all requests, as if the engine had ended and started again.
+    void crash();
     std::string loadReport();
 
     asio::io_context &m_context;
@@ -146,6 +149,10 @@
         if (found == m_jobs.end())
             continue;
         Job &job = *found->second;
+        if (job.usage.completionTokens == 0 && m_faults.crashesOn(job.request.prompt)) {
+            crash();
+            return;
+        }
         if (job.usage.completionTokens == 0)
             m_cache.store(job.hashes);
         job.produced += 1;
@@ -223,6 +230,10 @@
 {
     while (!job->finished && !job->cancelled)
         co_await waitForTokens(job, job->produced);
+    if (job->crashed) {
+        response.abort();
+        co_return false;
+    }
     if (job->cancelled) {
         co_await response.send(499, R"({"error":"cancelled"})");
         co_return false;
@@ -317,6 +328,14 @@
     m_faults.turnCold();
 }
 
+void EngineServer::Private::crash()
+{
+    for (const auto &[number, job] : m_jobs)
+        job->crashed = true;
+    cancelAll();
+    turnCold();
+}
+
 asio::awaitable<void> EngineServer::Private::handleControl(const HttpRequest &httpRequest,
                                                            HttpResponseWriter &response)
 {
@@ -337,10 +356,11 @@
     } else if (httpRequest.path == "/fault") {
         const auto fault = parseEngineFault(json::value_to<std::string>(body.at("mode")));
         status = fault.has_value() ? 200 : 400;
-        const json::value *route = body.if_contains("route");
-        const bool hasRoute = route != nullptr && route->is_string();
+        const json::value *subject =
+                body.if_contains(fault == EngineFault::CrashOnPrompt ? "prompt" : "route");
+        const bool hasSubject = subject != nullptr && subject->is_string();
         if (fault.has_value())
-            m_faults.set(*fault, hasRoute ? json::value_to<std::string>(*route) : "");
+            m_faults.set(*fault, hasSubject ? json::value_to<std::string>(*subject) : "");
         if (m_faults.isCold())
             m_cache.clear();
     } else {
--- a/test/correctness/enginestandin.cpp
+++ b/test/correctness/enginestandin.cpp
@@ -97,6 +97,10 @@
     state.set(EngineFault::BadOnRoute, "/a");
     CHECK(state.arrivalFails("/a", 0));
     CHECK_FALSE(state.arrivalFails("/b", 0));
+    state.set(parseEngineFault("crash_on_prompt").value(), "boom");
+    CHECK(state.crashesOn("boom"));
+    CHECK_FALSE(state.crashesOn("sound"));
+    CHECK_FALSE(state.arrivalFails("boom", 0));
     CHECK_FALSE(parseEngineFault("unheard-of").has_value());
 }
 
@@ -131,6 +135,18 @@
              R"("failed":1,"cancelled":0,"resumed":1}])");
 }
 
+TEST_CASE("crash_on_prompt breaks off that prompt each time, and no other one")
+{
+    EngineOptions options;
+    options.rates = {1e6, 1e4};
+    StandInHost<EngineServer> engine(options);
+    engine.call("POST", "/fault", R"({"mode":"crash_on_prompt","prompt":"[marker:a]"})");
+    for (int n = 0; n < 3; ++n) {
+        CHECK(engine.call("POST", "/v1/completions", completionBody("a"), "r1").status == 0);
+        CHECK(engine.call("POST", "/v1/completions", completionBody("b"), "r2").status == 200);
+    }
+}
+
 TEST_CASE("an old fencing number is rejected only by an engine that checks it")
 {
     for (const bool checksFencing : {true, false}) {
--- a/test/error/crashingwholeprompt.cpp
+++ b/test/error/crashingwholeprompt.cpp
@@ -116,3 +116,29 @@
     // Two of the first request, at the first event and resumed, and the next one.
     CHECK(fixture.deadlyArrivals() <= crashesAllowed);
 }
+
+TEST_CASE("parts that are missing, malformed, or hundreds, neither keep a prompt from being held "
+          "back "
+          "nor hold back another one")
+{
+    std::string many = "aa:60";
+    for (int n = 0; n < 150; ++n)
+        many += ",p" + std::to_string(n) + ":1";
+    const std::array<PromptRequest, 4> deadlyRequests {{
+            {"", "c1:40", deadlyBody}, // the last part alone
+            {",,:x", ":", deadlyBody}, // empty ids, no numbers
+            {many, "c1:40", deadlyBody},
+            {"", "", deadlyBody}, // no header
+    }};
+    for (const PromptRequest &it : deadlyRequests) {
+        CrashingEngines fixture(hasDeadlyBody);
+        for (int n = 0; n < 5; ++n) {
+            CHECK(fixture.request(fixture.first, it).status != 200);
+            fixture.restartCrashed();
+        }
+        CHECK(fixture.deadlyArrivals() <= crashesAllowed);
+        PromptRequest sound = it;
+        sound.body = "sounds";
+        CHECK(fixture.request(fixture.first, sound).status == 200);
+    }
+}
