--- a/test/error/crashingwholeprompt.cpp
+++ b/test/error/crashingwholeprompt.cpp
@@ -7,8 +7,11 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <functional>
+#include <future>
 #include <thread>
 
 using namespace cornelshed;
@@ -142,3 +145,47 @@
         CHECK(fixture.request(fixture.first, sound).status == 200);
     }
 }
+
+namespace {
+
+// Sends a request to the second gateway, which hears from the first one once the request is there.
+CallerAnswer answerOnceTold(CrashingEngines &fixture, const PromptRequest &request,
+                            const std::function<bool()> &isThere)
+{
+    auto answer = std::async(std::launch::async,
+                             [&] { return fixture.request(fixture.second, request); });
+    for (int n = 0; n < 200 && !isThere(); ++n)
+        std::this_thread::sleep_for(5ms);
+    fixture.first.reportTo(fixture.second);
+    return answer.get();
+}
+
+} // namespace
+
+TEST_CASE("a prompt that runs at a gateway is taken back when a peer reports it, and the caller is "
+          "not "
+          "told that it has not run")
+{
+    std::atomic<bool> holding {false};
+    CrashingEngines fixture(hasDeadlyBody, [&](const StubRequest &, StubReply &reply) {
+        if (holding)
+            std::this_thread::sleep_for(1500ms);
+        else
+            reply.send(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Response-Seal: s\r\n\r\n");
+        reply.close();
+    });
+    const PromptRequest deadly {"aa:60", "c1:40", deadlyBody};
+    while (fixture.deadlyArrivals() < crashesAllowed) {
+        fixture.request(fixture.first, deadly);
+        fixture.restartCrashed();
+    }
+    REQUIRE(fixture.request(fixture.first, deadly).status == 503);
+    holding = true;
+    const std::size_t before = fixture.deadlyArrivals();
+    const CallerAnswer running =
+            answerOnceTold(fixture, deadly, [&] { return fixture.deadlyArrivals() > before; });
+    CHECK(running.status == 502);
+    CHECK(headerValue(running.headers, "Retry-After").empty());
+    CHECK(fixture.request(fixture.second, deadly).status == 503);
+}
