--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -619,7 +619,8 @@
     return service != d->services.end()
             && std::any_of(service->second.backends.begin(), service->second.backends.end(),
                            [&](const Private::Backend *it) {
-                               return d->isUsable(*it) && Private::allowsBackend(*it, request);
+                               return d->availability.isUsable(*it)
+                                       && Private::allowsBackend(*it, request);
                            });
 }
 
