A server's error answer is delivered unless another attempt starts

Callers got 502 ('the backend server gave no answer') for idempotent requests that a server had answered with an error: the answer was dropped when the request was queued for a retry, also if the retry never started.

The answer is now kept until the next attempt starts, and delivered when the scheduler refuses the retry or the time limit passes. If no other backend server can run the request, it is delivered at once and nothing is repeated; a lone server whose connection was lost is still tried again.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -415,6 +415,17 @@
         return allowed;
     }
 
+    bool hasOtherBackend(const GatewayExchange &exchange) override
+    {
+        const AdmittedRequest &admitted = exchange.admitted();
+        DirectRequest request;
+        request.service = admitted.service;
+        request.excluded = exchange.triedBackends();
+        request.version = rollouts.choose(admitted.service, admitted.metadata.requestId, true,
+                                          monotonicNow());
+        return scheduler.hasUsableBackend(request);
+    }
+
     void requeue(GatewayExchange &exchange) override
     {
         enqueue(exchange, {settings.incarnation, ++lastRequestNumber}, monotonicNow());
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -147,6 +147,8 @@
     }
     if (m_history.answerStarted)
         abortResponse();
+    else if (m_hasErrorAnswer)
+        deliver();
     else if (m_history.ran > 0)
         fail(504, "no answer within the time limit", std::nullopt);
     else
@@ -171,6 +173,7 @@
     if (m_triedBackends.empty())
         m_timeInQueue = now - m_admitted.request.receivedAt;
     m_retryTaken = false;
+    m_hasErrorAnswer = false;
     m_attemptId = id;
     m_excludedBackends.insert(backend.id);
     m_attemptRunning = true;
@@ -495,7 +498,10 @@
     const bool inTime = hasTimeForRetry();
     const bool suspect = outcome == AttemptOutcome::Broken && answerJustBegun()
             && m_services.isSuspect(m_admitted.prompt);
-    const bool retry = inTime && !suspect && m_services.tryTakeRetry(m_admitted.service);
+    // The same backend server would most likely answer with the same error.
+    const bool elsewhere = end != AttemptEnd::RanAndFailed || m_services.hasOtherBackend(*this);
+    const bool retry =
+            inTime && !suspect && elsewhere && m_services.tryTakeRetry(m_admitted.service);
     EventLog(retry ? "attempt_repeated" : "attempt_not_repeated", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
             .field("backend", m_backendId)
@@ -504,10 +510,12 @@
             .field("refused", m_history.refused)
             .field("attempt_limit", m_history.attemptLimit)
             .field("reason",
-                   retry             ? "allowed"
-                           : suspect ? "suspected_prompt"
-                           : inTime  ? "budget"
-                                     : "deadline");
+                   retry                ? "allowed"
+                           : suspect    ? "suspected_prompt"
+                           : !elsewhere ? "no_other_backend"
+                           : inTime     ? "budget"
+                                        : "deadline");
+    m_hasErrorAnswer = retry && end == AttemptEnd::RanAndFailed;
     if (retry)
         takeStep(NextStep::Retry);
     else if (!suspect && mayResumeLater())
@@ -607,6 +615,8 @@
             refusal.reason == RefusalReason::QueueTooLong ? "queue_too_long" : "waited_too_long";
     if (m_history.answerStarted)
         abortResponse();
+    else if (m_hasErrorAnswer)
+        deliver();
     else if (m_history.ran > 0)
         fail(502, "the backend server gave no answer", std::nullopt);
     else
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -47,6 +47,9 @@
     // The answer to the prompt went on beyond its beginning, or is complete.
     virtual void answerContinued(const PromptIdentity &prompt) = 0;
 
+    // Whether a backend server that the request has not been sent to may run it, now or later.
+    virtual bool hasOtherBackend(const GatewayExchange &exchange) = 0;
+
     // Queues the request for another attempt: calls setQueued(), and later startAttempt() or
     // handleRefusal(), unless the place in the queue is withdrawn.
     virtual void requeue(GatewayExchange &exchange) = 0;
@@ -226,6 +229,9 @@
     Headers m_responseHeaders;
     BackendReply m_reply;
     std::string m_responseBody; // of a response that is not streamed; reserved by tryBuffer()
+    // The last attempt ended with an error of the backend server, which is delivered unless another
+    // attempt starts.
+    bool m_hasErrorAnswer = false;
     std::size_t m_bodyBytesAtProgress = 0; // size of m_responseBody at m_lastProgressAt
     std::optional<EventSplitter> m_eventSplitter;
     Instant m_firstEventAt {};
