--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -37,7 +37,7 @@
 {
 public:
     Member(boost::asio::io_context &context, const std::shared_ptr<StoreContent> &content,
-           const std::string &name)
+           const std::string &name, std::size_t pageSize)
         : store(context, content),
           watcher(context, store, m_codec, {20ms, 20ms, 20ms, 5ms, 20ms, 300ms},
                   {[this](std::shared_ptr<const DeploymentState> it) { state = std::move(it); },
@@ -47,6 +47,7 @@
                    [this](RowTable table) { return freshness.provenAt(table).value_or(0ms); },
                    [](const char * /*outcome*/) {}, [](std::uint64_t /*era*/) {}})
     {
+        store.pageSize = pageSize;
         watcher.start({name, "10.0.0.1", 7600});
     }
 
@@ -93,9 +94,9 @@
         content->set(RowTable::Backends, "i-1", serverRow("ready"));
     }
 
-    Member &add(const std::string &name)
+    Member &add(const std::string &name, std::size_t pageSize = 500)
     {
-        return *m_members.emplace_back(std::make_unique<Member>(context, content, name));
+        return *m_members.emplace_back(std::make_unique<Member>(context, content, name, pageSize));
     }
 
     void run(Duration duration)
@@ -197,6 +198,33 @@
     CHECK(member.state->backends.size() == 1);
 }
 
+// Guards against a table that is put together from pages of before and after a return.
+TEST_CASE("a snapshot that a return has overtaken is read again from its first page")
+{
+    for (const bool noticed : {false, true}) { // before the rest of the snapshot arrives
+        Fleet fleet;
+        fleet.content->keepCopy();
+        for (const char *id : {"i-0", "i-2", "i-3"})
+            fleet.content->set(RowTable::Backends, id, serverRow("ready", 81 + id[2]));
+        Member &member = fleet.add("g", 1);
+        // The first pages are read, and the next ones are under way.
+        member.store.delayResponses(true);
+        fleet.run(5ms);
+        member.store.delayResponses(false);
+        member.store.delayResponses(true);
+        fleet.run(5ms);
+        fleet.content->returnFromCopy();
+        fleet.content->set(RowTable::Backends, "i-2", serverRow("ready", 90));
+        if (noticed)
+            member.store.noteEra(2);
+        member.store.delayResponses(false);
+        fleet.run(60ms);
+        REQUIRE(member.state);
+        CHECK(member.state->backends.size() == 2);
+        CHECK(member.freshness.share()[1].value().lastChange.era == 2);
+    }
+}
+
 // Guards against changes that are missed if a response has lost the header that states the era.
 TEST_CASE("without a stated era, a version that has gone back makes the tables be read as a whole")
 {
--- a/test/support/inmemoryrowstore.h
+++ b/test/support/inmemoryrowstore.h
@@ -78,13 +78,17 @@
 
     void setEraHandler(EraHandler handler) override { m_eraHandler = std::move(handler); }
 
-    void scan(RowTable table, const std::string & /*from*/, RowsCallback callback) override
+    void scan(RowTable table, const std::string &from, RowsCallback callback) override
     {
         ++scanCounts[table];
         RowsPage page;
         for (const auto &[key, row] : content->rows(table)) {
-            if (!row.removed)
-                page.rows.push_back(row);
+            if (row.removed || key < from)
+                continue;
+            page.more = page.rows.size() == pageSize;
+            if (page.more)
+                break;
+            page.rows.push_back(row);
         }
         answer(table, std::move(page), callback);
     }
@@ -133,6 +137,7 @@
 
     std::shared_ptr<StoreContent> content;
     bool statesEra = true; // in each response
+    std::size_t pageSize = 500;
     std::uint64_t oldestReadableVersion = 0;
     std::map<RowTable, int> changeReadCounts;
     std::map<RowTable, int> scanCounts;
