Parts of a prompt are visited without a copy; datagram test covers their kinds

test/fuzz/datagrams.cpp did not compile with the new fields of the report; its sample now has a part of each kind and an organisation, and is compared as before.

--- a/src/promptidentity.cpp
+++ b/src/promptidentity.cpp
@@ -18,21 +18,6 @@
     return session ^ lastPartSeed;
 }
 
-std::vector<PromptPart> PromptIdentity::parts() const
-{
-    std::vector<PromptPart> parts;
-    parts.reserve(sharedParts.size() + 2);
-    std::uint32_t position = 0;
-    for (const std::uint64_t it : sharedParts)
-        parts.push_back({it, PromptPartKind::Shared, position++, session});
-    if (session != 0)
-        parts.push_back(
-                {lastPartDigest(session), PromptPartKind::Last, position++, content.value_or(0)});
-    if (content)
-        parts.push_back({*content, PromptPartKind::Whole, position, session});
-    return parts;
-}
-
 PromptIdentity identifyPrompt(const CallerMetadata &metadata, const std::string &service,
                               const std::string &organisation, const std::string &method,
                               const std::string &target, const std::string &body)
--- a/src/promptidentity.h
+++ b/src/promptidentity.h
@@ -32,6 +32,9 @@
     bool operator==(const PromptPart &) const = default;
 };
 
+// The last part of one prompt may be a shared part of another one; these are different suspects.
+std::uint64_t lastPartDigest(std::uint64_t session);
+
 // Digests are the same in all gateways. Neither the request's id nor its time limit are part of it.
 struct PromptIdentity
 {
@@ -42,7 +45,18 @@
 
     bool operator==(const PromptIdentity &) const = default;
 
-    std::vector<PromptPart> parts() const;
+    // Calls the function with each part, from the least to the most specific kind.
+    template<typename Function> void forEachPart(Function function) const
+    {
+        std::uint32_t position = 0;
+        for (const std::uint64_t it : sharedParts)
+            function(PromptPart {it, PromptPartKind::Shared, position++, session});
+        if (session != 0)
+            function(PromptPart {lastPartDigest(session), PromptPartKind::Last, position++,
+                                 content.value_or(0)});
+        if (content)
+            function(PromptPart {*content, PromptPartKind::Whole, position, session});
+    }
 
     // The same without parts that other prompts may have.
     PromptIdentity wholeOnly() const { return {{}, 0, content, organisation}; }
@@ -52,9 +66,6 @@
                               const std::string &organisation, const std::string &method,
                               const std::string &target, const std::string &body);
 
-// The last part of one prompt may be a shared part of another one; these are different suspects.
-std::uint64_t lastPartDigest(std::uint64_t session);
-
 const char *nameOf(PromptPartKind kind);
 
 } // namespace cornelshed
--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -54,12 +54,14 @@
         return it == suspects.end() ? nullptr : &it->second;
     }
 
-    bool hasQuarantined(const std::vector<PromptPart> &parts) const
+    bool hasQuarantined(const PromptIdentity &prompt) const
     {
-        return std::any_of(parts.begin(), parts.end(), [&](const PromptPart &it) {
+        bool found = false;
+        prompt.forEachPart([&](const PromptPart &it) {
             const PromptSuspect *suspect = find(it.id);
-            return suspect != nullptr && suspect->isQuarantined();
+            found = found || (suspect != nullptr && suspect->isQuarantined());
         });
+        return found;
     }
 
     ExplainedCrashes explainedCrashes() const
@@ -152,12 +154,10 @@
         explainOthers(id, suspect, now);
     }
 
-    void clear(const std::vector<PromptPart> &parts, Instant now)
+    void clear(const PromptPart &part, Instant now)
     {
-        for (const PromptPart &it : parts) {
-            if (PromptSuspect *suspect = find(it.id))
-                suspect->clear(settings, now, now);
-        }
+        if (PromptSuspect *suspect = find(part.id))
+            suspect->clear(settings, now, now);
     }
 
     // Time until this gateway's next turn to send the trial, by the time since the quarantine
@@ -194,11 +194,11 @@
         std::optional<std::pair<Duration, std::uint64_t>> longest;
         if (suspects.empty())
             return longest;
-        for (const PromptPart &it : prompt.parts()) {
+        prompt.forEachPart([&](const PromptPart &it) {
             const auto time = timeUntilTrial(it.id, prompt.organisation, now);
             if (time && (!longest || *time > longest->first))
                 longest.emplace(*time, it.id);
-        }
+        });
         return longest;
     }
 
@@ -285,14 +285,13 @@
 void PromptQuarantine::recordCrash(const PromptIdentity &prompt, std::uint64_t backend,
                                    Instant sentAt, Instant crashedAt, Instant now)
 {
-    const std::vector<PromptPart> parts = prompt.parts();
     // Under a quarantined part, the crash says nothing about the others.
-    const bool explained = d->hasQuarantined(parts);
-    for (const PromptPart &it : parts) {
+    const bool explained = d->hasQuarantined(prompt);
+    prompt.forEachPart([&](const PromptPart &it) {
         const PromptSuspect *suspect = d->find(it.id);
         if (!explained || (suspect != nullptr && suspect->isQuarantined()))
             d->addCrash(it, {backend, it.variant, prompt.organisation, sentAt, crashedAt}, now);
-    }
+    });
     d->convict(now);
 }
 
@@ -300,15 +299,16 @@
 {
     if (d->suspects.empty())
         return;
-    std::vector<PromptPart> parts = prompt.parts();
-    std::erase_if(parts, [](const PromptPart &it) { return it.kind == PromptPartKind::Whole; });
-    d->clear(parts, now);
+    prompt.forEachPart([&](const PromptPart &it) {
+        if (it.kind != PromptPartKind::Whole)
+            d->clear(it, now);
+    });
 }
 
 void PromptQuarantine::recordCompletion(const PromptIdentity &prompt, Instant now)
 {
     if (!d->suspects.empty())
-        d->clear(prompt.parts(), now);
+        prompt.forEachPart([&](const PromptPart &it) { d->clear(it, now); });
 }
 
 std::optional<Duration> PromptQuarantine::refusal(const PromptIdentity &prompt, Instant now) const
@@ -323,15 +323,15 @@
         return time;
     if (d->suspects.empty())
         return std::nullopt;
-    for (const PromptPart &it : prompt.parts()) {
+    prompt.forEachPart([&](const PromptPart &it) {
         PromptSuspect *suspect = d->find(it.id);
         if (suspect == nullptr || !suspect->isQuarantined()
             || !suspect->appliesTo(prompt.organisation))
-            continue;
+            return;
         const Duration next =
                 std::min(suspect->quarantineLength() * 2, d->settings.longestQuarantine);
         d->quarantine(it.id, *suspect, now, next, now);
-    }
+    });
     return std::nullopt;
 }
 
@@ -344,13 +344,14 @@
 
 bool PromptQuarantine::isSuspect(const PromptIdentity &prompt) const
 {
-    if (d->suspects.empty())
-        return false;
-    const std::vector<PromptPart> parts = prompt.parts();
-    return std::any_of(parts.begin(), parts.end(), [&](const PromptPart &it) {
+    bool found = false;
+    prompt.forEachPart([&](const PromptPart &it) {
         const PromptSuspect *suspect = d->find(it.id);
-        return suspect != nullptr && (suspect->isQuarantined() || suspect->crashes().size() > 1);
+        found = found
+                || (suspect != nullptr
+                    && (suspect->isQuarantined() || suspect->crashes().size() > 1));
     });
+    return found;
 }
 
 std::vector<std::uint64_t> PromptQuarantine::takeNewlyQuarantined()
--- a/src/stabledigest.h
+++ b/src/stabledigest.h
@@ -35,14 +35,23 @@
 // A digest of long texts, which takes eight bytes at a time.
 constexpr std::uint64_t stableContentDigest(std::string_view text, std::uint64_t seed)
 {
+    const auto byte = [&](std::size_t at) {
+        return std::uint64_t {static_cast<unsigned char>(text[at])};
+    };
     std::uint64_t digest = seed ^ (text.size() * 0x9e3779b97f4a7c15ULL);
-    for (std::size_t at = 0; at < text.size(); at += 8) {
-        std::uint64_t word = 0;
-        for (std::size_t i = 0; i < 8 && at + i < text.size(); ++i)
-            word |= std::uint64_t {static_cast<unsigned char>(text[at + i])} << (8 * i);
+    const auto add = [&](std::uint64_t word) {
         digest = (digest ^ word) * 0x9fb21c651e98df25ULL;
         digest ^= digest >> 32U;
-    }
+    };
+    std::size_t at = 0;
+    for (; at + 8 <= text.size(); at += 8)
+        add(byte(at) | byte(at + 1) << 8U | byte(at + 2) << 16U | byte(at + 3) << 24U
+            | byte(at + 4) << 32U | byte(at + 5) << 40U | byte(at + 6) << 48U
+            | byte(at + 7) << 56U);
+    std::uint64_t rest = 0;
+    for (std::size_t i = 0; at + i < text.size(); ++i)
+        rest |= byte(at + i) << (8 * i);
+    add(rest);
     return detail::finishDigest(digest);
 }
 
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -30,8 +30,15 @@
     rollout.evidence[{"w#7", sender, "r-1", true}].answers = 5;
     report.rollouts = {rollout};
     report.promptParts = {
-            {31, 1, {{41, 51, Duration(20), Duration(10)}}, Duration(5), Duration(60000000), {}},
-            {32, 0, {}, {}, {}, Duration(7)}};
+            {31,
+             PromptPartKind::Shared,
+             1,
+             {{41, 51, 61, Duration(20), Duration(10)}},
+             Duration(5),
+             Duration(60000000),
+             {}},
+            {32, PromptPartKind::Last, 0, {}, {}, {}, Duration(7)},
+            {33, PromptPartKind::Whole, 2, {{42, 0, 0, Duration(30), Duration(9)}}, {}, {}, {}}};
     return report;
 }
 
