--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -4,13 +4,12 @@
 
 #include "admissionclient.h"
 #include "callerchannel.h"
-#include "crashconfirmation.h"
 #include "eventlog.h"
 #include "gatewayadmission.h"
 #include "gatewayexchange.h"
 #include "listener.h"
 #include "monotonicclock.h"
-#include "promptquarantine.h"
+#include "promptguard.h"
 #include "stabledigest.h"
 
 #include <boost/asio/io_context.hpp>
@@ -87,8 +86,8 @@
           rollouts(std::move(rolloutChart),
                    {settings.name + "#" + std::to_string(settings.incarnation),
                     settings.exposureShare, settings.exposureConstant}),
-          agents(asioContext, scheduler, settings.incarnation, settings.agentPort,
-                 [this] { advance(monotonicNow()); })
+          prompts(metrics), agents(asioContext, scheduler, settings.incarnation, settings.agentPort,
+                                   [this] { advance(monotonicNow()); })
     {
         // The metrics are formatted on the traffic thread, so these functions need no lock.
         metrics.gauge("cornelshed_gateway_waiting", "Requests that wait for a backend server",
@@ -100,12 +99,6 @@
                       [this] { return static_cast<double>(bufferedBytes); });
         metrics.gauge("cornelshed_gateway_backends", "Backend servers listed",
                       [this] { return static_cast<double>(backends.size()); });
-        metrics.gauge("cornelshed_gateway_prompt_parts_remembered",
-                      "Parts of prompts, and whole ones, in the table of suspects",
-                      [this] { return static_cast<double>(quarantine.remembered()); });
-        metrics.gauge("cornelshed_gateway_prompt_parts_quarantined",
-                      "Parts of prompts, and whole ones, that are kept from backend servers",
-                      [this] { return static_cast<double>(quarantine.quarantined()); });
         metrics.gauge("cornelshed_gateway_configuration_version", "Version in force; 0: none",
                       [this] { return static_cast<double>(versionInForce()); });
         metrics.gauge("cornelshed_gateway_configuration_age_seconds",
@@ -137,10 +130,10 @@
         admitted.prompt = identifyPrompt(admitted.metadata, admitted.service, admitted.organisation,
                                          admitted.request.method, admitted.request.target,
                                          admitted.request.body);
-        if (const auto untilTrial = quarantine.refusal(admitted.prompt, now)) {
+        if (const auto untilTrial =
+                    prompts.refusal(admitted.prompt, admitted.metadata.requestId, now)) {
             if (admitted.allowanceCost > 0)
                 admission.allowances().refund(admitted.organisation, admitted.allowanceCost);
-            logRefusedPrompt(admitted, now);
             return refuse(channel, metadata,
                           {503, "prompt_quarantined", detail::promptCrashesMessage}, untilTrial);
         }
@@ -245,11 +238,11 @@
         }
         // The prompt may have been quarantined while the request waited. A stream that is resumed
         // has shown that the parts of its prompt crash nothing.
-        const PromptIdentity &prompt = exchange->admitted().prompt;
-        const auto untilTrial = quarantine.refusalAtStart(
-                exchange->answerStarted() ? prompt.wholeOnly() : prompt, monotonicNow());
+        const AdmittedRequest &admitted = exchange->admitted();
+        const auto untilTrial = prompts.refusalAtStart(
+                exchange->answerStarted() ? admitted.prompt.wholeOnly() : admitted.prompt,
+                admitted.metadata.requestId, monotonicNow());
         if (untilTrial) {
-            logRefusedPrompt(exchange->admitted(), monotonicNow());
             scheduler.ended(action.request, {AttemptOutcome::NeverSent, {}, {}}, monotonicNow());
             exchange->endQuarantined(*untilTrial);
             return;
@@ -351,18 +344,17 @@
 
     bool isSuspect(const PromptIdentity &prompt) const override
     {
-        return quarantine.isSuspect(prompt);
+        return prompts.quarantine().isSuspect(prompt);
     }
 
     void answerContinued(const PromptIdentity &prompt) override
     {
-        quarantine.recordAnswer(prompt, monotonicNow());
+        prompts.quarantine().recordAnswer(prompt, monotonicNow());
     }
 
     void answerCompleted(const PromptIdentity &prompt) override
     {
-        cutRequests.answered(prompt);
-        quarantine.recordCompletion(prompt, monotonicNow());
+        prompts.recordCompletion(prompt, monotonicNow());
     }
 
     std::uint64_t backendDigest(const std::string &backend) const override
@@ -375,37 +367,23 @@
 
     void recordCut(const GatewayExchange &exchange, Instant now)
     {
-        const PromptIdentity &prompt = exchange.admitted().prompt;
         const std::string &backend = exchange.lastBackend();
-        const Instant sentAt = now - exchange.attemptAge();
-        if (!exchange.answerJustBegun()) {
-            cutRequests.add({prompt.wholeOnly(), backend, backendDigest(backend), sentAt, now});
-            return;
-        }
-        quarantine.recordCrash(prompt, backendDigest(backend), sentAt, now);
+        prompts.recordCut({exchange.admitted().prompt, backend, backendDigest(backend),
+                           now - exchange.attemptAge(), now},
+                          exchange.answerJustBegun());
         enforceQuarantine(now);
     }
 
-    void confirmCrash(const std::string &backend, Instant now)
-    {
-        for (const CutRequest &it : cutRequests.confirm(backend, now))
-            quarantine.recordCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
-    }
-
     // Takes requests back whose prompt was quarantined just now, before they crash further backend
     // servers.
     void enforceQuarantine(Instant now)
     {
-        const std::vector<std::uint64_t> parts = quarantine.takeNewlyQuarantined();
-        if (parts.empty())
+        if (!prompts.takeNewlyQuarantined(now))
             return;
-        for (const std::uint64_t it : parts) {
-            if (const auto part = quarantine.describe(it, now))
-                logQuarantine(*part);
-        }
         std::vector<std::shared_ptr<GatewayExchange>> held;
         for (const auto &[id, exchange] : exchanges) {
-            if (!exchange->answerStarted() && quarantine.refusal(exchange->admitted().prompt, now))
+            if (!exchange->answerStarted()
+                && prompts.quarantine().refusal(exchange->admitted().prompt, now))
                 held.push_back(exchange);
         }
         // Posted: the caller of this function may be handling one of these requests.
@@ -413,41 +391,16 @@
             const Instant then = monotonicNow();
             for (const auto &it : held) {
                 const AdmittedRequest &admitted = it->admitted();
-                const auto untilTrial = self->quarantine.refusal(admitted.prompt, then);
                 // It may have ended meanwhile.
-                if (!untilTrial || it->answerStarted() || !self->exchanges.contains(admitted.id))
+                if (it->answerStarted() || !self->exchanges.contains(admitted.id))
                     continue;
-                self->logRefusedPrompt(admitted, then);
-                it->endQuarantined(*untilTrial);
+                if (const auto untilTrial = self->prompts.refusal(
+                            admitted.prompt, admitted.metadata.requestId, then))
+                    it->endQuarantined(*untilTrial);
             }
         });
     }
 
-    static void logQuarantine(const PromptPartReport &part)
-    {
-        std::string crashes;
-        for (const PromptCrashReport &it : part.crashes)
-            crashes.append(crashes.empty() ? "" : ",")
-                    .append(std::to_string(it.backend))
-                    .append("@-")
-                    .append(std::to_string(it.crashAge / 1ms));
-        EventLog("prompt_quarantined", EventLevel::Warning)
-                .field("part", part.part)
-                .field("kind", nameOf(part.kind))
-                .field("length_ms", part.quarantine / 1ms)
-                .field("crashes", crashes);
-    }
-
-    void logRefusedPrompt(const AdmittedRequest &admitted, Instant now) const
-    {
-        if (const auto part = quarantine.refusedPart(admitted.prompt, now))
-            EventLog("prompt_refused", EventLevel::Warning)
-                    .field("request", admitted.metadata.requestId)
-                    .field("part", part->part)
-                    .field("kind", nameOf(part->kind))
-                    .field("quarantined_ms", part->quarantineAge.value_or(Duration {}) / 1ms);
-    }
-
     void recordOutcome(const GatewayExchange &exchange, const AttemptReport &report,
                        bool responseBegun)
     {
@@ -583,7 +536,7 @@
                     && entry.port == it.port && entry.startedAtMs == it.startedAtMs;
             if (unchanged)
                 continue;
-            confirmCrash(it.id, now);
+            prompts.recordBackendEnd(it.id, now);
             EventLog("backend_listed")
                     .field("backend", it.id)
                     .field("service", it.service)
@@ -603,7 +556,7 @@
         std::erase_if(backends, [&](const auto &it) {
             const bool gone = !listedIds.contains(it.first);
             if (gone) {
-                confirmCrash(it.first, now);
+                prompts.recordBackendEnd(it.first, now);
                 EventLog("backend_gone").field("backend", it.first);
             }
             return gone;
@@ -694,8 +647,7 @@
     DurationSummary &answerTimes;
     detail::GatewayAdmission admission;
     GatewayRollouts rollouts;
-    PromptQuarantine quarantine;
-    CrashConfirmation cutRequests;
+    PromptGuard prompts;
     std::function<void(const RolloutStatus &)> writeRolloutStatus;
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
     std::shared_ptr<const DeploymentState> state;
@@ -798,7 +750,7 @@
             d->freshness.share(),
             d->rollouts.active() ? d->rollouts.reports(monotonicNow())
                                  : std::vector<RolloutReport> {},
-            d->quarantine.reports(monotonicNow())};
+            d->prompts.quarantine().reports(monotonicNow())};
 }
 
 std::vector<RowTable> Gateway::applyPeerReport(const GossipReport &report)
@@ -822,8 +774,8 @@
     for (const RolloutReport &it : report.rollouts)
         d->rollouts.mergePeerReport(it, now);
     if (report.uptime < peerStartTime)
-        d->quarantine.peerStarted(now);
-    d->quarantine.merge(report.promptParts, now);
+        d->prompts.quarantine().peerStarted(now);
+    d->prompts.quarantine().merge(report.promptParts, now);
     d->enforceQuarantine(now);
     for (const auto &[organisationDigest, consumed] : report.consumedTokens)
         d->admission.allowances().recordPeerTotal(report.incarnation, report.uptime,
@@ -838,9 +790,9 @@
     d->view = view;
     d->scheduler.setGateways(view.possiblyAliveCount, view.rank, view.heardTimeout);
     d->rollouts.setGateways(view.possiblyAliveCount, view.rankAmongHeard);
-    d->quarantine.setGateways(view.heardCount, view.rankAmongHeard);
+    d->prompts.quarantine().setGateways(view.heardCount, view.rankAmongHeard);
     const Instant now = monotonicNow();
-    d->quarantine.advance(now);
+    d->prompts.quarantine().advance(now);
     d->enforceQuarantine(now);
     d->admission.allowances().setGateways(view.heardCount, view.possiblyAliveCount);
     // The lag is on average half an interval longer than the interval itself.
--- /dev/null
+++ b/src/promptguard.cpp
@@ -0,0 +1,106 @@
+// Log lines and metrics of prompts that crash backend servers.
+
+#include "promptguard.h"
+
+#include "eventlog.h"
+#include "metrics.h"
+
+#include <utility>
+#include <vector>
+
+namespace cornelshed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Logs because of which part the prompt of a request is refused.
+void logRefusal(const PromptPartReport &part, const std::string &requestId)
+{
+    EventLog("prompt_refused", EventLevel::Warning)
+            .field("request", requestId)
+            .field("part", part.part)
+            .field("kind", nameOf(part.kind))
+            .field("quarantined_ms", part.quarantineAge.value_or(Duration {}) / 1ms);
+}
+
+void logQuarantine(const PromptPartReport &part)
+{
+    std::string crashes;
+    for (const PromptCrashReport &it : part.crashes)
+        crashes.append(crashes.empty() ? "" : ",")
+                .append(std::to_string(it.backend))
+                .append("@-")
+                .append(std::to_string(it.crashAge / 1ms));
+    EventLog("prompt_quarantined", EventLevel::Warning)
+            .field("part", part.part)
+            .field("kind", nameOf(part.kind))
+            .field("length_ms", part.quarantine / 1ms)
+            .field("crashes", crashes);
+}
+
+} // namespace
+
+PromptGuard::PromptGuard(Metrics &metrics)
+{
+    metrics.gauge("cornelshed_gateway_prompt_parts_remembered",
+                  "Parts of prompts, and whole ones, in the table of suspects",
+                  [this] { return static_cast<double>(m_quarantine.remembered()); });
+    metrics.gauge("cornelshed_gateway_prompt_parts_quarantined",
+                  "Parts of prompts, and whole ones, that are kept from backend servers",
+                  [this] { return static_cast<double>(m_quarantine.quarantined()); });
+}
+
+std::optional<Duration> PromptGuard::refusal(const PromptIdentity &prompt,
+                                             const std::string &requestId, Instant now) const
+{
+    const auto untilTrial = m_quarantine.refusal(prompt, now);
+    if (const auto part = untilTrial ? m_quarantine.refusedPart(prompt, now) : std::nullopt)
+        logRefusal(*part, requestId);
+    return untilTrial;
+}
+
+std::optional<Duration> PromptGuard::refusalAtStart(const PromptIdentity &prompt,
+                                                    const std::string &requestId, Instant now)
+{
+    if (const auto untilTrial = refusal(prompt, requestId, now))
+        return untilTrial;
+    return m_quarantine.refusalAtStart(prompt, now);
+}
+
+void PromptGuard::recordCut(const CutRequest &request, bool justBegun)
+{
+    if (justBegun) {
+        m_quarantine.recordCrash(request.prompt, request.backendDigest, request.sentAt,
+                                 request.cutAt);
+        return;
+    }
+    // Requests of ordinary prompts are also cut in these phases.
+    CutRequest whole = request;
+    whole.prompt = request.prompt.wholeOnly();
+    m_cutRequests.add(std::move(whole));
+}
+
+void PromptGuard::recordBackendEnd(const std::string &backend, Instant now)
+{
+    for (const CutRequest &it : m_cutRequests.confirm(backend, now))
+        m_quarantine.recordCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
+}
+
+void PromptGuard::recordCompletion(const PromptIdentity &prompt, Instant now)
+{
+    m_cutRequests.answered(prompt);
+    m_quarantine.recordCompletion(prompt, now);
+}
+
+bool PromptGuard::takeNewlyQuarantined(Instant now)
+{
+    const std::vector<std::uint64_t> parts = m_quarantine.takeNewlyQuarantined();
+    for (const std::uint64_t it : parts) {
+        if (const auto part = m_quarantine.describe(it, now))
+            logQuarantine(*part);
+    }
+    return !parts.empty();
+}
+
+} // namespace cornelshed
--- /dev/null
+++ b/src/promptguard.h
@@ -0,0 +1,50 @@
+// A gateway's part in finding prompts that crash backend servers: passes cut attempts and answers
+// to the quarantine, and logs what it decides.
+
+#ifndef CORNELSHED_PROMPTGUARD_H
+#define CORNELSHED_PROMPTGUARD_H
+
+#include "crashconfirmation.h"
+#include "promptquarantine.h"
+#include "types.h"
+
+#include <optional>
+#include <string>
+
+namespace cornelshed {
+
+class Metrics;
+
+class PromptGuard
+{
+public:
+    explicit PromptGuard(Metrics &metrics);
+
+    PromptQuarantine &quarantine() { return m_quarantine; }
+    const PromptQuarantine &quarantine() const { return m_quarantine; }
+
+    // See PromptQuarantine; a refusal is logged.
+    std::optional<Duration> refusal(const PromptIdentity &prompt, const std::string &requestId,
+                                    Instant now) const;
+    std::optional<Duration> refusalAtStart(const PromptIdentity &prompt,
+                                           const std::string &requestId, Instant now);
+
+    // A backend server broke the connection of the request. justBegun: when the answer had begun
+    // but had gone no further.
+    void recordCut(const CutRequest &request, bool justBegun);
+    // A backend server is no longer listed, or has started again.
+    void recordBackendEnd(const std::string &backend, Instant now);
+    // The answer to the prompt is complete.
+    void recordCompletion(const PromptIdentity &prompt, Instant now);
+
+    // Logs what was quarantined since the last call; returns whether there was anything.
+    bool takeNewlyQuarantined(Instant now);
+
+private:
+    PromptQuarantine m_quarantine;
+    CrashConfirmation m_cutRequests;
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_PROMPTGUARD_H
