--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -29,14 +29,16 @@
     const std::string sender = report.name + "#" + std::to_string(report.incarnation);
     rollout.evidence[{"w#7", sender, "r-1", true}].answers = 5;
     report.rollouts = {rollout};
-    report.promptParts = {{31,
-                           PromptPartKind::Whole,
-                           1,
-                           {{41, 51, 61, Duration(20), Duration(10)}},
-                           Duration(5),
-                           Duration(60000000),
-                           {}},
-                          {32, PromptPartKind::Shared, 0, {}, {}, {}, Duration(7)}};
+    report.promptParts = {
+            {31,
+             PromptPartKind::Shared,
+             1,
+             {{41, 51, 61, Duration(20), Duration(10)}},
+             Duration(5),
+             Duration(60000000),
+             {}},
+            {32, PromptPartKind::Last, 0, {}, {}, {}, Duration(7)},
+            {33, PromptPartKind::Whole, 2, {{42, 0, 0, Duration(30), Duration(9)}}, {}, {}, {}}};
     return report;
 }
 
