Agent: a service that echoes no ids keeps its connections

A service on another host would run out of ports.

Cause: what an engine with few runs a second can afford was applied to services as well.

Fix: a service that has echoed an id is held to it like an engine. One that never did is matched by the order of its responses, as before, and its connections are used again.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -104,10 +104,13 @@
     const asio::ip::tcp::endpoint &endpoint() const { return m_endpoint; }
     const BackendClientSettings &settings() const { return m_settings; }
 
-    // Whether all responses on used connections named their requests so far.
+    // False once a response that had to name its request did not.
     bool serverEchoes() const { return m_serverEchoes; }
     void setServerDoesNotEcho() { m_serverEchoes = false; }
 
+    bool echoSeen() const { return m_echoSeen; }
+    void setEchoSeen() { m_echoSeen = true; }
+
     // Returns the most recently used connection, so that surplus ones reach their idle timeout.
     std::optional<asio::ip::tcp::socket> takeIdle()
     {
@@ -145,6 +148,7 @@
     BackendClientSettings m_settings;
     std::vector<IdleConnection> m_idle;
     bool m_serverEchoes = true;
+    bool m_echoSeen = false; // the server has echoed an id
 };
 
 class Exchange final : public BackendExchange, public std::enable_shared_from_this<Exchange>
@@ -225,6 +229,7 @@
         m_echoHeaderName = std::move(request.echoHeaderName);
         m_echoHeaderValue = std::move(request.echoHeaderValue);
         m_echoOptional = request.echoOptional;
+        m_ordersWithoutEcho = request.ordersWithoutEcho;
         m_reuseAllowed = !request.ownConnection;
         m_timer.expires_after(request.timeLimit);
         m_request.method_string(request.method);
@@ -329,13 +334,15 @@
                });
     }
 
+    bool trustsOrder() const { return m_ordersWithoutEcho && !m_pool->echoSeen(); }
+
     Attribution attribute(const http::fields &head) const
     {
         if (m_echoHeaderName.empty() || echoesRequest(head))
             return Attribution::ThisRequest;
         if (!m_echoOptional)
             return Attribution::OtherRequest;
-        if (m_isNewConnection)
+        if (m_isNewConnection || trustsOrder())
             return Attribution::ThisRequest;
         return head.count(m_echoHeaderName) == 0 ? Attribution::Unknown : Attribution::OtherRequest;
     }
@@ -369,7 +376,9 @@
             fail(BackendError::Malformed);
             return false;
         }
-        if (m_echoOptional && !echoesRequest(head))
+        if (m_echoOptional && echoesRequest(head))
+            m_pool->setEchoSeen();
+        else if (m_echoOptional && !trustsOrder())
             m_reuseAllowed = false;
         m_responseHandler->head(head.result_int(), copyHeaders(head));
         return !m_ended;
@@ -415,6 +424,7 @@
     std::string m_echoHeaderName;
     std::string m_echoHeaderValue;
     bool m_echoOptional = false;
+    bool m_ordersWithoutEcho = false;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser; // of the current response
     bool m_writeStarted = false;   // some of the request may have been written
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -33,6 +33,9 @@
     // case, but without the echo the connection is not used again. On a used connection a response
     // without an id makes the exchange fail, and later ones of this kind get new connections.
     bool echoOptional = false;
+    // With echoOptional: while the server has echoed no id, its responses are taken to be in order,
+    // so that its connections are used again.
+    bool ordersWithoutEcho = false;
     // Uses a connection of its own, on which no response to another request can arrive.
     bool ownConnection = false;
 
--- a/test/error/misbehavingengine.cpp
+++ b/test/error/misbehavingengine.cpp
@@ -140,3 +140,37 @@
             CHECK_FALSE(ofRuns.contains(it));
     }
 }
+
+// Guards against a service's answers that go to the wrong request although it names their ids, and
+// against a new connection for each of many short requests to one that does not.
+TEST_CASE("a service that names ids is held to them, one that does not is trusted to keep order")
+{
+    for (const bool echoes : {true, false}) {
+        CAPTURE(echoes);
+        std::atomic<int> runs = 0;
+        BackendStub service([&](const StubRequest &request, StubReply &reply) {
+            const int run = ++runs;
+            const std::string copy = echoes && run == 2 ? response(429, "", "busy") : "";
+            reply.send(copy
+                       + response(200, echoes ? idLine(request) : "",
+                                  "answer " + std::to_string(run)));
+        });
+        AgentRunner agent(agentSettings(service.port(), PoolKind::Service));
+        SessionPeer peer(agent.daemon().entryPort());
+        for (int n = 1; n <= 3; ++n) {
+            REQUIRE(reserveAndDispatch(peer, "/orders", "",
+                                       agentRequest(static_cast<std::uint64_t>(n))));
+            const Outcome outcome = receiveOutcome(peer);
+            if (echoes && n == 2) {
+                REQUIRE(outcome.failed);
+                CHECK_FALSE(outcome.failed->notRun);
+            } else {
+                CHECK(outcome.data == "answer " + std::to_string(n));
+            }
+        }
+        const auto requests = service.requests();
+        REQUIRE(requests.size() == 3);
+        CHECK(requests[0].connection == requests[1].connection);
+        CHECK((requests[1].connection == requests[2].connection) == !echoes);
+    }
+}
