Test: engines that break off in the head or body of their answer

19 places at which an engine closes or resets the connection, or ends lines without a carriage return: each run ends as failed and possibly run, no end event reaches the entry daemon.

--- a/test/error/misbehavingengine.cpp
+++ b/test/error/misbehavingengine.cpp
@@ -174,3 +174,49 @@
         CHECK((requests[1].connection == requests[2].connection) == !echoes);
     }
 }
+
+// Guards against an answer that looks whole although the engine broke off in its head or body, and
+// against one that counts as not run, so that it runs again.
+TEST_CASE("an answer whose engine breaks off ends as possibly run")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string events = ok + "Content-Type: text/event-stream\r\n";
+    const std::vector<std::string> starts {
+            "HTTP/1.1 200 OK",
+            ok,
+            ok + "X-Req",
+            ok + "Content-Length: 1", // of 12
+            ok + "Content-Length: 0\r\n",
+            ok + "Content-Length: 0\r\n\r",
+            ok + "Content-Length: 12\r\n\r\nshort",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n",
+            ok + "\r\n",
+            ok + "\r\nshort",
+            "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+            ok + "Content-Length: 0\n\r\n",
+            events + "Transfer-Encoding: chunked\r\n\r\n",
+            events + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            events + "Content-Length: 0\r\n\r\n",
+            events + "\r\ndata: t1\n\ndata: [DONE]\n\n",
+            events + "Content-Length: 40\r\n\r\ndata: t1\n\ndata: [DONE]\n\n",
+            events + "Content-Length: 11\r\n\r\ndata: t1\n\nd"};
+    for (const bool resets : {false, true}) {
+        for (const std::string &it : starts) {
+            CAPTURE(it);
+            CAPTURE(resets);
+            BackendStub engine([&](const StubRequest &, StubReply &reply) {
+                reply.send(it);
+                std::this_thread::sleep_for(resets ? 20ms : 0ms); // until the bytes are read
+                resets ? reply.reset() : reply.close();
+            });
+            AgentRunner agent(agentSettings(engine.port()));
+            SessionPeer peer(agent.daemon().entryPort());
+            REQUIRE(reserveAndDispatch(peer, "/v1/completions", "writer"));
+            const Outcome outcome = receiveOutcome(peer);
+            REQUIRE(outcome.failed);
+            CHECK_FALSE(outcome.failed->notRun);
+            CHECK(outcome.data.find("[DONE]") == std::string::npos);
+        }
+    }
+}
