Stand-ins: answers echo X-Request-Id

An agent keeps its connections to engines that echo the ids of requests; with the stand-ins it opened one for each run.

--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::uint64_t bodyLimitBytes = 64ULL << 20U;
+// Echoed, so that callers can match responses to requests.
+constexpr const char *requestIdHeader = "X-Request-Id";
 
 std::string lowerCase(std::string text)
 {
@@ -65,8 +67,8 @@
 class ConnectionResponseWriter final : public HttpResponseWriter
 {
 public:
-    ConnectionResponseWriter(Tcp::socket &socket, bool keepAlive)
-        : m_socket(socket), m_keepAlive(keepAlive)
+    ConnectionResponseWriter(Tcp::socket &socket, bool keepAlive, std::string requestId)
+        : m_socket(socket), m_keepAlive(keepAlive), m_requestId(std::move(requestId))
     { }
 
     asio::awaitable<bool> send(unsigned status, std::string body) override
@@ -74,8 +76,7 @@
         http::response<http::string_body> response;
         response.version(11);
         response.result(status);
-        response.set(http::field::content_type, "application/json");
-        response.keep_alive(m_keepAlive);
+        setHeaders(response, "application/json");
         response.body() = std::move(body);
         response.prepare_payload();
         boost::system::error_code ec;
@@ -88,8 +89,7 @@
     asio::awaitable<bool> beginStream() override
     {
         http::response<http::empty_body> response(http::status::ok, 11);
-        response.set(http::field::content_type, "text/event-stream");
-        response.keep_alive(m_keepAlive);
+        setHeaders(response, "text/event-stream");
         response.chunked(true);
         http::response_serializer<http::empty_body> serializer(response);
         boost::system::error_code ec;
@@ -120,8 +120,17 @@
     [[nodiscard]] bool reusable() const { return m_complete && m_keepAlive; }
 
 private:
+    template<typename Response> void setHeaders(Response &response, const char *contentType)
+    {
+        response.set(http::field::content_type, contentType);
+        response.keep_alive(m_keepAlive);
+        if (!m_requestId.empty())
+            response.set(requestIdHeader, m_requestId);
+    }
+
     Tcp::socket &m_socket;
     bool m_keepAlive;
+    std::string m_requestId; // of the request, echoed; empty: it has none
     bool m_complete = false; // the complete response was written
 };
 
@@ -135,7 +144,8 @@
     co_await http::async_read(socket, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
         co_return false;
-    ConnectionResponseWriter response(socket, parser.get().keep_alive());
+    ConnectionResponseWriter response(socket, parser.get().keep_alive(),
+                                      std::string(parser.get()[requestIdHeader]));
     const HttpRequest request = toHttpRequest(parser.release());
     std::string errorMessage;
     try {
--- a/test/correctness/enginestandin.cpp
+++ b/test/correctness/enginestandin.cpp
@@ -6,12 +6,15 @@
 #include "completiontext.h"
 #include "enginefault.h"
 #include "engineserver.h"
+#include "httpheaders.h"
+#include "loopback.h"
 #include "prefixcache.h"
 #include "standinhost.h"
 
 #include <doctest/doctest.h>
 
 using namespace cornelshed::standins;
+using cornelshed::testing::Caller;
 using cornelshed::testing::StandInHost;
 
 namespace {
@@ -144,3 +147,23 @@
         CHECK(loadStatus(R"({"version":"v1","fencing":4})") == (checksFencing ? 409 : 200));
     }
 }
+
+// Guards against agents that open a connection for each run because the stand-in echoes no ids.
+TEST_CASE("an answer, a stream and an error echo the id of their request on one connection")
+{
+    EngineOptions options;
+    options.rates = {1e6, 1e4};
+    StandInHost<EngineServer> engine(options);
+    Caller caller(engine.port());
+    const std::vector<std::string> bodies {
+            completionBody("a"), R"({"prompt":"[marker:b]","max_tokens":2,"stream":true})",
+            "no JSON"};
+    for (std::size_t n = 0; n < bodies.size(); ++n) {
+        const std::string id = "id-" + std::to_string(n);
+        const auto answer = caller.post("/v1/completions", {"X-Request-Id: " + id}, bodies[n]);
+        REQUIRE(answer.status != 0);
+        const std::string *echo = cornelshed::findHeader(answer.headers, "X-Request-Id");
+        REQUIRE(echo != nullptr);
+        CHECK(*echo == id);
+    }
+}
--- a/test/support/standinhost.h
+++ b/test/support/standinhost.h
@@ -34,6 +34,8 @@
     StandInHost(const StandInHost &) = delete;
     StandInHost &operator=(const StandInHost &) = delete;
 
+    std::uint16_t port() const { return m_endpoint.port; }
+
     // Calls the stand-in and waits for the reply, for at most 10 s.
     standins::HttpClientResponse call(const std::string &method, const std::string &path,
                                       const std::string &body = {},
