Test support: a caller that polls a stream waits for its trailer, not for the announcement

performance.chunkcost counted streams as complete that had just begun: pollStream() looked for the name of the trailer, which the header section announces as well, in the last 64 bytes that it had read. The check is stricter now.

--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -358,7 +358,8 @@
             tail.append(buf.data(), n);
             tail.erase(0, tail.size() - std::min(tail.size(), tailBytes));
         }
-        if (tail.find("Cornelshed-Outcome") != std::string::npos)
+        // With the colon: the header section announces the trailer by its name.
+        if (tail.find("Cornelshed-Outcome:") != std::string::npos)
             return true;
     }
     return false;
