--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -104,10 +104,13 @@
     const asio::ip::tcp::endpoint &endpoint() const { return m_endpoint; }
     const BackendClientSettings &settings() const { return m_settings; }
 
-    // Whether all responses on used connections named their requests so far.
+    // False once a response that had to name its request did not.
     bool serverEchoes() const { return m_serverEchoes; }
     void setServerDoesNotEcho() { m_serverEchoes = false; }
 
+    bool echoSeen() const { return m_echoSeen; }
+    void setEchoSeen() { m_echoSeen = true; }
+
     // Returns the most recently used connection, so that surplus ones reach their idle timeout.
     std::optional<asio::ip::tcp::socket> takeIdle()
     {
@@ -145,6 +148,7 @@
     BackendClientSettings m_settings;
     std::vector<IdleConnection> m_idle;
     bool m_serverEchoes = true;
+    bool m_echoSeen = false; // the server has echoed an id
 };
 
 class Exchange final : public BackendExchange, public std::enable_shared_from_this<Exchange>
@@ -335,7 +339,7 @@
             return Attribution::ThisRequest;
         if (!m_echoOptional)
             return Attribution::OtherRequest;
-        if (m_isNewConnection)
+        if (m_isNewConnection || !m_pool->echoSeen())
             return Attribution::ThisRequest;
         return head.count(m_echoHeaderName) == 0 ? Attribution::Unknown : Attribution::OtherRequest;
     }
@@ -369,7 +373,9 @@
             fail(BackendError::Malformed);
             return false;
         }
-        if (m_echoOptional && !echoesRequest(head))
+        if (m_echoOptional && echoesRequest(head))
+            m_pool->setEchoSeen();
+        else if (m_echoOptional && m_pool->echoSeen())
             m_reuseAllowed = false;
         m_responseHandler->head(head.result_int(), copyHeaders(head));
         return !m_ended;
