--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -24,10 +24,10 @@
 
 class GatewayExchange;
 
-// Interface that the gateway provides to its exchanges.
 inline constexpr const char *promptCrashesMessage =
         "the prompt, or a part of it, crashes backend servers";
 
+// Interface that the gateway provides to its exchanges.
 class ExchangeServices
 {
 public:
@@ -47,6 +47,7 @@
 
     // The answer to the prompt went on beyond its beginning.
     virtual void answerContinued(const PromptIdentity &prompt) = 0;
+    // The answer to the prompt is complete.
     virtual void answerCompleted(const PromptIdentity &prompt) = 0;
 
     // Digest of a backend server's id and start, which names its crash.
@@ -178,7 +179,7 @@
 
     // --- current attempt ---
     bool m_attemptRunning = false;
-    bool m_cut = false;
+    bool m_cut = false; // see wasCut()
     std::string m_backendId;
     std::shared_ptr<BackendExchange> m_call;
     std::shared_ptr<ResponseHandler> m_responseHandler;
--- a/test/error/crashingwholeprompt.cpp
+++ b/test/error/crashingwholeprompt.cpp
@@ -189,3 +189,38 @@
     CHECK(headerValue(running.headers, "Retry-After").empty());
     CHECK(fixture.request(fixture.second, deadly).status == 503);
 }
+
+TEST_CASE("a prompt that waits at a gateway is refused when a peer reports it, and the caller is "
+          "told "
+          "when it may be tried")
+{
+    std::atomic<bool> holding {false};
+    CrashingEngines fixture(hasDeadlyBody, [&](const StubRequest &request, StubReply &reply) {
+        sendStreamHead(request, reply);
+        if (holding)
+            std::this_thread::sleep_for(800ms);
+        reply.close();
+    });
+    const PromptRequest deadly {"aa:60", "c1:40", deadlyBody};
+    while (fixture.deadlyArrivals() < crashesAllowed) {
+        fixture.request(fixture.first, deadly);
+        fixture.restartCrashed();
+    }
+    holding = true;
+    BackendRecord only = fixture.records.front();
+    only.slots = 1;
+    fixture.list({only});
+    auto beside = std::async(std::launch::async, [&] {
+        return fixture.request(fixture.second, {"bb:60", "c2:40", "sounds"});
+    });
+    for (int n = 0; n < 200 && fixture.soundArrivals() == 0; ++n)
+        std::this_thread::sleep_for(5ms);
+    const std::size_t before = fixture.deadlyArrivals();
+    const auto soon = std::chrono::steady_clock::now() + 100ms;
+    const CallerAnswer waiting = answerOnceTold(
+            fixture, deadly, [&] { return std::chrono::steady_clock::now() > soon; });
+    CHECK(waiting.status == 503);
+    CHECK(std::atof(headerValue(waiting.headers, "Retry-After").c_str()) > 30);
+    CHECK(fixture.deadlyArrivals() == before);
+    beside.get();
+}
