A shutdown admits no request that ends after it has ended the last ones

Requests are ended 150 ms before the limit that admission compared with, so a request with a time limit between the two was admitted and got 502 although its server answered in time.

Test: a request whose time limit ends after the last requests are ended is refused as not run (before: 502).

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -144,7 +144,7 @@
                                          admitted.request.method, admitted.request.target,
                                          admitted.request.body);
         // It would be cut off at the end of the shutdown.
-        if (closing && admitted.deadline > drainDeadline) {
+        if (closing && admitted.deadline > requestsEndAt) {
             refundAllowance(admitted);
             return refuse(channel, metadata, {503, "shutdown", "shutting down"},
                           shutdownRetryAfter);
@@ -834,9 +834,10 @@
     std::uint64_t routineAnswerCount = 0;
     std::size_t bufferedBytes = 0; // of responses that are not streams and not complete yet
     bool advancing = false;
-    bool advanceAgain = false; // advance() was called while it was running
-    Instant drainDeadline = instantNever;
-    bool closing = false; // the listener and idle connections have been closed
+    bool advanceAgain = false;            // advance() was called while it was running
+    Instant drainDeadline = instantNever; // the process exits
+    Instant requestsEndAt = instantNever; // a shutdown ends the remaining requests
+    bool closing = false;                 // the listener and idle connections have been closed
 };
 
 Gateway::Gateway(asio::io_context &context, const IngressProtocol &protocol,
@@ -1006,6 +1007,7 @@
     d->draining = true;
     d->onDrained = std::move(done);
     d->drainDeadline = monotonicNow() + limit - shutdownMargin / 2;
+    d->requestsEndAt = monotonicNow() + limit - shutdownMargin;
     for (const auto &it : d->channels) {
         if (const auto channel = it.lock())
             channel->announceClose();
