A store whose era goes back is not read without pause

Such a response now counts as a failed call, so that the reads are spaced and the store counts as lost.

Test: a store whose era goes back is not read without pause (before: more than 100 reads in 300 ms).

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -161,8 +161,13 @@
         }
         auto &page = std::get<RowsPage>(result);
         const StorePosition position = positionOf(page);
-        if (position.era < m_events.storeEra()
-            || (m_snapshotPosition && position.era != m_snapshotPosition->era)) {
+        if (position.era < m_events.storeEra()) {
+            m_callInProgress = false;
+            m_events.failed(RowStoreError::Unknown);
+            runAfter(retryDelay(), &TableReader::readSnapshot);
+            return;
+        }
+        if (m_snapshotPosition && position.era != m_snapshotPosition->era) {
             readSnapshot();
             return;
         }
--- a/test/error/storereturn.cpp
+++ b/test/error/storereturn.cpp
@@ -350,6 +350,20 @@
     CHECK(fleet.content->rows(RowTable::Gateways).contains("g"));
 }
 
+// Guards against a gateway that reads without pause after the store has stated an earlier era.
+TEST_CASE("a store whose era goes back is not read without pause")
+{
+    Fleet fleet;
+    fleet.content->era = 5;
+    Member &member = fleet.add("g");
+    fleet.run(60ms);
+    const int before = member.store.scanCounts[RowTable::Orders];
+    fleet.content->era = 4;
+    fleet.content->set(RowTable::Orders, "config", configurationRow(4));
+    fleet.run(300ms);
+    CHECK(member.store.scanCounts[RowTable::Orders] - before < 100); // the interval is 20 ms
+}
+
 // Guards against any order of writes, returns, reads, restarts and reports that leaves a gateway
 // with a proof for a state that is not the newest, with an older configuration than before, or with
 // another state than its peers.
