The error of a server that replaced a silent one is kept

A request whose silent attempt was cancelled and whose next server answered with an error waited for a place although no other server was left, and ran a third time at one of the same two; the error that was ready was dropped, and (by reading, not seen) a caller whose time limit passed in the wait would get 504.

Cause: endAttempt() forgot the error when no retry followed, and mayResumeLater() looked only at the cancelled attempt. An error is an answer: it is kept whenever an attempt ends with it, and a request that has one does not wait for a place unless its answer has begun.

Evidence: error.silentserver, 'the error of the server that replaced a silent one is delivered if no other is left', failed before (3 arrivals instead of 2) and passes.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -316,10 +316,11 @@
 }
 
 // Whether a request without an attempt may wait until it is queued again: one whose answer has
-// begun, or whose attempt was cancelled although it might have answered.
+// begun, or whose attempt was cancelled although it might have answered and that has no answer.
 bool GatewayExchange::mayResumeLater() const
 {
-    return (m_history.answerStarted || m_cancelledSilent) && mayRunAgain() && hasTimeForRetry();
+    const bool isWorthwhile = m_history.answerStarted || (m_cancelledSilent && !m_hasErrorAnswer);
+    return isWorthwhile && mayRunAgain() && hasTimeForRetry();
 }
 
 void GatewayExchange::waitForPlace()
@@ -517,6 +518,7 @@
         ++m_history.refused;
     else
         ++m_history.ran;
+    m_hasErrorAnswer = end == AttemptEnd::RanAndFailed;
     m_services.attemptEnded(*this, report(outcome));
     if (m_queuedId)
         m_services.withdraw(*this);
@@ -549,7 +551,6 @@
                            : !elsewhere ? "no_other_backend"
                            : inTime     ? "budget"
                                         : "deadline");
-    m_hasErrorAnswer = retry && end == AttemptEnd::RanAndFailed;
     if (retry)
         takeStep(NextStep::Retry);
     else if (!suspect && mayResumeLater())
--- a/test/error/silentserver.cpp
+++ b/test/error/silentserver.cpp
@@ -239,6 +239,34 @@
     CHECK(fixture.attempts("/quote/a") == 1);
 }
 
+// Guards against a server's error that is dropped, and a request that is run once more in vain,
+// after a silent attempt has been replaced.
+TEST_CASE("the error of the server that replaced a silent one is delivered if no other is left")
+{
+    std::atomic<int> arrivals = 0;
+    Fixture fixture([&](const StubRequest &request, StubReply &reply) {
+        if (++arrivals == 1)
+            std::this_thread::sleep_for(silence);
+        else
+            reply.send("HTTP/1.1 500 x\r\nX-Request-Id: " + headerOf(request, "X-Request-Id")
+                       + "\r\nX-Response-Seal: s\r\nContent-Length: 3\r\n\r\nwhy");
+    });
+    RouteTableContent content = gatewayRouteTable();
+    for (DirectRoute &it : content.routes)
+        it.attemptLimit = 3;
+    std::vector<BackendRecord> records;
+    for (std::size_t n = 0; n < fixture.servers.size(); ++n) {
+        records.push_back(gatewayBackend("i-" + std::to_string(n + 1), fixture.servers[n]->port()));
+        records.back().slots = 1;
+    }
+    fixture.runner.configure(content, records);
+    fixture.caller.send(callerRequest("GET", "/look/a", "r-1", callerWait));
+    const auto answer = fixture.caller.receive();
+    CHECK(answer.status == 500);
+    CHECK(answer.body == "why");
+    CHECK(arrivals.load() == 2);
+}
+
 // Guards against a request that waits beyond its time limit, or a place that is kept, because a
 // search was going on when the limit passed.
 TEST_CASE("the time limit ends a silent attempt and the search for another server")
