A shutdown delivers a server's error that is ready

A caller whose request waited for a retry after a server's error got 502 ('shutting down') when the gateway shut down, although the error was at hand.

Cause: shutDown() did not look at the error that is kept until the next attempt. It delivers it now, as the time limit does.

Evidence: error.loneserver, 'the error of a server is delivered if the request can't be repeated elsewhere in time', extended by a shutdown, failed before (502 instead of 500) and passes. The part without a shutdown is as strict as before.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -724,6 +724,8 @@
     }
     if (m_history.answerStarted)
         abortResponse();
+    else if (m_hasErrorAnswer)
+        deliver();
     else if (m_history.ran > 0)
         fail(502, "shutting down", std::nullopt);
     else
--- a/test/error/loneserver.cpp
+++ b/test/error/loneserver.cpp
@@ -69,35 +69,42 @@
     CHECK(std::chrono::steady_clock::now() - start < 400ms); // less than the wait in the queue
 }
 
-// Guards against a server's answer that is replaced by 502 because no other server has a place.
+// Guards against a server's answer that is replaced by 502 because no other server has a place, or
+// because the gateway shuts down while the request waits for one.
 TEST_CASE("the error of a server is delivered if the request can't be repeated elsewhere in time")
 {
-    std::atomic<bool> release = false;
-    const auto handler = [&](const StubRequest &request, StubReply &reply) {
-        while (!release && request.target == "/order/held")
-            std::this_thread::sleep_for(1ms);
-        if (request.target == "/order/held")
-            sendAnswer(request, reply, "held");
-        else
-            sendError(request, reply);
-    };
-    BackendStub first(handler);
-    BackendStub second(handler);
-    std::vector<BackendRecord> records {gatewayBackend("i-1", first.port()),
-                                        gatewayBackend("i-2", second.port())};
-    for (BackendRecord &it : records)
-        it.slots = 1;
-    GatewayRunner runner;
-    runner.configure(gatewayRouteTable(), records);
-    Caller holder(runner.port());
-    holder.send(callerRequest("POST", "/order/held", "r-1", 2s));
-    std::this_thread::sleep_for(50ms);
-    Caller caller(runner.port());
-    caller.send(callerRequest("GET", "/look/a", "r-2", 2s));
-    const auto answer = caller.receive();
-    release = true;
-    CHECK(answer.status == 500);
-    CHECK(answer.body == "why");
+    for (const bool shutsDown : {false, true}) {
+        CAPTURE(shutsDown);
+        std::atomic<bool> release = false;
+        const auto handler = [&](const StubRequest &request, StubReply &reply) {
+            while (!release && request.target == "/order/held")
+                std::this_thread::sleep_for(1ms);
+            if (request.target == "/order/held")
+                sendAnswer(request, reply, "held");
+            else
+                sendError(request, reply);
+        };
+        BackendStub first(handler);
+        BackendStub second(handler);
+        std::vector<BackendRecord> records {gatewayBackend("i-1", first.port()),
+                                            gatewayBackend("i-2", second.port())};
+        for (BackendRecord &it : records)
+            it.slots = 1;
+        GatewayRunner runner;
+        runner.configure(gatewayRouteTable(), records);
+        Caller holder(runner.port());
+        holder.send(callerRequest("POST", "/order/held", "r-1", 2s));
+        std::this_thread::sleep_for(50ms);
+        Caller caller(runner.port());
+        caller.send(callerRequest("GET", "/look/a", "r-2", 2s));
+        std::this_thread::sleep_for(50ms);
+        if (shutsDown) // within the wait in the queue
+            runner.runOnTrafficThread([&] { runner.gateway().drain(1ms, 400ms, [] {}); });
+        const auto answer = caller.receive();
+        release = true;
+        CHECK(answer.status == 500);
+        CHECK(answer.body == "why");
+    }
 }
 
 // Guards against a resumable stream that is broken off, though its server goes on.
