A begun stream stays with its server when its prompt is held back during a search

A caller's stream was broken off although its server went on with it: the server had been silent for a while, a place elsewhere was being looked for, and meanwhile the whole prompt was quarantined.

Cause: begun streams are spared when a prompt is quarantined, but a place that was granted to one afterwards ended it. Now the place is given back, the running attempt goes on, and it is the last one.

Evidence: error.crashingwholeprompt, 'a stream whose silent server goes on is not broken off when its prompt is held back', failed before (connection closed after two of four events) and passes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -291,7 +291,10 @@
                 admitted.metadata.requestId, monotonicNow());
         if (untilTrial) {
             neverSent(action.request);
-            exchange->endQuarantined(*untilTrial);
+            if (exchange->isRunning() && exchange->answerStarted())
+                exchange->stopSearching();
+            else
+                exchange->endQuarantined(*untilTrial);
             return;
         }
         if (!exchange->takeRetry()) {
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -134,6 +134,9 @@
 
     void callerDisconnected() override;
 
+    // The running attempt is the last one, whatever becomes of it.
+    void stopSearching() { m_history.retryable = false; }
+
     // Ends the exchange because its prompt crashes backend servers and may not be tried again
     // before this time. A running attempt is cancelled.
     void endQuarantined(Duration untilTrial);
--- a/test/error/crashingwholeprompt.cpp
+++ b/test/error/crashingwholeprompt.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <future>
 #include <thread>
+#include <vector>
 
 using namespace cornelshed;
 using namespace cornelshed::testing;
@@ -224,3 +225,58 @@
     CHECK(fixture.deadlyArrivals() == before);
     beside.get();
 }
+
+// Guards against a stream that is broken off although its server goes on, because its prompt was
+// held back while another place was looked for.
+TEST_CASE("a stream whose silent server goes on is not broken off when its prompt is held back")
+{
+    std::atomic<bool> holding {false};
+    std::atomic<bool> goOn {false};
+    std::atomic<bool> release {false};
+    const auto waitFor = [](const std::function<bool()> &holds) {
+        for (int n = 0; n < 400 && !holds(); ++n)
+            std::this_thread::sleep_for(5ms);
+        return holds();
+    };
+    CrashingEngines fixture(hasDeadlyBody, [&](const StubRequest &request, StubReply &reply) {
+        sendStreamHead(request, reply);
+        if (!holding) {
+            reply.close();
+            return;
+        }
+        sendEvents(reply, 1, 2);
+        waitFor([&] { return hasDeadlyBody(request) ? goOn.load() : release.load(); });
+        sendEvents(reply, 3, 4);
+        reply.send("0\r\n\r\n");
+    });
+    const PromptRequest deadly {"aa:60", "c1:40", deadlyBody};
+    while (fixture.deadlyArrivals() < crashesAllowed) {
+        fixture.request(fixture.first, deadly);
+        fixture.restartCrashed();
+    }
+    REQUIRE(fixture.request(fixture.first, deadly).status == 503);
+    holding = true;
+    std::vector<BackendRecord> both(fixture.records.begin(), fixture.records.begin() + 2);
+    for (BackendRecord &it : both)
+        it.slots = 1;
+    fixture.list(both);
+    const std::size_t before = fixture.deadlyArrivals();
+    auto stream =
+            std::async(std::launch::async, [&] { return fixture.request(fixture.second, deadly); });
+    REQUIRE(waitFor([&] { return fixture.deadlyArrivals() > before; }));
+    auto beside = std::async(std::launch::async, [&] {
+        return fixture.request(fixture.second, {"bb:60", "c2:40", "sounds", "/query/"});
+    });
+    REQUIRE(waitFor([&] { return fixture.soundArrivals() > 0; }));
+    CHECK(waitFor([&] { return fixture.second.metric("cornelshed_gateway_waiting") == 1; }));
+    fixture.first.reportTo(fixture.second);
+    CHECK(fixture.second.metric("cornelshed_gateway_prompt_parts_quarantined") > 0);
+    release = true;
+    CHECK(beside.get().status == 200);
+    std::this_thread::sleep_for(150ms); // until the place is offered to the stream
+    goOn = true;
+    const CallerAnswer answer = stream.get();
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find("id: 4\n") != std::string::npos);
+    CHECK(fixture.deadlyArrivals() == before + 1);
+}
