The trial of a quarantined prompt is not used up by a request that is not sent

When the scheduler granted a place to a request with a quarantined prompt, the trial was taken, and the next quarantine became twice as long, before the retry budget could keep the request from being sent. The budget is asked first now.

Found by reading; no test shows it, since a trial follows after a minute at the earliest. If the prompt is then refused, a retry that was taken for it is lost to the budget.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -283,6 +283,11 @@
             exchange->handleMissingBackend(action.backend);
             return;
         }
+        // Before the prompt's trial, which a request that is not sent must not use up.
+        if (!exchange->takeRetry()) {
+            neverSent(action.request);
+            return;
+        }
         // The prompt may have been quarantined while the request waited. A stream that is resumed
         // has shown that the parts of its prompt crash nothing.
         const AdmittedRequest &admitted = exchange->admitted();
@@ -297,10 +302,6 @@
                 exchange->endQuarantined(*untilTrial);
             return;
         }
-        if (!exchange->takeRetry()) {
-            neverSent(action.request);
-            return;
-        }
         exchange->startAttempt(action.request, *record, *entry->second.client);
     }
 
