--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -283,6 +283,11 @@
             exchange->handleMissingBackend(action.backend);
             return;
         }
+        // Before the prompt's trial, which a request that is not sent must not use up.
+        if (!exchange->takeRetry()) {
+            neverSent(action.request);
+            return;
+        }
         // The prompt may have been quarantined while the request waited. A stream that is resumed
         // has shown that the parts of its prompt crash nothing.
         const AdmittedRequest &admitted = exchange->admitted();
@@ -291,11 +296,10 @@
                 admitted.metadata.requestId, monotonicNow());
         if (untilTrial) {
             neverSent(action.request);
-            exchange->endQuarantined(*untilTrial);
-            return;
-        }
-        if (!exchange->takeRetry()) {
-            neverSent(action.request);
+            if (exchange->isRunning() && exchange->answerStarted())
+                exchange->stopSearching();
+            else
+                exchange->endQuarantined(*untilTrial);
             return;
         }
         exchange->startAttempt(action.request, *record, *entry->second.client);
