Entry: answer the request after a response that did not announce the close

Callers whose stream had begun before a shutdown got no response to the next request on the connection, which the head of the stream had left open: once the shutdown had begun, the end of any response made the connection linger, and the next request was read and discarded.

The connection now closes after the first response that announces the close. The announcement is decided when the head is written, not when the request is received. A connection whose close was not announced stays open for the next request for 500 ms after its last response, and the shutdown waits for it.

--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -13,6 +13,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <utility>
@@ -30,6 +31,10 @@
 // Time during which input is read and discarded before the socket is closed. Input that arrives at
 // a closed socket causes a TCP reset, which can destroy the response before the caller reads it.
 constexpr std::chrono::milliseconds lingerTimeout {1000};
+// During the shutdown, a connection whose close no response has announced stays open for the next
+// request for this long after it was opened, or after its last response: the caller may have sent
+// that request already.
+constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
 constexpr std::size_t bufferedAnswerLimitBytes = std::size_t {64} << 20U;
 constexpr std::size_t streamWriteBacklogLimitBytes = std::size_t {16} << 20U;
 
@@ -115,7 +120,7 @@
 void CallerConnection::refuse()
 {
     post([](CallerConnection &self) {
-        ++self.m_callerContext->activeCount;
+        self.setActive(true);
         self.sendErrorResponse(
                 notRunResponse(429, "connection_limit", "too many connections", 1000));
     });
@@ -124,8 +129,11 @@
 void CallerConnection::closeIfIdle()
 {
     post([](CallerConnection &self) {
-        if (self.m_phase == Phase::Idle && self.m_buffer.size() == 0)
-            self.close();
+        if (self.m_phase != Phase::Idle)
+            return;
+        self.setActive(true);
+        self.armTimer(std::max(Duration::zero(),
+                               self.m_waitingSince + unannouncedCloseDelay - monotonicNow()));
     });
 }
 
@@ -147,7 +155,10 @@
         readHeader();
         return;
     }
-    armTimer(idleTimeout);
+    const bool isShuttingDown = m_callerContext->shuttingDown;
+    setActive(isShuttingDown);
+    m_waitingSince = monotonicNow();
+    armTimer(isShuttingDown ? unannouncedCloseDelay : idleTimeout);
     waitReadable();
 }
 
@@ -188,7 +199,7 @@
 void CallerConnection::readHeader()
 {
     m_phase = Phase::Receiving;
-    ++m_callerContext->activeCount;
+    setActive(true);
     armTimer(std::chrono::milliseconds(m_callerContext->settings.headerTimeoutMs));
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             [self = shared_from_this()](auto ec, std::size_t) {
@@ -225,7 +236,6 @@
             ec.category() == http::make_error_code(http::error::bad_version).category();
     if (!isHttpParserError || ec == http::error::end_of_stream
         || ec == http::error::partial_message) {
-        --m_callerContext->activeCount;
         close();
     } else if (ec == http::error::header_limit) {
         sendErrorResponse(
@@ -243,7 +253,7 @@
 void CallerConnection::handleRequest()
 {
     m_timer.cancel();
-    m_keepAlive = m_parser->keep_alive() && !m_callerContext->shuttingDown;
+    m_keepAlive = m_parser->keep_alive();
     m_request = makeRequest();
     if (!m_request)
         return;
@@ -390,7 +400,7 @@
         return;
     Headers answerHeaders = m_headers;
     answerHeaders.emplace_back("X-Request-Id", m_request->headers.back().second);
-    m_writer.beginStream({m_status, std::move(answerHeaders), m_keepAlive});
+    m_writer.beginStream(makeHead(m_status, std::move(answerHeaders)));
 }
 
 void CallerConnection::handleChunk(std::string data)
@@ -456,6 +466,13 @@
 
 // --- answering ---
 
+// Announces the close of the connection once the shutdown has begun.
+ResponseHeader CallerConnection::makeHead(std::uint32_t status, Headers headers)
+{
+    m_keepAlive = m_keepAlive && !m_callerContext->shuttingDown;
+    return {status, std::move(headers), m_keepAlive};
+}
+
 void CallerConnection::sendErrorResponse(const ErrorResponse &answer)
 {
     m_phase = Phase::Answering;
@@ -466,7 +483,7 @@
     if (m_request)
         headers.emplace_back("X-Request-Id", m_request->headers.back().second);
     armTimer(answerWriteTimeout);
-    m_writer.writeResponse({answer.status, std::move(headers), m_keepAlive}, answer.body);
+    m_writer.writeResponse(makeHead(answer.status, std::move(headers)), answer.body);
 }
 
 void CallerConnection::sendResponse(std::uint32_t status, const Headers &headers,
@@ -477,7 +494,7 @@
     answerHeaders.emplace_back("Cornelshed-Outcome", outcomeAnswered);
     answerHeaders.emplace_back("X-Request-Id", m_request->headers.back().second);
     armTimer(answerWriteTimeout);
-    m_writer.writeResponse({status, std::move(answerHeaders), m_keepAlive}, body);
+    m_writer.writeResponse(makeHead(status, std::move(answerHeaders)), body);
 }
 
 void CallerConnection::finishStream(const Ending &ending)
@@ -496,8 +513,8 @@
 
 void CallerConnection::responseSent()
 {
-    --m_callerContext->activeCount;
-    if (m_keepAlive && !m_callerContext->shuttingDown)
+    // If the head did not announce the close, the caller may send its next request here.
+    if (m_keepAlive)
         readNext();
     else
         linger();
@@ -509,14 +526,13 @@
         callerDisconnected();
         return;
     }
-    if (m_phase == Phase::Answering)
-        --m_callerContext->activeCount;
     close();
 }
 
 void CallerConnection::linger()
 {
     m_phase = Phase::Lingering;
+    setActive(false);
     boost::system::error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     armTimer(lingerTimeout);
@@ -537,16 +553,28 @@
                              });
 }
 
+// Sets whether the connection counts towards activeCount.
+void CallerConnection::setActive(bool active)
+{
+    if (std::exchange(m_isActive, active) == active)
+        return;
+    if (active)
+        ++m_callerContext->activeCount;
+    else
+        --m_callerContext->activeCount;
+}
+
 void CallerConnection::close()
 {
     m_phase = Phase::Closed;
+    setActive(false);
     m_timer.cancel();
     m_request = nullptr;
     boost::system::error_code ec;
     m_socket.close(ec);
 }
 
-void CallerConnection::armTimer(std::chrono::milliseconds limit)
+void CallerConnection::armTimer(Duration limit)
 {
     m_timer.expires_after(limit);
     m_timer.async_wait([self = shared_from_this()](auto ec) {
@@ -567,9 +595,6 @@
                 InputError {408, "request_timeout", "the request was not received in time"}));
         break;
     case Phase::Answering:
-        --m_callerContext->activeCount;
-        close();
-        break;
     case Phase::Idle:
     case Phase::Lingering:
         close();
--- a/src/callerconnection.h
+++ b/src/callerconnection.h
@@ -39,7 +39,8 @@
     // Responds that the daemon has too many connections, and closes the connection.
     void refuse();
 
-    // Closes the connection if no request is being received, run or answered.
+    // Closes the connection if no request is being received, run or answered, nor arrives within a
+    // short delay after the last response. Call this during the shutdown.
     void closeIfIdle();
 
     void responseHead(RequestId request, std::uint32_t status, Headers headers) override;
@@ -74,13 +75,15 @@
     void handleChunk(std::string data);
 
     // --- answering ---
+    ResponseHeader makeHead(std::uint32_t status, Headers headers);
     void sendErrorResponse(const ErrorResponse &answer);
     void sendResponse(std::uint32_t status, const Headers &headers, const std::string &body);
     void finishStream(const Ending &ending);
     void linger();
     void discardInput();
     void close();
-    void armTimer(std::chrono::milliseconds limit);
+    void setActive(bool active);
+    void armTimer(Duration limit);
     void handleTimeout();
     bool isCurrent(RequestId request) const;
 
@@ -98,11 +101,14 @@
     ResponseWriter m_writer;
     Phase m_phase = Phase::Idle;
     bool m_waitPending = false; // waitReadable() is waiting for input
+    // Whether the current response leaves the connection open; final once its head is written.
     bool m_keepAlive = false;
+    bool m_isActive = false;
     bool m_callerGone = false;                // the caller closed the connection
     bool m_submitted = false;                 // m_request was passed to the dispatcher
     std::shared_ptr<CallerRequest> m_request; // set in phase Running
     Instant m_receivedAt;
+    Instant m_waitingSince; // start of phase Idle
 
     // The part of the response that has arrived so far.
     bool m_hasResponseHead = false;
--- a/src/callercontext.h
+++ b/src/callercontext.h
@@ -59,7 +59,7 @@
     ControlLink &control;
     CallerMetrics metrics;
     std::atomic<std::size_t> connectionCount {0};
-    std::atomic<std::size_t> activeCount {0}; // requests being received, run or answered
+    std::atomic<std::size_t> activeCount {0}; // connections that the shutdown waits for
     std::atomic<bool> shuttingDown {false};
 
 private:
--- a/test/error/callerinterface.cpp
+++ b/test/error/callerinterface.cpp
@@ -269,6 +269,34 @@
     CHECK(answer.outcome == "unknown");
 }
 
+// Guards against a request that is read and discarded because the entry was told to stop while a
+// response was under way that did not announce the close.
+TEST_CASE("a request after a response that did not announce the close is answered")
+{
+    std::promise<void> release;
+    Deployment deployment(PoolKind::Engine, [&](const StubRequest &, StubReply &reply) {
+        reply.beginEventStream();
+        reply.sendEvent("one");
+        release.get_future().wait_for(std::chrono::seconds(10));
+        reply.sendEvent("[DONE]");
+        reply.send("0\r\n\r\n");
+    });
+    REQUIRE(deployment.connected);
+    Caller caller(deployment.fixture.entry.port());
+    auto pendingAnswer = std::async(std::launch::async, [&] {
+        return caller.post("/v1/completions", {organisationHeader},
+                           R"({"model":"writer","prompt":"p","stream":true})");
+    });
+    REQUIRE(deployment.backend.waitForRequest("/v1/completions"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // until the head has been sent
+    deployment.fixture.entry.service().stopAccepting();
+    release.set_value();
+    const CallerAnswer answer = pendingAnswer.get();
+    CHECK(answer.status == 200);
+    REQUIRE(answer.keepAlive);
+    CHECK(caller.post("/v1/completions", {organisationHeader}, validBody).status != 0);
+}
+
 TEST_CASE("a truncated response that is not a stream has an unknown outcome")
 {
     Deployment deployment(PoolKind::Engine, [](const StubRequest &, StubReply &reply) {
