Entry: look for received data before a time limit or the shutdown ends the wait for a request

Callers whose request had reached the host while the traffic thread was late got a closed connection, or a 408 although their request had arrived in time: the idle limit, the limit for receiving a request and the closing of idle connections acted without looking whether the socket held unread data.

A limit that passes now looks first, and checks again after 20 ms while there is data. The limit for receiving is checked again at least once, because the received bytes may be in handlers queued behind the timer's. Connections count as active from the moment the shutdown asks for their close, so that the daemon does not exit before it has looked.

--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -35,6 +35,8 @@
 // request for this long after it was opened, or after its last response: the caller may have sent
 // that request already.
 constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
+// A time limit that passes while received data is still unread is checked again after this time.
+constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
 constexpr std::size_t bufferedAnswerLimitBytes = std::size_t {64} << 20U;
 constexpr std::size_t streamWriteBacklogLimitBytes = std::size_t {16} << 20U;
 
@@ -128,12 +130,15 @@
 
 void CallerConnection::closeIfIdle()
 {
+    // Counted at once, so that the daemon does not exit before it has looked for a request.
+    ++m_callerContext->activeCount;
     post([](CallerConnection &self) {
-        if (self.m_phase != Phase::Idle)
-            return;
-        self.setActive(true);
-        self.armTimer(std::max(Duration::zero(),
-                               self.m_waitingSince + unannouncedCloseDelay - monotonicNow()));
+        if (self.m_phase == Phase::Idle) {
+            self.setActive(true);
+            self.armTimer(std::max(Duration::zero(),
+                                   self.m_waitingSince + unannouncedCloseDelay - monotonicNow()));
+        }
+        --self.m_callerContext->activeCount;
     });
 }
 
@@ -182,17 +187,24 @@
         checkCallerDisconnected();
 }
 
-// While a request runs, end of input means that the caller has closed its connection. Available
-// bytes are a pipelined request; they are left in the socket.
-void CallerConnection::checkCallerDisconnected()
+CallerConnection::SocketState CallerConnection::peek()
 {
     char c = 0;
     const ssize_t n = ::recv(m_socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0)
-        return;
-    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return SocketState::HasData;
+    const bool isEmpty = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isEmpty ? SocketState::Empty : SocketState::Closed;
+}
+
+// While a request runs, end of input means that the caller has closed its connection. Available
+// bytes are a pipelined request; they are left in the socket.
+void CallerConnection::checkCallerDisconnected()
+{
+    const SocketState state = peek();
+    if (state == SocketState::Empty)
         waitReadable();
-    else
+    else if (state == SocketState::Closed)
         callerDisconnected();
 }
 
@@ -200,6 +212,7 @@
 {
     m_phase = Phase::Receiving;
     setActive(true);
+    m_isOverdue = false;
     armTimer(std::chrono::milliseconds(m_callerContext->settings.headerTimeoutMs));
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             [self = shared_from_this()](auto ec, std::size_t) {
@@ -589,13 +602,24 @@
     if (m_timer.expiry() > std::chrono::steady_clock::now())
         return;
     switch (m_phase) {
+    case Phase::Idle:
+        // The request is read by the pending wait for input.
+        if (peek() == SocketState::HasData)
+            armTimer(unreadDataCheckInterval);
+        else
+            close();
+        break;
     case Phase::Receiving:
+        // The rest of the request may be in the socket, or in handlers queued behind this one.
+        if (!std::exchange(m_isOverdue, true) || peek() == SocketState::HasData) {
+            armTimer(unreadDataCheckInterval);
+            break;
+        }
         m_keepAlive = false;
         sendErrorResponse(errorResponse(
                 InputError {408, "request_timeout", "the request was not received in time"}));
         break;
     case Phase::Answering:
-    case Phase::Idle:
     case Phase::Lingering:
         close();
         break;
--- a/src/callerconnection.h
+++ b/src/callerconnection.h
@@ -53,6 +53,7 @@
 
 private:
     enum class Phase { Idle, Receiving, Running, Answering, Lingering, Closed };
+    enum class SocketState { Empty, HasData, Closed };
 
     // --- receiving ---
     void readNext();
@@ -61,6 +62,7 @@
     void readHeader();
     void readBody();
     void handleReadError(const boost::system::error_code &ec);
+    SocketState peek();
     void checkCallerDisconnected();
 
     // --- running ---
@@ -103,7 +105,8 @@
     bool m_waitPending = false; // waitReadable() is waiting for input
     // Whether the current response leaves the connection open; final once its head is written.
     bool m_keepAlive = false;
-    bool m_isActive = false;
+    bool m_isActive = false;                  // counted in activeCount
+    bool m_isOverdue = false;                 // the time limit passed in phase Receiving
     bool m_callerGone = false;                // the caller closed the connection
     bool m_submitted = false;                 // m_request was passed to the dispatcher
     std::shared_ptr<CallerRequest> m_request; // set in phase Running
