A request is not offered again to a server that the gateway does not have

A server that the scheduler chooses but the gateway does not have was excluded, yet all exclusions are dropped where no other server is usable: the same start could repeat for ever within one call of Gateway::advance(), with all other traffic waiting. Such servers are kept apart now and stay excluded, so that each can be chosen once for a request; if none is left, the request waits in the queue and is refused.

Found by reading. No test shows it: the scheduler's and the gateway's lists come from the same state, and nothing in the tests' reach makes them differ.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -201,7 +201,9 @@
         request.promptTokens = admitted.metadata.promptTokens;
         request.outputTokens = admitted.metadata.outputTokens;
         request.sessionAffinityKey = admitted.metadata.sessionAffinityKey;
+        const std::set<std::string> &missing = exchange.missingBackends();
         request.excluded = exchange.excludedBackends();
+        request.excluded.insert(missing.begin(), missing.end());
         request.version =
                 rollouts.choose(admitted.service, admitted.metadata.requestId, requeued, now);
         request.isRetry = requeued;
@@ -209,7 +211,7 @@
         // refused it is left alone, and so is the one of a silent attempt.
         const bool mayRunAgainThere = exchange.history().refused == 0 && !exchange.isRunning();
         if (mayRunAgainThere && !scheduler.hasUsableBackend(request))
-            request.excluded.clear();
+            request.excluded = missing;
         return request;
     }
 
@@ -427,7 +429,9 @@
         const AdmittedRequest &admitted = exchange.admitted();
         DirectRequest request;
         request.service = admitted.service;
+        const std::set<std::string> &missing = exchange.missingBackends();
         request.excluded = exchange.triedBackends();
+        request.excluded.insert(missing.begin(), missing.end());
         request.version = rollouts.choose(admitted.service, admitted.metadata.requestId, true,
                                           monotonicNow());
         return scheduler.hasUsableBackend(request);
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -662,7 +662,7 @@
 
 void GatewayExchange::handleMissingBackend(const std::string &backend)
 {
-    m_excludedBackends.insert(backend);
+    m_missingBackends.insert(backend);
     m_services.requeue(*this);
 }
 
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -151,6 +151,9 @@
     const std::set<std::string> &triedBackends() const { return m_triedBackends; }
     // Those that the next attempt must not use.
     const std::set<std::string> &excludedBackends() const { return m_excludedBackends; }
+    // Those that handleMissingBackend() was called with. The request is not offered to them again,
+    // or the scheduler might choose them for ever.
+    const std::set<std::string> &missingBackends() const { return m_missingBackends; }
     // Id under which the scheduler started the current attempt or the last one.
     const RequestId &attemptId() const { return m_attemptId; }
     bool isRunning() const { return m_attemptRunning; }
@@ -224,6 +227,7 @@
     AttemptHistory m_history;
     std::set<std::string> m_triedBackends;
     std::set<std::string> m_excludedBackends; // a subset of m_triedBackends
+    std::set<std::string> m_missingBackends;
 
     // Id of the place in the scheduler's queue; empty: none. While an attempt is running, it is
     // silent, and only it works on the request: it is cancelled before the queued one starts.
