A later attempt at the same server has a connection of its own

A repeatable request may return to a server that was tried, where no other can run it. Its later attempt used the kept connection of the earlier one, so that a copy of the earlier refusal bore the present request's id and counted as 'not run': the request was sent once more while its server worked on it.

A send to a server that the request was sent to before uses a connection of its own (BackendRequest::ownConnection).

Evidence: error.misbehavingserver, 'a copy of a refusal does not count for a later attempt of the same request there', failed before (4 attempts instead of 3) and passes. The test's Deployment takes the number of servers; the other cases use three as before.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -194,7 +194,7 @@
     m_excludedBackends.insert(backend.id);
     m_attemptRunning = true;
     m_backendId = backend.id;
-    m_triedBackends.insert(backend.id);
+    const bool isTriedBackend = !m_triedBackends.insert(backend.id).second;
     m_attemptStart = now;
     m_lastProgressAt = now;
     m_cut = false;
@@ -216,6 +216,9 @@
                               remaining + 1s,
                               m_services.protocol().echoHeader(),
                               m_admitted.metadata.requestId};
+    // On a connection of an earlier attempt, a copy of the answer to that one would bear the id of
+    // this one.
+    forwarded.ownConnection = isTriedBackend;
     m_responseHandler = std::make_shared<ResponseHandler>(shared_from_this());
     m_call = client.start(std::move(forwarded), m_responseHandler);
     if (m_history.retryable)
--- a/test/error/misbehavingserver.cpp
+++ b/test/error/misbehavingserver.cpp
@@ -75,14 +75,14 @@
     return response;
 }
 
-// A gateway in front of three backend servers. The handler is told the number of attempts at any of
-// them before this one.
+// A gateway in front of backend servers. The handler is told the number of attempts at any of them
+// before this one.
 class Deployment
 {
 public:
     using Handler = std::function<void(int attempt, const StubRequest &, StubReply &)>;
 
-    explicit Deployment(Handler handler, std::uint32_t attemptLimit = 3)
+    explicit Deployment(Handler handler, std::uint32_t attemptLimit = 3, int serverCount = 3)
         : m_handler(std::move(handler))
     {
         RouteTableContent content = gatewayRouteTable();
@@ -90,7 +90,7 @@
             it.attemptLimit = attemptLimit;
         content.limits.bodyBytes = 4000000;
         std::vector<BackendRecord> records;
-        for (int n = 1; n <= 3; ++n) {
+        for (int n = 1; n <= serverCount; ++n) {
             m_servers.push_back(std::make_unique<BackendStub>(
                     [this](const StubRequest &request, StubReply &reply) {
                         m_handler(m_attempts++, request, reply);
@@ -541,3 +541,33 @@
     CHECK(repeating.send("POST", "/order/a", "r-1").head.starts_with("HTTP/1.1 502"));
     CHECK(repeating.attempts() == 1);
 }
+
+// Guards against a refusal of an earlier attempt that is taken for the answer to the present one,
+// since both have the request's id: the request would run once more while its server works on it.
+TEST_CASE("a copy of a refusal does not count for a later attempt of the same request there")
+{
+    std::size_t refusingConnection = 0;
+    std::atomic<bool> reused = false;
+    Deployment deployment(
+            [&](int attempt, const StubRequest &request, StubReply &reply) {
+                const std::string refusal = responseText(requestIdOf(request), 503, "", refused);
+                if (attempt == 0) {
+                    breakOffStream(request, reply);
+                } else if (attempt == 1) {
+                    refusingConnection = request.connection;
+                    reply.send(refusal);
+                } else {
+                    if (request.connection == refusingConnection) {
+                        reused = true;
+                        reply.send(refusal); // the copy
+                    }
+                    resumeStream(request, reply);
+                }
+            },
+            3, 1);
+    const RawResponse response = deployment.send("POST", "/quote/a", "r-1");
+    CHECK(response.body == events(1, eventCount));
+    CHECK(response.complete);
+    CHECK(deployment.attempts() == 3);
+    CHECK_FALSE(reused);
+}
