A channel that the write limit has closed is released at once

When the last write of a response found the write limit exceeded, the connection was closed, and finishRequest() then set the timer of an idle connection on it, which kept the closed channel for the idle timeout; by reading, a shutdown would wait for it as long. It returns now if the channel is closed.

Evidence: error.callerchannel, 'a channel that was closed because its caller reads too slowly is released at once', failed before (not released after 3 s) and passes.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -437,6 +437,8 @@
 
     void finishRequest()
     {
+        if (m_closed) // by the write limit
+            return;
         m_exchange = nullptr;
         m_requestInProgress = false;
         m_streaming = false;
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -56,7 +56,7 @@
 
     ~ChannelFixture()
     {
-        run([this] { m_channel = nullptr; });
+        releaseChannel();
         m_context.stop();
         m_thread.join();
     }
@@ -76,6 +76,10 @@
     }
 
     CallerChannel &channel() { return *m_channel; }
+    void releaseChannel()
+    {
+        run([this] { m_channel = nullptr; });
+    }
     void finishStream()
     {
         run([this] {
@@ -257,3 +261,23 @@
         CHECK_FALSE(answer.keepAlive);
     }
 }
+
+// Guards against closed connections that are kept as if they waited for a request, for which a
+// shutdown then waits.
+TEST_CASE("a channel that was closed because its caller reads too slowly is released at once")
+{
+    ChannelFixture fixture;
+    fixture.limits.idleTimeout = 10s;
+    fixture.caller->send(requestText("/stream"));
+    std::this_thread::sleep_for(50ms);
+    const std::weak_ptr<CallerChannel> channel = fixture.channel().weak_from_this();
+    fixture.run([&] {
+        fixture.channel().writeStreamChunk(std::string(8000000, 'x')); // over the write limit
+        fixture.channel().endStream();
+    });
+    fixture.releaseChannel();
+    const auto limit = std::chrono::steady_clock::now() + 3s;
+    while (!channel.expired() && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(5ms);
+    CHECK(channel.expired());
+}
