--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -10,6 +10,8 @@
 // CORNELSHED_SOAK_SEED sets the first seed (default 1) and CORNELSHED_SOAK_SEEDS the number of
 // seeds (default 1):
 //     CORNELSHED_SOAK_SEEDS=50 build/test_error_gatewaysoak
+// CORNELSHED_SOAK_GATEWAYS (default 2) and CORNELSHED_SOAK_BACKENDS (default 5) set the numbers of
+// gateways and of backend servers, each of which has a process of its own.
 
 #include "childprocess.h"
 #include "faultproxy.h"
@@ -41,9 +43,6 @@
 
 namespace {
 
-constexpr int backendCount = 5;
-constexpr int gatewayCount = 2;
-constexpr int callerCount = 8;
 constexpr auto faultDuration = 5s;    // while faults are injected
 constexpr auto recoveryDuration = 3s; // for the system to recover afterwards
 constexpr auto calmDuration = 4s;     // after that, while the bounds of a calm system are checked
@@ -77,6 +76,21 @@
     return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
 }
 
+const int backendCount = static_cast<int>(environmentNumber("CORNELSHED_SOAK_BACKENDS", 5));
+const int gatewayCount = static_cast<int>(environmentNumber("CORNELSHED_SOAK_GATEWAYS", 2));
+const int callerCount = 4 * gatewayCount;
+
+// Addresses of the loopback network; all gateways, and all backend servers, have the same ports.
+std::string backendAddress(int number)
+{
+    return "127.2." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1);
+}
+
+std::string gatewayAddress(int number)
+{
+    return "127.1." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1);
+}
+
 std::string header(const StubRequest &request, const std::string &name)
 {
     for (const auto &[key, text] : request.headers) {
@@ -197,7 +211,7 @@
 
 std::string serverRow(std::size_t number, std::uint16_t port)
 {
-    return R"({"service":"w","address":"127.0.0.)" + std::to_string(number + 2) + ":"
+    return R"({"service":"w","address":")" + backendAddress(static_cast<int>(number)) + ":"
             + std::to_string(port) + R"(","zone":"a","version":"v1","slots":4,"state":"ready"})";
 }
 
@@ -313,8 +327,8 @@
         for (int n = 0; n < backendCount; ++n) {
             m_backends.push_back(
                     std::make_unique<BackendStub>(backendScript(m_executions, m_arrivals, n)));
-            m_proxies.push_back(std::make_unique<FaultProxy>("127.0.0." + std::to_string(n + 2),
-                                                             m_backends.back()->port()));
+            m_proxies.push_back(
+                    std::make_unique<FaultProxy>(backendAddress(n), m_backends.back()->port()));
             ports.push_back(m_proxies.back()->port());
         }
         // The ports depend on the process id and the seed, so that concurrent test runs do not
@@ -406,15 +420,14 @@
     void startAgent(int n)
     {
         const std::string name = "agent-" + std::to_string(n);
-        const std::string text = "[agent]\nname = \"" + name + "\"\naddress = \"127.0.0."
-                + std::to_string(n + 2) + "\"\nport = " + std::to_string(m_basePort + 1) + "\n";
+        const std::string text = "[agent]\nname = \"" + name + "\"\naddress = \""
+                + backendAddress(n) + "\"\nport = " + std::to_string(m_basePort + 1) + "\n";
         m_processes.push_back(std::make_unique<RestartableProcess>(
                 CORNELSHED_BINARY_DIR "/cornelshed-admitd", settingsFile(name, text),
                 m_folder.file(name + ".log")));
     }
 
     static std::string gatewayName(int n) { return "gateway-" + std::to_string(n); }
-    static std::string gatewayAddress(int n) { return "127.0.0." + std::to_string(n + 20); }
 
     void startGateway(int n)
     {
@@ -455,7 +468,7 @@
             break;
         }
         // The agents come first.
-        if (index >= backendCount)
+        if (index >= m_backends.size())
             m_arrivals.notices.gatewayDisturbed(static_cast<int>(index) - backendCount, from);
         std::this_thread::sleep_for(std::chrono::milliseconds(m_processRandom.below(300)));
     }
