--- a/test/correctness/backendavailability.cpp
+++ b/test/correctness/backendavailability.cpp
@@ -442,6 +442,7 @@
         CAPTURE(announced);
         DirectScheduler scheduler({"a", 38000, 1.5, 5, false});
         std::vector<BackendRecord> all;
+        all.reserve(12);
         for (int n = 0; n < 12; ++n)
             all.push_back(server("i-" + std::to_string(n)));
         scheduler.setBackends(all, {{"writer", 0}}, start);
--- a/test/error/plannedwork.cpp
+++ b/test/error/plannedwork.cpp
@@ -29,9 +29,9 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int backendCount = 4;
-constexpr int gatewayCount = 3;
-constexpr int callerCount = 12;
+constexpr std::size_t backendCount = 4;
+constexpr std::size_t gatewayCount = 3;
+constexpr std::size_t callerCount = 12;
 constexpr int streamEvents = 5;
 constexpr auto runDuration = 8s;
 constexpr auto callerLimit = 2500ms; // X-Deadline-Ms of the requests
@@ -94,7 +94,7 @@
 class RestartableGateway
 {
 public:
-    explicit RestartableGateway(int number) : m_number(number) { start(); }
+    explicit RestartableGateway(std::size_t number) : m_number(number) { start(); }
 
     std::uint16_t port() const { return m_port; }
     bool stopping() const { return m_stopping; }
@@ -133,7 +133,7 @@
         m_port = m_runner->port();
     }
 
-    int m_number;
+    std::size_t m_number;
     int m_incarnation = 0;
     std::mutex m_mutex; // guards the members below
     std::unique_ptr<GatewayRunner> m_runner;
@@ -149,9 +149,9 @@
     explicit PlannedWorkRun(std::uint64_t seed)
         : m_seed(seed), m_configRandom(seed), m_stopRandom(seed + 1000000)
     {
-        for (int n = 0; n < backendCount; ++n)
+        for (std::size_t n = 0; n < backendCount; ++n)
             m_backends.push_back(std::make_unique<BackendStub>(soundServer(m_executions)));
-        for (int n = 0; n < gatewayCount; ++n)
+        for (std::size_t n = 0; n < gatewayCount; ++n)
             m_gateways.push_back(std::make_unique<RestartableGateway>(n));
         changeConfiguration();
     }
@@ -159,7 +159,8 @@
     void run()
     {
         std::vector<std::thread> threads;
-        for (int n = 0; n < callerCount; ++n)
+        threads.reserve(callerCount + gatewayCount);
+        for (std::size_t n = 0; n < callerCount; ++n)
             threads.emplace_back([this, n] { runCaller(n); });
         threads.emplace_back([this] {
             while (!m_stopped) {
@@ -169,12 +170,12 @@
             }
         });
         // Stops of two gateways overlap; one gateway serves on.
-        for (int n = 1; n < gatewayCount; ++n) {
+        for (std::size_t n = 1; n < gatewayCount; ++n) {
             const auto pause = std::chrono::milliseconds(200 + m_stopRandom.below(800));
             threads.emplace_back([this, n, pause] {
                 while (!m_stopped) {
                     std::this_thread::sleep_for(pause);
-                    m_gateways[static_cast<std::size_t>(n)]->restart();
+                    m_gateways[n]->restart();
                 }
             });
         }
@@ -205,7 +206,7 @@
             it.services = {{m_configRandom.below(2) == 0 ? "writer" : "scribe", 1}};
         }
         content.limits.idleTimeout = 200ms + std::chrono::milliseconds(m_configRandom.below(1500));
-        const auto left = static_cast<std::size_t>(m_configRandom.below(2 * backendCount));
+        const std::size_t left = m_configRandom.below(2 * backendCount);
         std::vector<BackendRecord> records;
         for (std::size_t n = 0; n < m_backends.size(); ++n) {
             BackendRecord record = gatewayBackend("i-" + std::to_string(n), m_backends[n]->port());
@@ -218,9 +219,9 @@
             it->configure(content, records);
     }
 
-    void runCaller(int n)
+    void runCaller(std::size_t n)
     {
-        SeededRandom random(m_seed * 100 + static_cast<std::uint64_t>(n));
+        SeededRandom random(m_seed * 100 + n);
         const bool pauses = n % 2 == 0;
         std::unique_ptr<Caller> caller;
         RestartableGateway *gateway = nullptr;
