--- a/test/error/configurationchanges.cpp
+++ b/test/error/configurationchanges.cpp
@@ -8,6 +8,7 @@
 
 #include "gatewaymessages.h"
 #include "gatewayrunner.h"
+#include "soak.h"
 
 #include <doctest/doctest.h>
 
@@ -33,12 +34,6 @@
 // Longer than all waits, silences and attempts of a request together.
 constexpr auto callerWait = 6s;
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
-}
-
 class Random
 {
 public:
--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -18,6 +18,7 @@
 #include "loopback.h"
 #include "noticebounds.h"
 #include "platformrows.h"
+#include "soak.h"
 #include "storestub.h"
 #include "temporaryfolder.h"
 #include "types.h"
@@ -70,12 +71,6 @@
 constexpr std::size_t pausingInterval = 20;
 constexpr auto pauseLength = 1200ms;
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
-}
-
 const int backendCount = static_cast<int>(environmentNumber("CORNELSHED_SOAK_BACKENDS", 5));
 const int gatewayCount = static_cast<int>(environmentNumber("CORNELSHED_SOAK_GATEWAYS", 2));
 const int callerCount = 4 * gatewayCount;
@@ -116,27 +111,6 @@
 
 constexpr int streamEvents = 6;
 
-// Counts how often the backend servers executed each request.
-class ExecutionCounts
-{
-public:
-    void add(const std::string &id)
-    {
-        const std::lock_guard lock(m_mutex);
-        ++m_counts[id];
-    }
-    int countOf(const std::string &id) const
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_counts.find(id);
-        return it == m_counts.end() ? 0 : it->second;
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::map<std::string, int> m_counts; // by request id
-};
-
 // Arrivals at backend servers that a bound applies to.
 struct BoundedArrivals
 {
--- a/test/error/plannedwork.cpp
+++ b/test/error/plannedwork.cpp
@@ -9,6 +9,7 @@
 //     CORNELSHED_SOAK_SEEDS=50 build/test_error_plannedwork
 
 #include "gatewayfixture.h"
+#include "soak.h"
 
 #include <doctest/doctest.h>
 
@@ -38,33 +39,6 @@
 // The users allow an answer to come this much after the time limit.
 constexpr auto lateness = 500ms;
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
-}
-
-// Counts how often the backend servers executed each request.
-class ExecutionCounts
-{
-public:
-    void add(const std::string &id)
-    {
-        const std::lock_guard lock(m_mutex);
-        ++m_counts[id];
-    }
-    int countOf(const std::string &id) const
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_counts.find(id);
-        return it == m_counts.end() ? 0 : it->second;
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::map<std::string, int> m_counts; // by request id
-};
-
 // A sound server: one in eight requests is answered after a pause, or with one in the stream.
 BackendStub::Handler soundServer(ExecutionCounts &executions)
 {
