--- a/src/deploymentstate.h
+++ b/src/deploymentstate.h
@@ -22,7 +22,8 @@
     std::shared_ptr<const RouteTable> routes; // null until a configuration has been read
     std::set<std::string> withdrawnZones;
     std::vector<RolloutOrder> rollouts;
-    std::optional<std::vector<RolloutStatus>> rolloutStatuses; // nullopt: not read in the store's present era
+    // Empty if they have not been read in the present era of the store.
+    std::optional<std::vector<RolloutStatus>> rolloutStatuses;
     std::vector<BackendRecord> backends;
     std::vector<GatewayRecord> gateways;
 };
