Logs tell refused connections from unanswered ones, and how a crash was confirmed

For the incident of plain requests that crash servers, the logs could not tell whether a server's host refused the connection or did not answer, nor when and by what a cut request was counted as a crash. An attempt at an address where nothing listens now ends as connection_refused (no_connection before), and crash_confirmed names the evidence and its delay; a gauge counts the cuts that wait for it. No change of behaviour.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -194,7 +194,8 @@
             if (self->m_ended)
                 return;
             if (ec) {
-                self->fail(BackendError::NotSent);
+                self->fail(ec == asio::error::connection_refused ? BackendError::Refused
+                                                                 : BackendError::NotSent);
                 return;
             }
             self->setSocketOptions();
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -59,6 +59,7 @@
 
 enum class BackendError {
     NotSent,   // not connected; no byte of the request was written
+    Refused,   // the same, and the host says that nothing listens at the address
     Cut,       // the connection was lost; the request may have run
     Malformed, // the response is not valid HTTP, or its end looks the same as a lost connection
     TimedOut,  // after the request was sent; it may have run
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -693,7 +693,7 @@
                     && entry.port == it.port && entry.startedAtMs == it.startedAtMs;
             if (unchanged)
                 continue;
-            prompts.recordBackendEnd(it.id, now);
+            prompts.recordBackendEnd(it.id, CrashEvidence::List, now);
             EventLog("backend_listed")
                     .field("backend", it.id)
                     .field("service", it.service)
@@ -713,7 +713,7 @@
         std::erase_if(backends, [&](const auto &it) {
             const bool gone = !listedIds.contains(it.first);
             if (gone) {
-                prompts.recordBackendEnd(it.first, now);
+                prompts.recordBackendEnd(it.first, CrashEvidence::List, now);
                 EventLog("backend_gone").field("backend", it.first);
             }
             return gone;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -65,6 +65,8 @@
     switch (error) {
     case BackendError::NotSent:
         return "no_connection";
+    case BackendError::Refused:
+        return "connection_refused";
     case BackendError::Cut:
         return "connection_cut";
     case BackendError::Malformed:
@@ -471,8 +473,8 @@
 void GatewayExchange::handleFailed(BackendError error)
 {
     m_problem = nameOf(error);
-    const bool sent = error != BackendError::NotSent;
-    const bool broken = error == BackendError::NotSent || error == BackendError::Cut;
+    const bool sent = error != BackendError::NotSent && error != BackendError::Refused;
+    const bool broken = !sent || error == BackendError::Cut;
     if (error == BackendError::Cut)
         recordCut();
     endAttempt(sent ? AttemptEnd::MayHaveRun : AttemptEnd::NotRun,
--- a/src/promptguard.cpp
+++ b/src/promptguard.cpp
@@ -24,6 +24,11 @@
             .field("quarantined_ms", part.quarantineAge.value_or(Duration {}) / 1ms);
 }
 
+const char *nameOf(CrashEvidence evidence)
+{
+    return evidence == CrashEvidence::List ? "list" : "connection_refused";
+}
+
 void logQuarantine(const PromptPartReport &part)
 {
     std::string crashes;
@@ -49,6 +54,9 @@
     metrics.gauge("cornelshed_gateway_prompt_parts_quarantined",
                   "Parts of prompts, and whole ones, that are kept from backend servers",
                   [this] { return static_cast<double>(m_quarantine.quarantined()); });
+    metrics.gauge("cornelshed_gateway_cut_requests_pending",
+                  "Cut requests of which it is not known whether their backend server crashed",
+                  [this] { return static_cast<double>(m_cutRequests.pending()); });
 }
 
 std::optional<Duration> PromptGuard::refusal(const PromptIdentity &prompt,
@@ -81,9 +89,18 @@
     m_cutRequests.add(std::move(whole));
 }
 
-void PromptGuard::recordBackendEnd(const std::string &backend, Instant now)
+void PromptGuard::recordBackendEnd(const std::string &backend, CrashEvidence evidence, Instant now)
 {
-    for (const CutRequest &it : m_cutRequests.confirm(backend, now))
+    const std::vector<CutRequest> confirmed = m_cutRequests.confirm(backend, now);
+    if (confirmed.empty())
+        return;
+    EventLog("crash_confirmed", EventLevel::Warning)
+            .field("backend", backend)
+            .field("crash", confirmed.front().backendDigest)
+            .field("evidence", nameOf(evidence))
+            .field("requests", confirmed.size())
+            .field("after_ms", (now - confirmed.front().cutAt) / 1ms);
+    for (const CutRequest &it : confirmed)
         m_quarantine.recordCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
 }
 
--- a/src/promptguard.h
+++ b/src/promptguard.h
@@ -8,6 +8,7 @@
 #include "promptquarantine.h"
 #include "types.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,12 @@
 
 class Metrics;
 
+// What shows that a backend server has ended.
+enum class CrashEvidence : std::uint8_t {
+    List,             // it is no longer listed, or listed with another start
+    ConnectionRefused // nothing listens at its address
+};
+
 class PromptGuard
 {
 public:
@@ -33,7 +40,7 @@
     // but had gone no further.
     void recordCut(const CutRequest &request, bool justBegun);
     // A backend server is no longer listed, or has started again.
-    void recordBackendEnd(const std::string &backend, Instant now);
+    void recordBackendEnd(const std::string &backend, CrashEvidence evidence, Instant now);
     // The answer to the prompt is complete.
     void recordCompletion(const PromptIdentity &prompt, Instant now);
 
--- a/src/requestreport.cpp
+++ b/src/requestreport.cpp
@@ -47,7 +47,7 @@
     std::string_view description;
 };
 
-constexpr std::array<ProblemDescription, 32> problemDescriptions {{
+constexpr std::array<ProblemDescription, 33> problemDescriptions {{
         {"allowance", "its organisation had used up its allowance; it has not run"},
         {"no_route", "no route of the configuration in force matches it; it has not run"},
         {"unknown_key",
@@ -72,6 +72,8 @@
         {"silent", "the backend server sent nothing within the expected time"},
         {"connection_cut", "the backend server broke the connection; it may have run there"},
         {"no_connection", "the backend server could not be reached; it has not run there"},
+        {"connection_refused",
+         "nothing listened at the backend server's address; it has not run there"},
         {"backend_error", "the backend server answered with an error"},
         {"answer_not_authentic",
          "the backend server's answer was not authentic; it was not passed on"},
