A closed port confirms that a server has crashed

Callers of a plain service saw it go down again each time its servers were back.

Now a gateway whose request was cut connects to the server's address, at once and twice more within 0.2 s. If the host refuses the connection, the cut counts as a crash, as it does when another attempt at the server finds nothing listening. A server that is draining, leaving or no longer listed, or that still runs a request sent before the cut, is not counted in this way, nor one whose host does not answer.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -91,6 +91,44 @@
     return std::chrono::seconds(seconds);
 }
 
+// One connection without a request.
+class PortCheck : public std::enable_shared_from_this<PortCheck>
+{
+public:
+    PortCheck(asio::io_context &context, std::function<void(PortState)> done)
+        : m_socket(context), m_timer(context), m_done(std::move(done))
+    { }
+
+    void start(const asio::ip::tcp::endpoint &endpoint, Duration limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait([self = shared_from_this()](auto ec) {
+            if (!ec)
+                self->finish(PortState::Unknown);
+        });
+        m_socket.async_connect(endpoint, [self = shared_from_this()](auto ec) {
+            self->finish(!ec                                             ? PortState::Listening
+                                 : ec == asio::error::connection_refused ? PortState::Closed
+                                                                         : PortState::Unknown);
+        });
+    }
+
+private:
+    void finish(PortState state)
+    {
+        if (!m_done)
+            return;
+        m_timer.cancel();
+        boost::system::error_code ec;
+        m_socket.close(ec);
+        std::exchange(m_done, nullptr)(state);
+    }
+
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::function<void(PortState)> m_done; // null once it was called
+};
+
 class ConnectionPool
 {
 public:
@@ -474,6 +512,12 @@
     startControlRequest({"GET", path, {}, {}}, std::move(done));
 }
 
+void BackendClient::checkPort(std::function<void(PortState)> done)
+{
+    std::make_shared<PortCheck>(d->pool->context(), std::move(done))
+            ->start(d->pool->endpoint(), d->pool->settings().connectTimeout);
+}
+
 void BackendClient::startControlRequest(BackendRequest request,
                                         std::function<void(std::uint32_t)> done)
 {
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -88,6 +88,13 @@
     virtual void abandon() = 0;
 };
 
+// What a connection without a request shows of a server.
+enum class PortState : std::uint8_t {
+    Listening,
+    Closed, // the host refuses connections: the server's process has ended or is ending
+    Unknown // no answer in time, or another error
+};
+
 class BackendClient
 {
 public:
@@ -106,6 +113,9 @@
               std::function<void(std::uint32_t status)> done);
     void get(const std::string &path, std::function<void(std::uint32_t status)> done);
 
+    // Connects, closes the connection and passes on what that showed.
+    void checkPort(std::function<void(PortState state)> done);
+
 private:
     void startControlRequest(BackendRequest request,
                              std::function<void(std::uint32_t status)> done);
--- a/src/crashconfirmation.cpp
+++ b/src/crashconfirmation.cpp
@@ -2,6 +2,7 @@
 
 #include "crashconfirmation.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelshed {
@@ -31,4 +32,11 @@
     return confirmed;
 }
 
+std::optional<Instant> CrashConfirmation::firstCutAt(const std::string &backend) const
+{
+    const auto it = std::find_if(m_requests.begin(), m_requests.end(),
+                                 [&](const CutRequest &cut) { return cut.backend == backend; });
+    return it == m_requests.end() ? std::nullopt : std::optional(it->cutAt);
+}
+
 } // namespace cornelshed
--- a/src/crashconfirmation.h
+++ b/src/crashconfirmation.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
     // The backend server is gone or has started again. Returns what it cut shortly before.
     std::vector<CutRequest> confirm(const std::string &backend, Instant now);
 
+    // When the backend server cut the first request that is not confirmed yet.
+    std::optional<Instant> firstCutAt(const std::string &backend) const;
+
     std::size_t pending() const { return m_requests.size(); }
 
 private:
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -695,6 +695,13 @@
             }));
 }
 
+bool DirectScheduler::isStopping(const std::string &backend) const
+{
+    const auto it = d->backends.find(backend);
+    return it == d->backends.end() || !it->second.listed || it->second.record.draining
+            || it->second.isLeaving();
+}
+
 std::optional<double> DirectScheduler::namedLimit(const std::string &backend) const
 {
     const auto it = d->backends.find(backend);
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -193,6 +193,9 @@
     // The number of backend servers that get no request now for this reason.
     std::size_t countUnavailable(AvailabilityReason reason, Instant now) const;
 
+    // Whether the backend server is expected to stop: it is not listed, draining or leaving.
+    bool isStopping(const std::string &backend) const;
+
     // The limit in force, in requests per second over all gateways; nothing: none.
     std::optional<double> namedLimit(const std::string &backend) const;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -55,6 +55,10 @@
 constexpr Duration shutdownRetryAfter = 50ms;
 // Interval at which the open requests are compared with the scheduler.
 constexpr Duration auditInterval = 1s;
+// After a request was cut, the port of its backend server is checked this many times: a process
+// that ends may close its connections before it stops listening.
+constexpr std::uint32_t portChecks = 3;
+constexpr Duration portCheckInterval = 100ms;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
 
@@ -464,8 +468,12 @@
             recordOutcome(exchange, report, exchange.answerStarted());
         const Instant now = monotonicNow();
         scheduler.ended(exchange.attemptId(), report, now);
-        if (report.outcome == AttemptOutcome::Broken && exchange.wasCut())
+        if (report.outcome != AttemptOutcome::Broken)
+            return;
+        if (exchange.wasCut())
             recordCut(exchange, now);
+        else if (exchange.wasRefusedConnection())
+            recordClosedPort(exchange.lastBackend(), now);
     }
 
     void replyReceived(const RequestId &id, const std::string &backend,
@@ -506,6 +514,59 @@
                            now - exchange.attemptAge(), now},
                           exchange.answerJustBegun());
         enforceQuarantine(now);
+        if (prompts.isUnconfirmed(backend) && portsInCheck.insert(backend).second)
+            checkPort(backend, portChecks);
+    }
+
+    // Finds out whether the backend server has ended. The list of backend servers shows that only
+    // once its record has expired, when its successor may be running already, or never while the
+    // store is silent.
+    void checkPort(const std::string &backend, std::uint32_t checksLeft)
+    {
+        const auto entry = backends.find(backend);
+        if (entry == backends.end() || checksLeft == 0 || !prompts.isUnconfirmed(backend)) {
+            portsInCheck.erase(backend);
+            return;
+        }
+        counter("port_checks_total", "Connections that show whether a backend server has ended")
+                .add();
+        entry->second.client->checkPort(
+                [weak = weak_from_this(), backend, checksLeft](PortState state) {
+                    const auto self = weak.lock();
+                    if (!self)
+                        return;
+                    if (state == PortState::Closed)
+                        self->recordClosedPort(backend, monotonicNow());
+                    const auto timer = std::make_shared<asio::steady_timer>(self->ioContext);
+                    timer->expires_after(portCheckInterval);
+                    timer->async_wait([weak, backend, checksLeft, timer](auto ec) {
+                        const auto then = weak.lock();
+                        if (!ec && then)
+                            then->checkPort(backend, checksLeft - 1);
+                    });
+                });
+    }
+
+    // Nothing listens at the address of the backend server. It has crashed, unless it was to stop
+    // or still runs requests.
+    void recordClosedPort(const std::string &backend, Instant now)
+    {
+        if (!prompts.isUnconfirmed(backend) || scheduler.isStopping(backend)
+            || runsOlderRequest(backend, now))
+            return;
+        prompts.recordBackendEnd(backend, CrashEvidence::ConnectionRefused, now);
+        enforceQuarantine(now);
+    }
+
+    // Whether the backend server still has a request that was sent before the one that it cut.
+    bool runsOlderRequest(const std::string &backend, Instant now) const
+    {
+        const Instant cutAt = prompts.firstCutAt(backend).value_or(now);
+        return std::any_of(exchanges.begin(), exchanges.end(), [&](const auto &it) {
+            const GatewayExchange &exchange = *it.second;
+            return exchange.isRunning() && exchange.lastBackend() == backend
+                    && now - exchange.attemptAge() < cutAt;
+        });
     }
 
     // Takes requests back whose prompt was quarantined just now, before they crash further backend
@@ -819,6 +880,7 @@
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
+    std::unordered_set<std::string> portsInCheck;           // ids of backend servers
     AdmissionClient agents;
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> exchanges; // by admitted().id
     // By id of the place in the scheduler's queue; holds those of exchanges with a queuedId().
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -200,6 +200,7 @@
     m_attemptStart = now;
     m_lastProgressAt = now;
     m_cut = false;
+    m_connectionRefused = false;
     m_status.reset();
     m_responseHeaders.clear();
     m_reply = {};
@@ -477,6 +478,7 @@
     const bool broken = !sent || error == BackendError::Cut;
     if (error == BackendError::Cut)
         recordCut();
+    m_connectionRefused = error == BackendError::Refused;
     endAttempt(sent ? AttemptEnd::MayHaveRun : AttemptEnd::NotRun,
                broken ? AttemptOutcome::Broken : AttemptOutcome::Failed);
 }
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -166,6 +166,8 @@
     bool answerJustBegun() const;
     // Whether the backend server broke the connection of the current attempt, or of the last one.
     bool wasCut() const { return m_cut; }
+    // Whether nothing listened at its address instead.
+    bool wasRefusedConnection() const { return m_connectionRefused; }
     // Whether the caller or this gateway has enough of an answer to know that it went on.
     bool answerWentOn() const;
     bool answerStarted() const { return m_history.answerStarted; }
@@ -239,7 +241,8 @@
     // --- current attempt ---
     bool m_attemptRunning = false;
     RequestId m_attemptId;
-    bool m_cut = false; // see wasCut()
+    bool m_cut = false;               // see wasCut()
+    bool m_connectionRefused = false; // see wasRefusedConnection()
     std::string m_backendId;
     std::shared_ptr<BackendExchange> m_call;
     std::shared_ptr<ResponseHandler> m_responseHandler;
--- a/src/promptguard.cpp
+++ b/src/promptguard.cpp
@@ -104,6 +104,11 @@
         m_quarantine.recordCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
 }
 
+std::optional<Instant> PromptGuard::firstCutAt(const std::string &backend) const
+{
+    return m_cutRequests.firstCutAt(backend);
+}
+
 void PromptGuard::recordCompletion(const PromptIdentity &prompt, Instant now)
 {
     m_cutRequests.answered(prompt);
--- a/src/promptguard.h
+++ b/src/promptguard.h
@@ -41,6 +41,10 @@
     void recordCut(const CutRequest &request, bool justBegun);
     // A backend server is no longer listed, or has started again.
     void recordBackendEnd(const std::string &backend, CrashEvidence evidence, Instant now);
+    // Whether the backend server cut requests, and it is not known yet whether it has crashed; when
+    // it cut the first of them.
+    bool isUnconfirmed(const std::string &backend) const { return firstCutAt(backend).has_value(); }
+    std::optional<Instant> firstCutAt(const std::string &backend) const;
     // The answer to the prompt is complete.
     void recordCompletion(const PromptIdentity &prompt, Instant now);
 
--- a/test/support/crashingservers.h
+++ b/test/support/crashingservers.h
@@ -79,6 +79,16 @@
                           [this, gateway, body] { return request(gateway, body); });
     }
 
+    // Lists all servers as draining, or not.
+    void listAsDraining(bool draining)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (BackendRecord &it : records)
+            it.draining = draining;
+        for (auto &it : gateways)
+            configure(*it);
+    }
+
     // Requests with the body that reached servers.
     std::size_t arrivals(const std::string &body) const
     {
