A request cut at the end of a planned stop is no crash

The end of a server's record confirmed all cuts of the seconds before, also those of a server that had said it was draining or leaving and stopped as announced. Three planned stops under one request that is sent again had it held back for a minute. Cuts by a server that is expected to stop are not kept.

The new case of error.crashingplainrequest failed before: the request was refused after three stops; five reach servers now.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -510,6 +510,9 @@
     void recordCut(const GatewayExchange &exchange, Instant now)
     {
         const std::string &backend = exchange.lastBackend();
+        // At the end of a planned stop, the requests that are still running are cut, too.
+        if (scheduler.isStopping(backend))
+            return;
         prompts.recordCut({exchange.admitted().prompt, backend, backendDigest(backend),
                            now - exchange.attemptAge(), now},
                           exchange.answerJustBegun());
--- a/test/error/crashingplainrequest.cpp
+++ b/test/error/crashingplainrequest.cpp
@@ -41,3 +41,20 @@
     CHECK(fixture.arrivals("sound2") == 6);
     CHECK(fixture.request(0, "deadly").status == 503);
 }
+
+// Guards against a request that is held back because planned stops cut it.
+TEST_CASE("a request that servers cut as they end a planned stop is not held back")
+{
+    constexpr std::size_t stops = 5;
+    CrashingServers fixture({"slow"}, 100ms, 150ms);
+    for (std::size_t n = 0; n < stops; ++n) {
+        auto answer = fixture.requestAsync(0, "slow");
+        REQUIRE(fixture.waitUntil([&] { return fixture.arrivals("slow") == n + 1; }));
+        fixture.listAsDraining(true);
+        CHECK(answer.get().status == 502);
+        std::this_thread::sleep_for(300ms); // checks of the port after the stop
+        REQUIRE(fixture.waitUntil([&] { return fixture.allUp(); }));
+        fixture.listAsDraining(false);
+    }
+    CHECK(fixture.arrivals("slow") == stops);
+}
