A crash explains another one only if it is the same crash

While the store is silent, a server that starts again keeps the start that was listed, and so the digest that names its crashes. Crashes under a quarantined prompt then explained all later ones of the same servers: a second prompt could crash them again and again, and gateways dropped each other's reports of it. Now the times have to agree as well, within the second by which reports may be late.

The new case of correctness.promptquarantine failed before: none of three gateways held the second prompt back after its three crashes, one at each.

--- a/src/promptsuspect.cpp
+++ b/src/promptsuspect.cpp
@@ -26,11 +26,16 @@
 
 } // namespace
 
+bool PromptCrash::isSameAs(const PromptCrash &other) const
+{
+    return backend == other.backend
+            && std::chrono::abs(crashedAt - other.crashedAt) <= timeTolerance;
+}
+
 bool PromptSuspect::hasCrash(const PromptCrash &crash) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &it) {
-        const bool isSameTime = std::chrono::abs(it.crashedAt - crash.crashedAt) <= timeTolerance;
-        return it.backend == crash.backend && (m_kind != PromptPartKind::Whole || isSameTime);
+        return m_kind == PromptPartKind::Whole ? it.isSameAs(crash) : it.backend == crash.backend;
     });
 }
 
@@ -112,8 +117,7 @@
     const auto removed = std::erase_if(m_crashes, [&](const PromptCrash &it) {
         return std::any_of(quarantined.m_crashes.begin(), quarantined.m_crashes.end(),
                            [&](const PromptCrash &other) {
-                               return other.backend == it.backend
-                                       && explains(quarantined.m_kind, other, m_kind, it);
+                               return explains(quarantined.m_kind, other, m_kind, it);
                            });
     });
     if (removed > 0)
--- a/src/promptsuspect.h
+++ b/src/promptsuspect.h
@@ -24,6 +24,10 @@
     Instant crashedAt {};
 
     bool operator==(const PromptCrash &) const = default;
+
+    // Whether both are the same crash of one backend server, which may keep its digest when it
+    // starts again.
+    bool isSameAs(const PromptCrash &other) const;
 };
 
 class PromptSuspect
@@ -59,14 +63,15 @@
 
     // Returns whether the crash was not known and may be due to the part.
     bool addCrash(const PromptCrash &crash, Instant now);
-    // Whether the crash under a part that is quarantined explains the same one under this part: it
-    // does, unless that is a shared part of the prompt which is quarantined as a whole. It may be
-    // to blame for all prompts with it.
+    // Whether the crash under a part that is quarantined explains the other one, under this part:
+    // it does if it is the same crash, unless that is a shared part of the prompt which is
+    // quarantined as a whole. It may be to blame for all prompts with it.
     static bool explains(PromptPartKind quarantined, const PromptCrash &crash, PromptPartKind part,
-                         const PromptCrash &same)
+                         const PromptCrash &other)
     {
-        return quarantined != PromptPartKind::Whole || part != PromptPartKind::Shared
-                || crash.variant != same.variant;
+        return crash.isSameAs(other)
+                && (quarantined != PromptPartKind::Whole || part != PromptPartKind::Shared
+                    || crash.variant != other.variant);
     }
     // Removes the crashes that the quarantined part explains.
     void removeExplained(const PromptSuspect &quarantined, Instant now);
--- a/test/correctness/promptquarantine.cpp
+++ b/test/correctness/promptquarantine.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <memory>
 
@@ -117,6 +118,44 @@
     CHECK(started.takeNewlyQuarantined() == std::vector<std::uint64_t> {deadlyPart});
 }
 
+// Guards against a second prompt that goes on crashing servers because crashes under a first one,
+// before the servers started again, are taken to explain the later ones.
+TEST_CASE(
+        "the store is silent, so servers keep their names when they start again: crashes under one "
+        "prompt do not explain later ones under another")
+{
+    const PromptIdentity earlier {{}, 0, 21};
+    const PromptIdentity later {{}, 0, 23};
+    std::array<PromptQuarantine, 3> gateways;
+    const auto shareAll = [&](Instant now) {
+        for (PromptQuarantine &from : gateways) {
+            for (PromptQuarantine &to : gateways) {
+                if (&from != &to)
+                    share(from, to, now);
+            }
+        }
+    };
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        gateways[0].recordCrash(earlier, n, start + n * 100ms - 50ms, start + n * 100ms);
+    shareAll(start + 1s);
+    REQUIRE(gateways[2].refusal(earlier, start + 1s));
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        gateways[n - 1].recordCrash(later, n, start + 5s + n * 100ms - 50ms,
+                                    start + 5s + n * 100ms);
+    shareAll(start + 6s);
+    shareAll(start + 6s + 50ms);
+    for (PromptQuarantine &it : gateways)
+        CHECK(it.refusal(later, start + 6s + 50ms));
+    // A crash at the same moment is explained, whatever the delay of the report.
+    const PromptIdentity beside {{}, 0, 25};
+    PromptQuarantine third;
+    third.recordCrash(beside, 2, start + 120ms, start + 205ms);
+    share(gateways[0], third, start + 7s);
+    third.recordCrash(beside, 8, start + 7s, start + 8s);
+    third.recordCrash(beside, 9, start + 9s, start + 10s);
+    CHECK_FALSE(third.refusal(beside, start + 11s));
+}
+
 TEST_CASE(
         "unchanged reports settle: gateways do not renew a quarantine by telling each other of it")
 {
