--- a/src/agentrun.cpp
+++ b/src/agentrun.cpp
@@ -105,7 +105,7 @@
 
 void AgentRun::failed(BackendError error)
 {
-    const bool notRun = error == BackendError::NotSent || error == BackendError::Refused;
+    const bool notRun = !mayHaveBeenSent(error);
     if (m_cancelled)
         m_owner.runFailed(m_request, FailReason::Cancelled, notRun);
     else if (notRun)
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -66,6 +66,12 @@
     Abandoned  // cancelled by abandon()
 };
 
+// Whether some of the request may have been written.
+inline bool mayHaveBeenSent(BackendError error)
+{
+    return error != BackendError::NotSent && error != BackendError::Refused;
+}
+
 // Receives a response: head(), any number of body() calls, then finished(). failed() ends the
 // sequence at any point. Exactly one of finished() and failed() is called.
 class BackendResponseHandler
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -474,7 +474,7 @@
 void GatewayExchange::handleFailed(BackendError error)
 {
     m_problem = nameOf(error);
-    const bool sent = error != BackendError::NotSent && error != BackendError::Refused;
+    const bool sent = mayHaveBeenSent(error);
     const bool broken = !sent || error == BackendError::Cut;
     if (error == BackendError::Cut)
         recordCut();
