--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -104,6 +104,7 @@
 class BackendClient
 {
 public:
+    // address: of IP version 4 or 6; anything else throws boost::system::system_error.
     BackendClient(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
                   const BackendClientSettings &settings = {});
     ~BackendClient();
