Prompts that are held back survive a loss of all gateways

The first of the gateways that hear each other now stores the quarantined whole prompts, at most 32, in one row whenever they change, at most twice a second; a gateway reads the row once, when it starts, beside the other tables, and waits for it with nothing. Times are stored on the store's steady clock. Entries of other writers that cannot be decoded are left out; one that can holds its prompt back no longer than its length says, then a trial decides, as always. A store that returns from a copy has an older list, from which nothing follows but new crashes of what it lacks.

--- a/src/deploymentstate.h
+++ b/src/deploymentstate.h
@@ -17,6 +17,16 @@
 
 namespace cornelshed {
 
+// A whole prompt that is kept from backend servers.
+struct QuarantineAge
+{
+    std::uint64_t digest = 0; // of its content
+    Duration age {};          // since the beginning of the quarantine
+    Duration length {};
+
+    auto operator<=>(const QuarantineAge &) const = default;
+};
+
 struct DeploymentState
 {
     std::shared_ptr<const RouteTable> routes; // null until a configuration has been read
@@ -26,6 +36,9 @@
     std::optional<std::vector<RolloutStatus>> rolloutStatuses;
     std::vector<BackendRecord> backends;
     std::vector<GatewayRecord> gateways;
+    // As read when this gateway started; null before that.
+    std::shared_ptr<const std::vector<QuarantineAge>> quarantine;
+    Instant quarantineReadAt {};
 };
 
 } // namespace cornelshed
--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -253,6 +253,39 @@
                   });
     }
 
+    // --- prompts that crash backend servers ---
+
+    // Only gateways that start need the row; the others hear of changes in their peers' reports.
+    void handleQuarantine(const ReadProof &proof)
+    {
+        auto read = std::make_shared<std::vector<QuarantineAge>>();
+        for (const StoredRow &row : quarantineRows) {
+            for (const QuarantinedPrompt &it : codec.decodeQuarantine(row.key, row.value)) {
+                const Duration age = std::max(proof.storeTime - it.beganAt, Duration::zero());
+                read->push_back({it.digest, age, it.length});
+            }
+        }
+        quarantine = std::move(read);
+        quarantineReadAt = monotonicNow() - (timeSinceBoot() - proof.sentAt);
+        publish();
+    }
+
+    void writeQuarantine(const std::vector<QuarantineAge> &prompts)
+    {
+        if (!storeTime)
+            return;
+        const Duration now = timeSinceBoot() + *storeTime;
+        std::vector<QuarantinedPrompt> rows;
+        for (const QuarantineAge &it : prompts)
+            rows.push_back({it.digest, std::max(now - it.age, Duration::zero()), it.length});
+        store.put(RowTable::Prompts, codec.quarantineKey(), codec.encodeQuarantine(rows),
+                  std::nullopt, [n = rows.size()](std::optional<RowStoreError> error) {
+                      EventLog("quarantine_written")
+                              .field("prompts", n)
+                              .field("outcome", error ? nameOf(*error) : "done");
+                  });
+    }
+
     // --- backend servers ---
 
     std::optional<BackendRecord> decodeBackend(const StoredRow &row)
@@ -441,6 +474,8 @@
             for (const auto &[key, status] : statuses)
                 state->rolloutStatuses->push_back(status);
         }
+        state->quarantine = quarantine;
+        state->quarantineReadAt = quarantineReadAt;
         state->backends = registry.list();
         for (const auto &[name, gateway] : gateways)
             state->gateways.push_back(gateway);
@@ -463,6 +498,10 @@
     std::map<std::string, Withdrawal> withdrawals; // by row key
     std::map<std::string, RolloutOrder> rollouts;  // by row key
     std::map<std::string, RolloutStatus> statuses; // by row key
+    std::vector<StoredRow> quarantineRows;
+    std::shared_ptr<const std::vector<QuarantineAge>> quarantine; // null until it was read
+    Instant quarantineReadAt {};
+    std::optional<Duration> storeTime; // the store's steady clock less the time since boot
     bool statusReaderStarted = false;
     bool statusesLoaded = false;
     BackendRegistry registry;
@@ -510,7 +549,11 @@
         return [state, table](RowStoreError error) { state->handleCallFailed(table, error); };
     };
     const auto read = [state](RowTable table) {
-        return [state, table](const ReadProof &proof) { state->events.tableRead(table, proof); };
+        return [state, table](const ReadProof &proof) {
+            if (proof.storeTime > Duration::zero())
+                state->storeTime = proof.storeTime - proof.sentAt;
+            state->events.tableRead(table, proof);
+        };
     };
     const auto provenAt = [state](RowTable table) {
         return [state, table] { return state->events.provenAt(table); };
@@ -544,6 +587,13 @@
              failed("statuses"),
              [state] { return state->rollouts.empty() ? timeSinceBoot() : state->statusesReadAt; },
              storeEra}));
+    // Read once: no later read is due, and changes are not passed on.
+    d->readers.push_back(d->reader(RowTable::Prompts, d->settings.gatewaysInterval,
+                                   {[state](const Rows &rows) { state->quarantineRows = rows; },
+                                    [](const Rows &) {}, answered,
+                                    [state](const ReadProof &it) { state->handleQuarantine(it); },
+                                    failed("prompts"), [] { return timeSinceBoot(); }, storeEra}));
+    d->readers.back()->start();
 }
 
 void DeploymentWatcher::readChangesNow(RowTable table)
@@ -556,6 +606,11 @@
     d->writeStatus(status);
 }
 
+void DeploymentWatcher::writeQuarantine(const std::vector<QuarantineAge> &prompts)
+{
+    d->writeQuarantine(prompts);
+}
+
 void DeploymentWatcher::setReadPacing(Duration extraDelay, Duration promptedInterval)
 {
     for (const RowTable table : sharedTables)
--- a/src/deploymentwatcher.h
+++ b/src/deploymentwatcher.h
@@ -73,6 +73,9 @@
     // again. The outcome is visible in the next published state.
     void writeStatus(const RolloutStatus &status);
 
+    // Writes the quarantined prompts with their ages, unless the store has not stated its time yet.
+    void writeQuarantine(const std::vector<QuarantineAge> &prompts);
+
     // extraDelay: how much longer than the interval this gateway waits before a read, so that a
     // peer usually reads first and its proof is shared. promptedInterval: minimum time between two
     // reads of one table that readChangesNow() causes.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -59,6 +59,11 @@
 // that ends may close its connections before it stops listening.
 constexpr std::uint32_t portChecks = 3;
 constexpr Duration portCheckInterval = 100ms;
+// Quarantined prompts that are stored, and the least time between two writes.
+constexpr std::size_t storedPromptLimit = 32;
+constexpr Duration quarantineStoreInterval = 500ms;
+// A stored quarantine is applied until this time after its end.
+constexpr Duration quarantineRestoreTime = 10min;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
 
@@ -611,6 +616,49 @@
         });
     }
 
+    // Applies what was stored before this gateway started.
+    void restoreQuarantine(Instant now)
+    {
+        if (state->quarantine == nullptr || restoredQuarantine == state->quarantine)
+            return;
+        restoredQuarantine = state->quarantine;
+        std::vector<PromptPartReport> reports;
+        for (const QuarantineAge &it : *restoredQuarantine) {
+            PromptPartReport report;
+            report.part = it.digest;
+            report.kind = PromptPartKind::Whole;
+            report.quarantineAge = it.age + (now - state->quarantineReadAt);
+            report.quarantine = it.length;
+            // One that has ended long ago takes new crashes, as it does in a gateway's memory.
+            if (*report.quarantineAge < it.length + quarantineRestoreTime)
+                reports.push_back(report);
+        }
+        prompts.quarantine().merge(reports, now);
+        enforceQuarantine(now);
+        for (const PromptPartReport &it :
+             prompts.quarantine().wholeQuarantines(storedPromptLimit, now))
+            storedQuarantine.emplace_back(it.part, it.quarantine);
+    }
+
+    // One gateway stores the quarantined prompts; those that hear it know them from its reports.
+    void storeQuarantine(Instant now)
+    {
+        if (!writeQuarantine || restoredQuarantine == nullptr || view.rankAmongHeard != 0)
+            return;
+        std::vector<std::pair<std::uint64_t, Duration>> current;
+        std::vector<QuarantineAge> ages;
+        for (const PromptPartReport &it :
+             prompts.quarantine().wholeQuarantines(storedPromptLimit, now)) {
+            current.emplace_back(it.part, it.quarantine);
+            ages.push_back({it.part, *it.quarantineAge, it.quarantine});
+        }
+        if (current == storedQuarantine || now < quarantineStoredAt + quarantineStoreInterval)
+            return;
+        storedQuarantine = std::move(current);
+        quarantineStoredAt = now;
+        writeQuarantine(ages);
+    }
+
     void recordOutcome(const GatewayExchange &exchange, const AttemptReport &report,
                        bool responseBegun)
     {
@@ -892,6 +940,11 @@
     GatewayRollouts rollouts;
     PromptGuard prompts;
     std::function<void(const RolloutStatus &)> writeRolloutStatus;
+    std::function<void(const std::vector<QuarantineAge> &)> writeQuarantine;
+    // What was read at the start; null before that.
+    std::shared_ptr<const std::vector<QuarantineAge>> restoredQuarantine;
+    std::vector<std::pair<std::uint64_t, Duration>> storedQuarantine; // digests and lengths
+    Instant quarantineStoredAt {};
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
@@ -978,6 +1031,7 @@
     if (newRoutes)
         d->admission.setRoutes(d->state->routes, now);
     d->applyBackends(now);
+    d->restoreQuarantine(now);
     d->rollouts.setOrders(d->state->rollouts, d->state->rolloutStatuses, now);
     d->rollouts.setBackends(d->state->backends);
     d->advance(now);
@@ -1063,6 +1117,7 @@
     const Instant now = monotonicNow();
     d->prompts.quarantine().advance(now);
     d->enforceQuarantine(now);
+    d->storeQuarantine(now);
     d->admission.allowances().setGateways(view.heardCount, view.possiblyAliveCount);
     // The lag is on average half an interval longer than the interval itself.
     d->admission.allowances().setReportLag(view.interval * 3 / 2);
@@ -1073,6 +1128,11 @@
     d->writeRolloutStatus = std::move(write);
 }
 
+void Gateway::setQuarantineWriter(std::function<void(const std::vector<QuarantineAge> &)> write)
+{
+    d->writeQuarantine = std::move(write);
+}
+
 bool Gateway::tickRollouts()
 {
     d->tickRollouts(monotonicNow());
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -102,6 +102,10 @@
     // Sets the function that stores the status of a rollout. It is called on the traffic thread.
     void setRolloutStatusWriter(std::function<void(const RolloutStatus &)> write);
 
+    // Sets the function that stores the quarantined whole prompts whenever they change. It is
+    // called on the traffic thread, of the first one of the gateways that are heard.
+    void setQuarantineWriter(std::function<void(const std::vector<QuarantineAge> &)> write);
+
     // Takes the rollout steps that are due. Returns false if there is no rollout. To be called
     // several times a second.
     bool tickRollouts();
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -147,6 +147,9 @@
         gateway.setRolloutStatusWriter([this](const RolloutStatus &status) {
             asio::post(controlContext, [this, status] { watcher->writeStatus(status); });
         });
+        gateway.setQuarantineWriter([this](const std::vector<QuarantineAge> &prompts) {
+            asio::post(controlContext, [this, prompts] { watcher->writeQuarantine(prompts); });
+        });
         watcher->start(ownRecord());
         updateView();
         reloadIfChanged();
--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -432,6 +432,23 @@
     return found;
 }
 
+std::vector<PromptPartReport> PromptQuarantine::wholeQuarantines(std::size_t limit,
+                                                                 Instant now) const
+{
+    std::vector<PromptPartReport> result;
+    for (const auto &[id, it] : d->suspects) {
+        if (it.kind() != PromptPartKind::Whole || !it.isQuarantined())
+            continue;
+        result.push_back(it.report(id, now));
+        result.back().crashes.clear();
+    }
+    std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) {
+        return std::pair(*a.quarantineAge, a.part) < std::pair(*b.quarantineAge, b.part);
+    });
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
 std::vector<std::uint64_t> PromptQuarantine::takeNewlyQuarantined()
 {
     return std::exchange(d->newlyQuarantined, {});
--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -135,6 +135,10 @@
     // Quarantines the parts whose crashes have settled. To be called several times a second.
     void advance(Instant now);
 
+    // The quarantined whole prompts, for a gateway that starts when all others have ended. Those
+    // that were tried again last come first, up to the limit.
+    std::vector<PromptPartReport> wholeQuarantines(std::size_t limit, Instant now) const;
+
     // Returns the parts that were quarantined since the last call, here or by a peer.
     std::vector<std::uint64_t> takeNewlyQuarantined();
     // What is known of a part.
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -22,7 +22,8 @@
     Orders,   // configuration and operators' orders; read only
     Backends, // registry of backend servers; read only
     Gateways, // registry of this system's gateway daemons
-    Statuses  // results of operators' orders; written by this system
+    Statuses, // results of operators' orders; written by this system
+    Prompts   // prompts that crash backend servers; written by this system
 };
 
 // A position in the store's history. Versions are comparable only within one era: when the store
@@ -131,6 +132,16 @@
     auto operator<=>(const RolloutStatus &) const = default;
 };
 
+// A whole prompt that is kept from backend servers.
+struct QuarantinedPrompt
+{
+    std::uint64_t digest = 0; // of its content
+    Duration beganAt {};      // on the store's steady clock
+    Duration length {};
+
+    auto operator<=>(const QuarantinedPrompt &) const = default;
+};
+
 struct GatewayRecord
 {
     std::string name;
@@ -167,6 +178,13 @@
                                                              const std::string &value) const = 0;
     virtual std::string rolloutStatusKey(const std::string &service) const = 0;
     virtual std::string encodeRolloutStatus(const RolloutStatus &status) const = 0;
+
+    // All quarantined prompts are in one row, the key of which is up to the codec. Entries that
+    // cannot be decoded are left out.
+    virtual std::string quarantineKey() const = 0;
+    virtual std::vector<QuarantinedPrompt> decodeQuarantine(const std::string &key,
+                                                            const std::string &value) const = 0;
+    virtual std::string encodeQuarantine(const std::vector<QuarantinedPrompt> &prompts) const = 0;
 };
 
 } // namespace cornelshed
--- a/test/correctness/platformrows.cpp
+++ b/test/correctness/platformrows.cpp
@@ -129,6 +129,30 @@
           == Result<GatewayRecord, UnreadableRow>(gateway));
 }
 
+// Guards against quarantined prompts that are lost on the way through the store, and against an odd
+// entry that hides the others.
+TEST_CASE("quarantined prompts survive a round trip, and odd entries among them are left out")
+{
+    const PlatformRows rows;
+    const std::vector<QuarantinedPrompt> prompts {{18446744073709551615U, 1764900000123ms, 60s},
+                                                  {7, 0ms, 1h}};
+    CHECK(rows.decodeQuarantine(rows.quarantineKey(), rows.encodeQuarantine(prompts)) == prompts);
+    CHECK(rows.decodeQuarantine("other", rows.encodeQuarantine(prompts)).empty());
+    for (const char *value : {"", "[]", "{}", R"({"prompts":7})", R"({"prompts":[7,"x",{}]})"})
+        CHECK(rows.decodeQuarantine(rows.quarantineKey(), value).empty());
+    const std::string sound = R"({"digest":"7","began_ms":0,"length_ms":3600000})";
+    for (const char *odd : {R"({"digest":7,"began_ms":0,"length_ms":1})",
+                            R"({"digest":"-7","began_ms":0,"length_ms":1})",
+                            R"({"digest":"18446744073709551616","began_ms":0,"length_ms":1})",
+                            R"({"digest":"8","began_ms":1e300,"length_ms":1})",
+                            R"({"digest":"8","began_ms":9.3e12,"length_ms":1})",
+                            R"({"digest":"8","began_ms":0,"length_ms":1e15})"}) {
+        const std::string value = R"({"prompts":[)" + std::string(odd) + "," + sound + "]}";
+        CHECK(rows.decodeQuarantine(rows.quarantineKey(), value)
+              == std::vector<QuarantinedPrompt> {{7, 0ms, 1h}});
+    }
+}
+
 TEST_CASE("a rollout status survives a round trip, and other rows of its table are ignored")
 {
     const PlatformRows rows;
--- a/test/support/storestub.cpp
+++ b/test/support/storestub.cpp
@@ -17,11 +17,12 @@
 
 namespace {
 
-constexpr std::array<std::pair<const char *, RowTable>, 4> tableNames {
+constexpr std::array<std::pair<const char *, RowTable>, 5> tableNames {
         {{"op", RowTable::Orders},
          {"servers", RowTable::Backends},
          {"gateways", RowTable::Gateways},
-         {"status", RowTable::Statuses}}};
+         {"status", RowTable::Statuses},
+         {"prompts", RowTable::Prompts}}};
 
 RowTable tableOf(const std::string &name)
 {
