What crashes servers for one organisation says nothing of another one

The digest of a whole request left its organisation out, which backend servers learn. A request that crashed servers for one organisation was cleared by each answer to another one that sent the same path and body, and went on crashing them; or the other one's sound requests were held back with it. The digest now has the organisation.

--- a/src/promptidentity.cpp
+++ b/src/promptidentity.cpp
@@ -24,7 +24,9 @@
 {
     PromptIdentity prompt;
     std::uint64_t content = stableDigest(service);
-    for (const std::string *it : {&method, &target, &metadata.sessionAffinityKey})
+    // Backend servers learn the organisation, so what crashes them for one may be sound for
+    // another.
+    for (const std::string *it : {&organisation, &method, &target, &metadata.sessionAffinityKey})
         content = stableDigest(*it, content);
     for (const std::string &it : metadata.sharedPromptParts) {
         prompt.sharedParts.push_back(stableDigest(it));
--- a/src/promptidentity.h
+++ b/src/promptidentity.h
@@ -40,7 +40,7 @@
 {
     std::vector<std::uint64_t> sharedParts;  // in the order of the prompt
     std::uint64_t session = 0;               // of the last part; 0: none
-    std::optional<std::uint64_t> content {}; // of the service, method, target, prompt and body
+    std::optional<std::uint64_t> content {}; // of what is sent, see identifyPrompt()
     std::uint64_t organisation = 0;          // that sent it; 0: none
 
     bool operator==(const PromptIdentity &) const = default;
@@ -62,6 +62,7 @@
     PromptIdentity wholeOnly() const { return {{}, 0, content, organisation}; }
 };
 
+// The content is a digest of the service, organisation, method, target, prompt and body.
 PromptIdentity identifyPrompt(const CallerMetadata &metadata, const std::string &service,
                               const std::string &organisation, const std::string &method,
                               const std::string &target, const std::string &body);
--- a/test/error/crashingplainrequest.cpp
+++ b/test/error/crashingplainrequest.cpp
@@ -58,3 +58,23 @@
     }
     CHECK(fixture.arrivals("slow") == stops);
 }
+
+// Guards against a deadly request that is never held back because the same path and body are sound
+// when another organisation sends them, and against that one being held back.
+TEST_CASE("a request that crashes servers for one organisation is held back for that one only")
+{
+    CrashingServers fixture({"body"}, downTime);
+    fixture.deadlyOrganisation = "acme";
+    std::size_t answered = 0;
+    for (std::size_t n = 0; n < 30; ++n) {
+        CHECK(fixture.request(n % 2, "body", "/look/", "key-1").status != 200);
+        if (fixture.request(n % 2, "body", "/look/", "key-2").status == 200)
+            ++answered;
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(fixture.arrivals("body") <= crashesToLearn);
+    CHECK(answered > 0);
+    REQUIRE(fixture.waitUntil([&] { return fixture.allUp(); }));
+    CHECK(fixture.request(0, "body", "/look/", "key-1").status == 503);
+    CHECK(fixture.request(0, "body", "/look/", "key-2").status == 200);
+}
--- a/test/support/crashingservers.h
+++ b/test/support/crashingservers.h
@@ -141,6 +141,10 @@
     std::atomic<bool> listed {false};
     // Deadly requests wait until each server runs one, then all servers crash at once.
     std::atomic<bool> crashTogether {false};
+    // If set, only this organisation's requests crash servers. Those of others with the same body
+    // are counted as soundKey(body).
+    std::string deadlyOrganisation;
+    static std::string soundKey(const std::string &body) { return body + "@other"; }
     // How long a sound request runs.
     std::atomic<std::chrono::milliseconds> soundRun {std::chrono::milliseconds(0)};
     std::vector<BackendRecord> records;
@@ -193,7 +197,9 @@
 
     void handle(Server &server, const StubRequest &request, StubReply &reply)
     {
-        const std::string &body = request.body;
+        const bool isOther = !deadlyOrganisation.empty()
+                && headerValue(request.headers, "X-Tenant") != deadlyOrganisation;
+        const std::string body = isOther ? soundKey(request.body) : request.body;
         {
             const std::lock_guard lock(m_countMutex);
             ++m_arrivals[body];
