Test: a notice in an answer that breaks off

Among the kinds of answers in which a backend server may say that it leaves, one that breaks off in the middle was missing.

--- a/test/error/backendnotices.cpp
+++ b/test/error/backendnotices.cpp
@@ -81,6 +81,13 @@
     reply.close();
 }
 
+void answerBrokenOff(const StubRequest &request, StubReply &reply, const std::string &notice)
+{
+    reply.send(head(request, "200 OK",
+                    "X-Response-Seal: s\r\n" + notice + "Content-Length: 9\r\n\r\nok"));
+    reply.close();
+}
+
 using Answer = std::function<void(const StubRequest &, StubReply &, const std::string &)>;
 
 // The first backend server answers with a notice as long as there is one; the second one answers
@@ -136,11 +143,10 @@
 // Requests would go on to a server that stops, whatever the answer that announced it.
 TEST_CASE("a backend server that says in an answer that it leaves gets nothing more")
 {
-    const std::vector<std::pair<std::string, Answer>> answers {{"whole", answerWhole},
-                                                               {"refused", answerRefused},
-                                                               {"failed", answerFailed},
-                                                               {"streamed", answerStreamed},
-                                                               {"unframed", answerUnframed}};
+    const std::vector<std::pair<std::string, Answer>> answers {
+            {"whole", answerWhole},       {"refused", answerRefused},
+            {"failed", answerFailed},     {"streamed", answerStreamed},
+            {"unframed", answerUnframed}, {"broken off", answerBrokenOff}};
     for (const auto &it : answers) {
         INFO(it.first);
         Fixture fixture(it.second, leaving);
