The stored quarantine is PromptGuard's, not the gateway's

What is stored and when moves from the traffic thread's class, which only passes it on, to the one that knows the quarantine. After a return of the store the row is read again; what was read replaces the list of what is stored, to which it was appended before, at the price of one more write. error.quarantineafterloss passes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -59,11 +59,6 @@
 // that ends may close its connections before it stops listening.
 constexpr std::uint32_t portChecks = 3;
 constexpr Duration portCheckInterval = 100ms;
-// Quarantined prompts that are stored, and the least time between two writes.
-constexpr std::size_t storedPromptLimit = 32;
-constexpr Duration quarantineStoreInterval = 500ms;
-// A stored quarantine is applied until this time after its end.
-constexpr Duration quarantineRestoreTime = 10min;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
 
@@ -622,22 +617,8 @@
         if (state->quarantine == nullptr || restoredQuarantine == state->quarantine)
             return;
         restoredQuarantine = state->quarantine;
-        std::vector<PromptPartReport> reports;
-        for (const QuarantineAge &it : *restoredQuarantine) {
-            PromptPartReport report;
-            report.part = it.digest;
-            report.kind = PromptPartKind::Whole;
-            report.quarantineAge = it.age + (now - state->quarantineReadAt);
-            report.quarantine = it.length;
-            // One that has ended long ago takes new crashes, as it does in a gateway's memory.
-            if (*report.quarantineAge < it.length + quarantineRestoreTime)
-                reports.push_back(report);
-        }
-        prompts.quarantine().merge(reports, now);
+        prompts.restore(*restoredQuarantine, now - state->quarantineReadAt, now);
         enforceQuarantine(now);
-        for (const PromptPartReport &it :
-             prompts.quarantine().wholeQuarantines(storedPromptLimit, now))
-            storedQuarantine.emplace_back(it.part, it.quarantine);
     }
 
     // One gateway stores the quarantined prompts; those that hear it know them from its reports.
@@ -645,18 +626,8 @@
     {
         if (!writeQuarantine || restoredQuarantine == nullptr || view.rankAmongHeard != 0)
             return;
-        std::vector<std::pair<std::uint64_t, Duration>> current;
-        std::vector<QuarantineAge> ages;
-        for (const PromptPartReport &it :
-             prompts.quarantine().wholeQuarantines(storedPromptLimit, now)) {
-            current.emplace_back(it.part, it.quarantine);
-            ages.push_back({it.part, *it.quarantineAge, it.quarantine});
-        }
-        if (current == storedQuarantine || now < quarantineStoredAt + quarantineStoreInterval)
-            return;
-        storedQuarantine = std::move(current);
-        quarantineStoredAt = now;
-        writeQuarantine(ages);
+        if (const auto changed = prompts.takeChangedQuarantine(now))
+            writeQuarantine(*changed);
     }
 
     void recordOutcome(const GatewayExchange &exchange, const AttemptReport &report,
@@ -943,8 +914,6 @@
     std::function<void(const std::vector<QuarantineAge> &)> writeQuarantine;
     // What was read at the start; null before that.
     std::shared_ptr<const std::vector<QuarantineAge>> restoredQuarantine;
-    std::vector<std::pair<std::uint64_t, Duration>> storedQuarantine; // digests and lengths
-    Instant quarantineStoredAt {};
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
     std::shared_ptr<const DeploymentState> state;
     std::unordered_map<std::string, BackendEntry> backends; // by id
--- a/src/promptguard.cpp
+++ b/src/promptguard.cpp
@@ -14,6 +14,12 @@
 
 using namespace std::chrono_literals;
 
+// Quarantined prompts that are stored, and the least time between two writes.
+constexpr std::size_t storedPromptLimit = 32;
+constexpr Duration storeInterval = 500ms;
+// A stored quarantine is applied until this time after its end.
+constexpr Duration restoreTime = 10min;
+
 // Logs because of which part the prompt of a request is refused.
 void logRefusal(const PromptPartReport &part, const std::string &requestId)
 {
@@ -44,6 +50,14 @@
             .field("crashes", crashes);
 }
 
+std::vector<std::pair<std::uint64_t, Duration>> keysOf(const std::vector<PromptPartReport> &parts)
+{
+    std::vector<std::pair<std::uint64_t, Duration>> keys;
+    for (const PromptPartReport &it : parts)
+        keys.emplace_back(it.part, it.quarantine);
+    return keys;
+}
+
 } // namespace
 
 PromptGuard::PromptGuard(Metrics &metrics)
@@ -137,4 +151,34 @@
     return !parts.empty();
 }
 
+void PromptGuard::restore(const std::vector<QuarantineAge> &stored, Duration sinceRead, Instant now)
+{
+    std::vector<PromptPartReport> reports;
+    for (const QuarantineAge &it : stored) {
+        PromptPartReport report;
+        report.part = it.digest;
+        report.kind = PromptPartKind::Whole;
+        report.quarantineAge = it.age + sinceRead;
+        report.quarantine = it.length;
+        if (*report.quarantineAge < it.length + restoreTime)
+            reports.push_back(report);
+    }
+    m_quarantine.merge(reports, now);
+    m_stored = keysOf(m_quarantine.wholeQuarantines(storedPromptLimit, now));
+}
+
+std::optional<std::vector<QuarantineAge>> PromptGuard::takeChangedQuarantine(Instant now)
+{
+    const auto parts = m_quarantine.wholeQuarantines(storedPromptLimit, now);
+    auto keys = keysOf(parts);
+    if (keys == m_stored || now < m_storedAt + storeInterval)
+        return std::nullopt;
+    m_stored = std::move(keys);
+    m_storedAt = now;
+    std::vector<QuarantineAge> ages;
+    for (const PromptPartReport &it : parts)
+        ages.push_back({it.part, *it.quarantineAge, it.quarantine});
+    return ages;
+}
+
 } // namespace cornelshed
--- a/src/promptguard.h
+++ b/src/promptguard.h
@@ -5,12 +5,15 @@
 #define CORNELSHED_PROMPTGUARD_H
 
 #include "crashconfirmation.h"
+#include "deploymentstate.h"
 #include "promptquarantine.h"
 #include "types.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cornelshed {
 
@@ -55,9 +58,18 @@
     // Logs what was quarantined since the last call; returns whether there was anything.
     bool takeNewlyQuarantined(Instant now);
 
+    // Applies the whole prompts that were quarantined when they were read from the store, this time
+    // ago.
+    void restore(const std::vector<QuarantineAge> &stored, Duration sinceRead, Instant now);
+    // Returns the quarantined whole prompts that are to be stored, if they have changed since the
+    // last call that returned them or since restore().
+    std::optional<std::vector<QuarantineAge>> takeChangedQuarantine(Instant now);
+
 private:
     PromptQuarantine m_quarantine;
     CrashConfirmation m_cutRequests;
+    std::vector<std::pair<std::uint64_t, Duration>> m_stored; // digests and lengths
+    Instant m_storedAt {};
 };
 
 } // namespace cornelshed
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -132,7 +132,7 @@
     auto operator<=>(const RolloutStatus &) const = default;
 };
 
-// A whole prompt that is kept from backend servers.
+// A whole prompt that is kept from backend servers, as it is stored; see QuarantineAge.
 struct QuarantinedPrompt
 {
     std::uint64_t digest = 0; // of its content
