--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -276,6 +276,7 @@
             return;
         const Duration now = timeSinceBoot() + *storeTime;
         std::vector<QuarantinedPrompt> rows;
+        rows.reserve(prompts.size());
         for (const QuarantineAge &it : prompts)
             rows.push_back({it.digest, std::max(now - it.age, Duration::zero()), it.length});
         store.put(RowTable::Prompts, codec.quarantineKey(), codec.encodeQuarantine(rows),
--- a/src/promptguard.cpp
+++ b/src/promptguard.cpp
@@ -53,6 +53,7 @@
 std::vector<std::pair<std::uint64_t, Duration>> keysOf(const std::vector<PromptPartReport> &parts)
 {
     std::vector<std::pair<std::uint64_t, Duration>> keys;
+    keys.reserve(parts.size());
     for (const PromptPartReport &it : parts)
         keys.emplace_back(it.part, it.quarantine);
     return keys;
@@ -176,6 +177,7 @@
     m_stored = std::move(keys);
     m_storedAt = now;
     std::vector<QuarantineAge> ages;
+    ages.reserve(parts.size());
     for (const PromptPartReport &it : parts)
         ages.push_back({it.part, *it.quarantineAge, it.quarantine});
     return ages;
--- a/test/error/crashesatonce.cpp
+++ b/test/error/crashesatonce.cpp
@@ -53,7 +53,7 @@
 // gateways take to have a turn each.
 CallerAnswer requestInTurn(CrashingServers &fixture, const std::string &body)
 {
-    const CallerAnswer first = fixture.request(0, body);
+    CallerAnswer first = fixture.request(0, body);
     if (first.status != 503)
         return first;
     const auto wait = std::chrono::duration<double>(
