A connection that is established as its time limit passes is not reported as unused

When the traffic thread is late by more than the 300 ms that a connection may take, the connection is established and its timer has expired when the thread goes on. The first handler sends the request, the timer's one, which can no longer be cancelled, reported it as not sent, and the gateway sent it to another server: a request that may run once ran twice.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -224,7 +224,8 @@
     {
         m_connectTimer.expires_after(m_pool->settings().connectTimeout);
         m_connectTimer.async_wait([self = shared_from_this()](auto ec) {
-            if (!ec)
+            // It may have expired before it was cancelled.
+            if (!ec && !self->m_writeStarted)
                 self->fail(BackendError::NotSent);
         });
         m_socket.async_connect(m_pool->endpoint(), [self = shared_from_this()](auto ec) {
