A response that is still being written is not cut off as idle

Callers saw: a complete response broken off, on a connection that the gateway counted as idle, or closed for a shutdown, while the caller was still receiving it.

Cause: a connection became idle when its last response was complete in the gateway, not when it was written. With a caller that reads slowly, the idle time passed, or the half second of a shutdown, while part of the response waited for the socket.

The idle time now begins with the end of the last write, and no idle connection is closed before it. A caller that reads nothing is still closed by TCP_USER_TIMEOUT, and at the end of a shutdown.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -39,6 +39,8 @@
 constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
 // A time limit that passes while received data is still unread is checked again after this time.
 constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
+// The same while the last response is still being written.
+constexpr std::chrono::milliseconds unwrittenDataCheckInterval {50};
 // TCP_USER_TIMEOUT: a connection whose sent data stays unacknowledged this long is closed.
 constexpr int callerUserTimeoutMs = 4000;
 // While more response data than this is buffered for a caller that reads slowly, a further write
@@ -219,6 +221,8 @@
             rejectRequest(408, "the request did not arrive in time");
         else if (const Duration left = idleTimeLeft(); left > Duration::zero())
             setTimer(left);
+        else if (!m_writes.empty()) // the last response is still being written
+            setTimer(unwrittenDataCheckInterval);
         else
             closeNow(m_closeAfterResponse ? "shutdown" : "idle");
     }
@@ -428,9 +432,12 @@
                               }
                               self->m_pendingBytes -= self->m_writes.front().size();
                               self->m_writes.pop_front();
-                              if (!self->m_writes.empty())
+                              if (!self->m_writes.empty()) {
                                   self->writeNext();
-                              else if (self->m_lingering)
+                                  return;
+                              }
+                              self->m_waitingSince = monotonicNow();
+                              if (self->m_lingering)
                                   self->linger();
                           });
     }
@@ -502,7 +509,7 @@
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<Instant> m_receivedAt;
-    Instant m_waitingSince {}; // start of the wait for that byte
+    Instant m_waitingSince {}; // start of the wait for that byte, or end of the last write after it
     std::shared_ptr<IngressExchange> m_exchange;
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -291,6 +291,25 @@
     CHECK((refused || answered));
 }
 
+// Guards against a response that is cut off because the connection counts as idle as soon as the
+// response is complete in the gateway, although the caller has not received it yet.
+TEST_CASE("a response that is still being written is not cut off by the idle time or a shutdown")
+{
+    for (const bool isClosing : {false, true}) {
+        CAPTURE(isClosing);
+        ChannelFixture fixture;
+        fixture.answerBody = std::string(std::size_t {7} << 20U, 'x'); // more than sockets hold
+        fixture.caller->send(requestText("/large"));
+        std::this_thread::sleep_for(30ms);
+        if (isClosing)
+            fixture.run([&] { fixture.channel().closeWhenIdle(); });
+        std::this_thread::sleep_for(1s);
+        const CallerAnswer answer = fixture.caller->receive();
+        CHECK(answer.status == 200);
+        CHECK(answer.body.size() == fixture.answerBody.size());
+    }
+}
+
 // Guards against closed connections that are kept as if they waited for a request, for which a
 // shutdown then waits.
 TEST_CASE("a channel that was closed because its caller reads too slowly is released at once")
