Log requests that cross the close of an idle connection

It is not read, so that the request is certain not to run, but request_crossed_close says when and on which connection.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -224,7 +224,60 @@
         else if (!m_writes.empty()) // the last response is still being written
             setTimer(unwrittenDataCheckInterval);
         else
-            closeNow(m_closeAfterResponse ? "shutdown" : "idle");
+            closeIdle(m_closeAfterResponse ? "shutdown" : "idle");
+    }
+
+    // Closes the connection while no request is in progress.
+    void closeIdle(const char *reason)
+    {
+        m_idleCloseReason = reason;
+        boost::system::error_code ignored;
+        if (m_reading)
+            m_socket.cancel(ignored); // the end of the read tells whether a request has arrived
+        else
+            finishIdleClose();
+    }
+
+    // A request that is on its way is not read, so that it is certain not to run, but it is logged.
+    void finishIdleClose()
+    {
+        const char *reason = std::exchange(m_idleCloseReason, nullptr);
+        closeNow(reason, false);
+        boost::system::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        m_timer.expires_after(lingerTimeout);
+        m_timer.async_wait([self = self()](auto ec) {
+            if (!ec)
+                self->closeSocket();
+        });
+        m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = self(), reason](auto ec) {
+            if (!ec)
+                self->logUnreadRequest(reason);
+            self->m_timer.cancel();
+            self->closeSocket();
+        });
+    }
+
+    void logUnreadRequest(const char *reason)
+    {
+        boost::system::error_code ec;
+        const std::size_t n = m_socket.available(ec);
+        if (ec || n == 0) // the caller has closed the connection
+            return;
+        const auto caller = m_socket.remote_endpoint(ec);
+        EventLog("request_crossed_close", EventLevel::Warning)
+                .field("reason", reason)
+                .field("caller",
+                       ec ? std::string("unknown")
+                          : caller.address().to_string() + ":" + std::to_string(caller.port()))
+                .field("idle_ms", (monotonicNow() - m_waitingSince) / std::chrono::milliseconds(1))
+                .field("unread_bytes", n);
+    }
+
+    void closeSocket()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
     }
 
     // The limit may have been raised while the connection was idle.
@@ -265,6 +318,10 @@
     {
         if (m_closed)
             return;
+        if (m_idleCloseReason != nullptr && ec == asio::error::operation_aborted) {
+            finishIdleClose();
+            return;
+        }
         if (ec) {
             handleDisconnect();
             return;
@@ -277,6 +334,9 @@
         }
         if (!m_requestInProgress)
             parse();
+        const bool wasIdle = std::exchange(m_idleCloseReason, nullptr) != nullptr;
+        if (wasIdle && !m_requestInProgress && !m_receivedAt && !m_lingering && !m_closed)
+            setTimer(unreadDataCheckInterval);
         readSome();
     }
 
@@ -479,7 +539,7 @@
         });
     }
 
-    void closeNow(const char *reason)
+    void closeNow(const char *reason, bool closesSocket = true)
     {
         if (m_closed)
             return;
@@ -497,8 +557,8 @@
         }
         m_exchange = nullptr;
         m_timer.cancel();
-        boost::system::error_code ignored;
-        m_socket.close(ignored);
+        if (closesSocket)
+            closeSocket();
     }
 
     asio::ip::tcp::socket m_socket;
@@ -523,6 +583,8 @@
     bool m_closeAnnounced = false; // by the head of the current response
     bool m_lingering = false;      // last response queued; incoming data is discarded
     bool m_closed = false;
+    // Why the idle connection is being closed: its read has been cancelled, but not ended yet.
+    const char *m_idleCloseReason = nullptr;
 };
 
 } // namespace
