Count incomplete events towards the limit of all incomplete responses

Each stream could keep up to 1 MiB of an event that its backend server never ended. No limit counted them together, so that many such streams filled the gateway's memory.

Cause: only the bodies of responses that are not streams were reserved from the common limit. The incomplete event of a stream is now reserved from it as well, and the attempt that exceeds it ends.

The test failed before: none of 48 streams with 1 MB of an event each ended before the caller's time limit (0 >= 14), with 32 MiB allowed.

--- a/src/eventsplitter.h
+++ b/src/eventsplitter.h
@@ -5,6 +5,7 @@
 #ifndef CORNELSHED_EVENTSPLITTER_H
 #define CORNELSHED_EVENTSPLITTER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,8 +31,9 @@
     // resumed stream is unknown.
     bool malformed() const { return m_malformed; }
 
-    // Whether part of an incomplete event is buffered.
+    // Whether part of an incomplete event is buffered, and the size of that part.
     bool pending() const { return !m_pending.empty(); }
+    std::size_t pendingBytes() const { return m_pending.size(); }
 
     // Id of the last complete event; nothing before the first.
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -368,7 +368,7 @@
 
 void GatewayExchange::bufferBody(const std::string &data)
 {
-    if (!m_services.tryBuffer(m_responseBody.size(), data.size())) {
+    if (!tryReserve(m_responseBody.size() + data.size())) {
         failAttempt("answer_too_large");
         return;
     }
@@ -382,10 +382,22 @@
 // Returns what is buffered of the body, and its memory to the gateway's limit.
 std::string GatewayExchange::takeBody()
 {
-    m_services.releaseBuffer(m_responseBody.size());
+    tryReserve(0);
     return std::exchange(m_responseBody, std::string());
 }
 
+// Adjusts what is reserved of the gateway's limit to this size. Returns false if the limit does not
+// allow it.
+bool GatewayExchange::tryReserve(std::size_t bytes)
+{
+    if (bytes > m_reservedBytes && !m_services.tryBuffer(m_reservedBytes, bytes - m_reservedBytes))
+        return false;
+    if (bytes < m_reservedBytes)
+        m_services.releaseBuffer(m_reservedBytes - bytes);
+    m_reservedBytes = bytes;
+    return true;
+}
+
 // Ends the attempt because of what the backend server sent.
 void GatewayExchange::failAttempt(const char *problem)
 {
@@ -413,9 +425,12 @@
             m_history.retryable = false;
         m_channel->writeStreamChunk(completeEvents);
     }
-    if (m_finished || !m_eventSplitter->malformed())
+    if (m_finished)
         return;
-    failAttempt("events_out_of_order");
+    if (m_eventSplitter->malformed())
+        failAttempt("events_out_of_order");
+    else if (!tryReserve(m_eventSplitter->pendingBytes()))
+        failAttempt("answer_too_large");
 }
 
 bool GatewayExchange::answerJustBegun() const
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -204,6 +204,7 @@
     void forwardEvents(std::string_view data);
     void bufferBody(const std::string &data);
     std::string takeBody();
+    bool tryReserve(std::size_t bytes);
     void failAttempt(const char *problem);
     void beginResponse();
 
@@ -253,7 +254,9 @@
     std::optional<std::uint32_t> m_status; // set once the response head was received
     Headers m_responseHeaders;
     BackendReply m_reply;
-    std::string m_responseBody; // of a response that is not streamed; reserved by tryBuffer()
+    std::string m_responseBody; // of a response that is not streamed
+    // Reserved by tryBuffer() for m_responseBody or the incomplete event of a stream.
+    std::size_t m_reservedBytes = 0;
     // The last attempt ended with an error of the backend server, which is delivered unless another
     // attempt starts.
     bool m_hasErrorAnswer = false;
--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -462,6 +462,42 @@
     CHECK(failedEarly + timedOut == 16);
 }
 
+// Guards against incomplete events that no common limit counts: each stream may hold a large one,
+// and many such streams fill the gateway's memory.
+TEST_CASE("many events without end share the memory for incomplete responses")
+{
+    std::atomic<bool> stopped = false;
+    BackendStub server([&](const StubRequest &request, StubReply &reply) {
+        if (request.target == "/look/b") {
+            sendCompleteResponse(request, reply);
+            return;
+        }
+        reply.send(streamResponseHead(requestIdOf(request)) + chunk("data: ")
+                   + chunk(std::string(1000000, 'x')));
+        while (!stopped)
+            std::this_thread::sleep_for(5ms);
+    });
+    GatewayRunner runner;
+    BackendRecord record = gatewayBackend("i-1", server.port());
+    record.slots = 64;
+    RouteTableContent content = gatewayRouteTable();
+    content.organisations = {{"acme", {"key-1"}, 0, 1e9, 1e9, false, 100}};
+    runner.configure(content, {record});
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 48; ++i) { // 48 MB in all; 32 MiB are allowed
+        callers.push_back(std::make_unique<Caller>(runner.port()));
+        callers.back()->send(requestText("POST", "/query/a", "r-" + std::to_string(i)));
+    }
+    int failedEarly = 0;
+    for (const auto &it : callers)
+        failedEarly += it->receive().status == 502 ? 1 : 0;
+    stopped = true;
+    CHECK(failedEarly >= 14);
+    Caller other(runner.port());
+    other.send(requestText("GET", "/look/b", "other"));
+    CHECK(other.receive().status == 200);
+}
+
 TEST_CASE("a stalled stream that sends a byte now and then is resumed elsewhere, a slow one is not")
 {
     Fixture fixture([](const StubRequest &request, StubReply &reply) {
