Limit the response data that is kept for all callers together

Callers that did not read their streams could each keep up to 4 MiB in the gateway, and nothing limited their sum, so that a server with a fast stream and many slow callers filled the gateway's memory.

The gateway now keeps at most 64 MiB for all callers. Beyond that it closes the caller whose current write began first. Callers that read finish their writes soon, and so are not chosen. A single answer above the limit is still written.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -103,10 +103,15 @@
 class Channel final : public CallerChannel
 {
 public:
-    Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits)
+    Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
+            std::shared_ptr<PendingWrites> pendingWrites)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-          m_handler(std::move(handler)), m_limits(std::move(limits))
+          m_handler(std::move(handler)), m_limits(std::move(limits)),
+          m_allPendingWrites(std::move(pendingWrites))
     { }
+    ~Channel() override { forgetWrites(); }
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
 
     void start() override
     {
@@ -159,6 +164,8 @@
 
     void abort() override { closeNow("response_aborted"); }
 
+    void closeForPendingWrites() override { disconnect("shared_write_limit"); }
+
     void announceClose() override { m_announceClose = true; }
 
     void closeWhenIdle() override
@@ -409,14 +416,17 @@
             disconnect("write_limit");
             return;
         }
-        m_pendingBytes += text.size();
+        const std::size_t n = text.size();
+        m_pendingBytes += n;
         m_writes.push_back(std::move(text));
         if (m_writes.size() == 1)
             writeNext();
+        m_allPendingWrites->add(n);
     }
 
     void writeNext()
     {
+        m_currentWrite = m_allPendingWrites->begin(*this);
         asio::async_write(m_socket, asio::buffer(m_writes.front()),
                           [self = self()](auto ec, std::size_t) {
                               if (self->m_closed)
@@ -425,7 +435,10 @@
                                   self->handleDisconnect();
                                   return;
                               }
-                              self->m_pendingBytes -= self->m_writes.front().size();
+                              const std::size_t n = self->m_writes.front().size();
+                              self->m_pendingBytes -= n;
+                              self->m_allPendingWrites->remove(n);
+                              self->m_allPendingWrites->end(self->m_currentWrite);
                               self->m_writes.pop_front();
                               if (!self->m_writes.empty())
                                   self->writeNext();
@@ -460,6 +473,12 @@
         });
     }
 
+    void forgetWrites()
+    {
+        m_allPendingWrites->remove(std::exchange(m_pendingBytes, 0));
+        m_allPendingWrites->end(m_currentWrite);
+    }
+
     void linger()
     {
         boost::system::error_code ignored;
@@ -488,6 +507,7 @@
                                    : 0);
         }
         m_exchange = nullptr;
+        forgetWrites();
         m_timer.cancel();
         boost::system::error_code ignored;
         m_socket.close(ignored);
@@ -497,6 +517,7 @@
     asio::steady_timer m_timer;
     Handler m_handler;
     LimitsProvider m_limits;
+    std::shared_ptr<PendingWrites> m_allPendingWrites; // shared by all channels
     beast::flat_buffer m_buffer;
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -505,6 +526,7 @@
     std::shared_ptr<IngressExchange> m_exchange;
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
+    std::uint64_t m_currentWrite = 0; // its number in m_allPendingWrites
     bool m_headParsed = false;
     bool m_reading = false;
     bool m_requestInProgress = false; // a request awaits the end of its response
@@ -519,10 +541,26 @@
 
 } // namespace
 
+std::uint64_t PendingWrites::begin(CallerChannel &channel)
+{
+    m_writing.emplace(++m_lastWrite, &channel);
+    return m_lastWrite;
+}
+
+void PendingWrites::add(std::size_t bytes)
+{
+    m_bytes += bytes;
+    // A single answer above the limit is written.
+    while (m_bytes > m_limitBytes && m_writing.size() > 1)
+        m_writing.begin()->second->closeForPendingWrites(); // ends the write
+}
+
 std::shared_ptr<CallerChannel> CallerChannel::create(asio::ip::tcp::socket socket, Handler handler,
-                                                     LimitsProvider limits)
+                                                     LimitsProvider limits,
+                                                     std::shared_ptr<PendingWrites> pendingWrites)
 {
-    return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits));
+    return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits),
+                                     std::move(pendingWrites));
 }
 
 } // namespace cornelshed::detail
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -15,8 +15,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -41,6 +43,30 @@
     virtual void callerDisconnected() = 0;
 };
 
+class CallerChannel;
+
+// The response data that is buffered for all callers that read slowly. At the limit, the caller
+// whose current write began first loses its connection; those that read finish theirs soon.
+class PendingWrites
+{
+public:
+    explicit PendingWrites(std::size_t limitBytes) : m_limitBytes(limitBytes) { }
+
+    // A channel begins to write. Returns the number under which the write ends.
+    std::uint64_t begin(CallerChannel &channel);
+    void end(std::uint64_t write) { m_writing.erase(write); }
+
+    // Channels buffer more data, or less.
+    void add(std::size_t bytes);
+    void remove(std::size_t bytes) { m_bytes -= bytes; }
+
+private:
+    std::size_t m_limitBytes;
+    std::size_t m_bytes = 0;
+    std::uint64_t m_lastWrite = 0;
+    std::map<std::uint64_t, CallerChannel *> m_writing; // in the order in which the writes began
+};
+
 class CallerChannel : public std::enable_shared_from_this<CallerChannel>
 {
 public:
@@ -51,7 +77,8 @@
     using LimitsProvider = std::function<CallerLimits()>;
 
     static std::shared_ptr<CallerChannel> create(boost::asio::ip::tcp::socket socket,
-                                                 Handler handler, LimitsProvider limits);
+                                                 Handler handler, LimitsProvider limits,
+                                                 std::shared_ptr<PendingWrites> pendingWrites);
     virtual ~CallerChannel() = default;
 
     virtual void start() = 0;
@@ -74,6 +101,9 @@
     // Closes the connection without completing the response.
     virtual void abort() = 0;
 
+    // Closes the connection because the data buffered for all callers has reached its limit.
+    virtual void closeForPendingWrites() = 0;
+
     // Adds "Connection: close" to responses that begin from now on, and closes the connection after
     // the first of them.
     virtual void announceClose() = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -879,7 +879,8 @@
                 [weak] {
                     const auto self = weak.lock();
                     return self ? self->limits() : CallerLimits {};
-                });
+                },
+                pendingWrites);
         if (draining)
             channel->announceClose();
         std::erase_if(channels, [](const auto &it) { return it.expired(); });
@@ -923,6 +924,8 @@
     // By id of the place in the scheduler's queue; holds those of exchanges with a queuedId().
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> queued;
     std::vector<std::weak_ptr<CallerChannel>> channels;
+    std::shared_ptr<detail::PendingWrites> pendingWrites = std::make_shared<detail::PendingWrites>(
+            settings.pendingWritesLimitBytes); // of the channels
     GossipView view;
     FreshnessTracker freshness;
     // Copy of the proof times in freshness for other threads: microseconds since boot; 0: never.
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -54,6 +54,8 @@
     // Limits of responses that are buffered until they are complete: of one, and of all together.
     std::size_t answerLimitBytes = std::size_t {4} << 20U;
     std::size_t bufferedAnswersLimitBytes = std::size_t {32} << 20U;
+    // Limit of the response data that is kept for all callers until they read it.
+    std::size_t pendingWritesLimitBytes = std::size_t {64} << 20U;
 
     bool operator==(const GatewayTrafficSettings &) const = default;
 };
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -49,7 +49,8 @@
                        const std::shared_ptr<CallerChannel> &channel) {
                     return handle(request, channel);
                 },
-                [this] { return limits; });
+                [this] { return limits; },
+                std::make_shared<PendingWrites>(std::size_t {64} << 20U));
         m_channel->start();
         m_thread = std::thread([this] { m_context.run(); });
     }
@@ -331,3 +332,45 @@
         CHECK(std::chrono::steady_clock::now() - sentAt < 3s);
     }
 }
+
+// Guards against two faults of a common limit of unsent data: that it is not kept, and that it ends
+// callers that read.
+TEST_CASE("at the common limit of unsent data, the caller that has read nothing for the longest "
+          "time is closed")
+{
+    constexpr std::size_t answerBytes = 1000000;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const auto pendingWrites = std::make_shared<PendingWrites>(3 * answerBytes + 100000);
+    std::vector<std::unique_ptr<Caller>> callers;
+    const auto connect = [&] {
+        callers.push_back(std::make_unique<Caller>(acceptor.local_endpoint().port()));
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        accepted.set_option(asio::socket_base::send_buffer_size(4096));
+        CallerChannel::create(
+                std::move(accepted),
+                [](const IngressRequest &, const std::shared_ptr<CallerChannel> &channel) {
+                    channel->respond(200, {}, std::string(answerBytes, 'x'));
+                    return nullptr;
+                },
+                [] {
+                    return CallerLimits {2048, 4096, 2s, 8s};
+                },
+                pendingWrites)
+                ->start();
+    };
+    for (int i = 0; i < 5; ++i)
+        connect();
+    std::thread thread([&] { context.run_for(8s); });
+    for (int i = 0; i < 5; ++i) {
+        callers[i]->send(requestText("/large"));
+        std::this_thread::sleep_for(50ms);
+        if (i == 2) // reads, unlike the others, and so does not count
+            CHECK(callers[i]->receive().body.size() == answerBytes);
+    }
+    CHECK(callers[0]->receive().status == 0);
+    for (int i : {1, 3, 4})
+        CHECK(callers[i]->receive().status == 200);
+    context.stop();
+    thread.join();
+}
--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -498,6 +498,55 @@
     CHECK(other.receive().status == 200);
 }
 
+// Guards against streams that are kept for callers that do not read them: each caller may have
+// several megabytes, and many such callers fill the gateway's memory.
+TEST_CASE("many callers that do not read their streams share the memory for unsent data")
+{
+    // The socket buffers take about 4 MB, and the rest is below the limit for one caller.
+    constexpr int eventsPerStream = 760;
+    const std::string data(10000, 'x');
+    std::atomic<int> streamsSent = 0;
+    BackendStub server([&](const StubRequest &request, StubReply &reply) {
+        if (request.target == "/look/b") {
+            sendCompleteResponse(request, reply);
+            return;
+        }
+        reply.send(streamResponseHead(requestIdOf(request)));
+        for (int id = 1; id <= eventsPerStream; ++id)
+            reply.send(chunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n"));
+        reply.send("0\r\n\r\n");
+        ++streamsSent;
+    });
+    GatewayRunner runner;
+    BackendRecord record = gatewayBackend("i-1", server.port());
+    record.slots = 64;
+    RouteTableContent content = gatewayRouteTable();
+    content.organisations = {{"acme", {"key-1"}, 0, 1e9, 1e9, false, 100}};
+    runner.configure(content, {record});
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 30; ++i) { // about 100 MB in all; 64 MiB are allowed
+        callers.push_back(std::make_unique<Caller>(runner.port()));
+        callers.back()->send(requestText("POST", "/query/a", "r-" + std::to_string(i)));
+    }
+    const auto limit = std::chrono::steady_clock::now() + 8s;
+    while (std::chrono::steady_clock::now() < limit && streamsSent < 30
+           && runner.metric("cornelshed_gateway_running") > 0)
+        std::this_thread::sleep_for(10ms);
+    // Callers that read are served meanwhile.
+    for (const char *path : {"/look/b", "/query/b"}) {
+        CAPTURE(path);
+        Caller other(runner.port());
+        const auto sentAt = std::chrono::steady_clock::now();
+        other.send(requestText("POST", path, std::string("other") + path));
+        CHECK(other.receive().status == 200);
+        CHECK(std::chrono::steady_clock::now() - sentAt < 2s);
+    }
+    int complete = 0;
+    for (const auto &it : callers)
+        complete += it->receive().status == 200 ? 1 : 0;
+    CHECK(complete < 26);
+}
+
 TEST_CASE("a stalled stream that sends a byte now and then is resumed elsewhere, a slow one is not")
 {
     Fixture fixture([](const StubRequest &request, StubReply &reply) {
@@ -630,7 +679,8 @@
                 requestChannel->closeWhenIdle();
                 return nullptr;
             },
-            [] { return CallerLimits {}; });
+            [] { return CallerLimits {}; },
+            std::make_shared<detail::PendingWrites>(largeBodyBytes));
     channel->start();
     channel = nullptr;
     asio::write(caller, asio::buffer(requestText("GET", "/look/", "r-1")));
