--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "monotonicclock.h"
+#include "unparsedlimit.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -104,10 +105,15 @@
 class Channel final : public CallerChannel
 {
 public:
-    Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits)
+    Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
+            std::shared_ptr<PendingWrites> pendingWrites)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-          m_handler(std::move(handler)), m_limits(std::move(limits))
+          m_handler(std::move(handler)), m_limits(std::move(limits)),
+          m_allPendingWrites(std::move(pendingWrites))
     { }
+    ~Channel() override { forgetWrites(); }
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
 
     void start() override
     {
@@ -160,6 +166,8 @@
 
     void abort() override { closeNow("response_aborted"); }
 
+    void closeForPendingWrites() override { disconnect("shared_write_limit"); }
+
     void announceClose() override { m_announceClose = true; }
 
     void closeWhenIdle() override
@@ -350,12 +358,10 @@
     {
         if (!m_headParsed && !parseHead())
             return;
-        boost::system::error_code ec;
-        while (m_buffer.size() > 0 && !m_parser->is_done() && !ec)
-            m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+        const auto ec = parseBuffered(m_buffer, *m_parser);
         if (ec == http::error::body_limit)
             rejectRequest(413, "the body is too large");
-        else if (ec && ec != http::error::need_more)
+        else if (ec)
             rejectRequest(400, "the body is not proper HTTP");
         else if (m_parser->is_done())
             dispatchRequest();
@@ -474,14 +480,17 @@
             disconnect("write_limit");
             return;
         }
-        m_pendingBytes += text.size();
+        const std::size_t n = text.size();
+        m_pendingBytes += n;
         m_writes.push_back(std::move(text));
         if (m_writes.size() == 1)
             writeNext();
+        m_allPendingWrites->add(n);
     }
 
     void writeNext()
     {
+        m_currentWrite = m_allPendingWrites->begin(*this);
         asio::async_write(m_socket, asio::buffer(m_writes.front()),
                           [self = self()](auto ec, std::size_t) {
                               if (self->m_closed)
@@ -490,7 +499,10 @@
                                   self->handleDisconnect();
                                   return;
                               }
-                              self->m_pendingBytes -= self->m_writes.front().size();
+                              const std::size_t n = self->m_writes.front().size();
+                              self->m_pendingBytes -= n;
+                              self->m_allPendingWrites->remove(n);
+                              self->m_allPendingWrites->end(self->m_currentWrite);
                               self->m_writes.pop_front();
                               if (!self->m_writes.empty()) {
                                   self->writeNext();
@@ -528,6 +540,12 @@
         });
     }
 
+    void forgetWrites()
+    {
+        m_allPendingWrites->remove(std::exchange(m_pendingBytes, 0));
+        m_allPendingWrites->end(m_currentWrite);
+    }
+
     void linger()
     {
         boost::system::error_code ignored;
@@ -556,6 +574,7 @@
                                    : 0);
         }
         m_exchange = nullptr;
+        forgetWrites();
         m_timer.cancel();
         if (closesSocket)
             closeSocket();
@@ -565,6 +584,7 @@
     asio::steady_timer m_timer;
     Handler m_handler;
     LimitsProvider m_limits;
+    std::shared_ptr<PendingWrites> m_allPendingWrites; // shared by all channels
     beast::flat_buffer m_buffer;
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -573,6 +593,7 @@
     std::shared_ptr<IngressExchange> m_exchange;
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
+    std::uint64_t m_currentWrite = 0; // its number in m_allPendingWrites
     bool m_headParsed = false;
     bool m_reading = false;
     bool m_requestInProgress = false; // a request awaits the end of its response
@@ -589,10 +610,26 @@
 
 } // namespace
 
+std::uint64_t PendingWrites::begin(CallerChannel &channel)
+{
+    m_writing.emplace(++m_lastWrite, &channel);
+    return m_lastWrite;
+}
+
+void PendingWrites::add(std::size_t bytes)
+{
+    m_bytes += bytes;
+    // A single answer above the limit is written.
+    while (m_bytes > m_limitBytes && m_writing.size() > 1)
+        m_writing.begin()->second->closeForPendingWrites(); // ends the write
+}
+
 std::shared_ptr<CallerChannel> CallerChannel::create(asio::ip::tcp::socket socket, Handler handler,
-                                                     LimitsProvider limits)
+                                                     LimitsProvider limits,
+                                                     std::shared_ptr<PendingWrites> pendingWrites)
 {
-    return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits));
+    return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits),
+                                     std::move(pendingWrites));
 }
 
 } // namespace cornelshed::detail
