A request sent during a response doesn't repeat or displace others

A caller that sent a request on a connection before the response to the one before it had ended lost a later one: the earlier request was handled again in its place, so that it could run twice at a backend server and the caller got its answer for another request, or the caller got 400, 408 or 431 for a proper request, or a closed connection.

The socket was read into the buffer that also holds requests not parsed yet. When a response ended, the waiting request was parsed while a read was in progress. Consuming all of the buffer moves the place at which it adds data to its beginning, but the read still wrote to the old place: the bytes counted as received were those of an earlier request.

The socket is now read into memory of its own, and the bytes are added to the buffer when the read has ended.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -307,11 +307,10 @@
         if (m_requestInProgress && m_buffer.size() >= readChunkBytes)
             return;
         m_reading = true;
-        m_socket.async_read_some(m_buffer.prepare(readChunkBytes),
-                                 [self = self()](auto ec, std::size_t n) {
-                                     self->m_reading = false;
-                                     self->handleRead(ec, n);
-                                 });
+        m_socket.async_read_some(asio::buffer(m_received), [self = self()](auto ec, std::size_t n) {
+            self->m_reading = false;
+            self->handleRead(ec, n);
+        });
     }
 
     void handleRead(const boost::system::error_code &ec, std::size_t n)
@@ -326,12 +325,12 @@
             handleDisconnect();
             return;
         }
-        m_buffer.commit(n);
         if (m_lingering) {
             m_buffer.consume(m_buffer.size());
             readSome();
             return;
         }
+        m_buffer.commit(asio::buffer_copy(m_buffer.prepare(n), asio::buffer(m_received, n)));
         if (!m_requestInProgress)
             parse();
         const bool wasIdle = std::exchange(m_idleCloseReason, nullptr) != nullptr;
@@ -565,7 +564,10 @@
     asio::steady_timer m_timer;
     Handler m_handler;
     LimitsProvider m_limits;
-    beast::flat_buffer m_buffer;
+    // Where the socket is read to. Not m_buffer: a request that waited there is parsed while a read
+    // is in progress, which moves the place at which the buffer adds data.
+    std::array<char, readChunkBytes> m_received;
+    beast::flat_buffer m_buffer; // received and not parsed yet
     // Parser of the current or next request, and the time when its first byte was read.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<Instant> m_receivedAt;
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -414,3 +414,24 @@
         std::this_thread::sleep_for(5ms);
     CHECK(channel.expired());
 }
+
+// Guards against a request that is lost, and an earlier one that is handled again in its place,
+// after a caller has sent a request before the response to the one before it had ended.
+TEST_CASE("requests after one that was sent during a response are handled once and in order")
+{
+    for (const std::string path : {"/third", "/3", "/third/with/a/long/path"}) {
+        CAPTURE(path);
+        ChannelFixture fixture;
+        fixture.caller->send(requestText("/stream"));
+        std::this_thread::sleep_for(30ms);
+        fixture.caller->send(requestText("/other"));
+        std::this_thread::sleep_for(30ms);
+        fixture.finishStream();
+        CHECK(fixture.caller->receive().body == "end");
+        CHECK(fixture.caller->receive().body == "/other");
+        fixture.caller->send(requestText(path));
+        CHECK(fixture.caller->receive().body == path);
+        fixture.caller->send(requestText("/last"));
+        CHECK(fixture.caller->receive().body == "/last");
+    }
+}
