A text that the table gives out under the same version replaces the installed one

After the table returned from an older copy, an operator's accepted configuration had no effect: entry daemons and agents that held its version went on with the lost text until a later version was accepted.

Cause: daemons, peers and agents compare versions only. The version identifies a text only between two returns of the table; acceptance takes the version of the copy plus one, which it may have given out.

Now a daemon fetches the text if a read of the head row names its own version and another digest. The table is linearizable, so of two reads that do not overlap the later one is right. A read that was under way when an earlier one was answered replaces nothing, and neither does a text that was fetched for an earlier state of the head row. So no daemon returns to a text because an answer is late, and one that the table names again later is installed again. A peer's text of the same version is never installed, as the two cannot be ordered; it causes a poll, at most one a second. Announcements carry the digest for this. Texts of earlier versions are dropped as bases of differences, as they may differ in the new history. Entry daemons tell agents that a text replaces one of the same version; agents ignore other notices with their version, such as that of a daemon that has just taken the lost text from a peer. The new fields of the messages are optional: older processes ignore them and behave as before.

Not covered: a version lower than the installed one is still never read, and a daemon that reaches peers but not the table keeps the lost text.

--- a/apps/measure/propagationmodel.cpp
+++ b/apps/measure/propagationmodel.cpp
@@ -18,10 +18,10 @@
 // Estimate of the framing, names and reply headers of one message, counted in bytesSent().
 constexpr std::uint64_t messageOverheadBytes = 400;
 
-std::string configurationText(std::uint64_t version)
+std::string configurationText(const std::string &digest)
 {
     // Large and mostly unchanged, so that updates are sent as differences.
-    return std::string(20000, 'a') + "version " + std::to_string(version) + std::string(9000, 'z');
+    return std::string(20000, 'a') + "version " + digest + std::string(9000, 'z');
 }
 
 } // namespace
@@ -38,7 +38,18 @@
             scheduleCrash();
     }
 
-    void accept() { m_acceptedAt.push_back(m_events.now()); }
+    void accept()
+    {
+        m_acceptedAt.push_back(m_events.now());
+        m_headDigest = std::to_string(m_acceptedAt.size());
+    }
+
+    void acceptAgain()
+    {
+        m_acceptedAt.back() = m_events.now();
+        m_headDigest += " again";
+        m_acceptedAgain = true;
+    }
 
     void runFor(Duration duration) { m_events.runFor(duration); }
 
@@ -54,6 +65,18 @@
                 }));
     }
 
+    std::size_t countOtherTexts() const
+    {
+        const std::string text = configurationText(m_headDigest);
+        return static_cast<std::size_t>(
+                std::count_if(m_daemons.begin(), m_daemons.end(), [&](const Daemon &it) {
+                    return it.startedAt <= m_acceptedAt.back()
+                            && (it.text == nullptr || *it.text != text);
+                }));
+    }
+
+    bool textReturned() const { return m_textReturned; }
+
     void inject(std::size_t n, const PropagationMessage &message) { deliver(n, "0", message); }
     std::uint64_t installed(std::size_t n) const { return m_daemons[n].installed; }
 
@@ -63,6 +86,8 @@
         std::optional<ConfigurationPropagation> propagation;
         std::uint64_t incarnation = 0;
         std::uint64_t installed = 0;
+        std::shared_ptr<const std::string> text; // installed
+        std::vector<std::string> replacedTexts;  // of the installed version
         Instant startedAt {};
         Instant wakeAt = instantNever;
     };
@@ -74,11 +99,11 @@
     {
         Daemon &daemon = m_daemons[n];
         const std::uint64_t incarnation = daemon.incarnation + 1;
-        daemon = Daemon {std::nullopt, incarnation, 0, m_events.now(), instantNever};
+        daemon = Daemon {std::nullopt, incarnation, 0, nullptr, {}, m_events.now(), instantNever};
         daemon.propagation.emplace(
                 PropagationLimits {}, m_random,
                 [](const std::string &digest, const std::string &text) {
-                    return text == configurationText(std::stoull(digest));
+                    return text == configurationText(digest);
                 },
                 m_events.now());
         std::vector<std::string> peers;
@@ -132,11 +157,12 @@
         ++m_reads;
         if (withPercentProbability(m_faults.failedReadPercent))
             return;
-        runInDaemon(n, randomDelay(), [this, n, version = m_acceptedAt.size()] {
-            carryOut(n,
-                     m_daemons[n].propagation->headRowRead(version, std::to_string(version),
-                                                           m_events.now()));
-        });
+        runInDaemon(n, randomDelay(),
+                    [this, n, version = m_acceptedAt.size(), digest = m_headDigest,
+                     startedAt = m_events.now()] {
+                        carryOut(n,
+                                 m_daemons[n].propagation->headRowRead(version, digest, startedAt));
+                    });
     }
 
     void perform(std::size_t n, const FetchText &action)
@@ -146,7 +172,7 @@
         runInDaemon(n, randomDelay(), [this, n, action] {
             carryOut(n,
                      m_daemons[n].propagation->textFetched(action.version, action.digest,
-                                                           configurationText(action.version),
+                                                           configurationText(action.digest),
                                                            m_events.now()));
         });
     }
@@ -175,14 +201,26 @@
     void perform(std::size_t n, const InstallConfiguration &action)
     {
         Daemon &daemon = m_daemons[n];
-        m_decreased = m_decreased || action.version <= daemon.installed;
+        const bool replacesText = m_acceptedAgain && action.version == daemon.installed;
+        m_decreased = m_decreased || (action.version <= daemon.installed && !replacesText);
+        std::vector<std::string> &replaced = daemon.replacedTexts;
+        if (replacesText)
+            replaced.push_back(*daemon.text);
+        else
+            replaced.clear();
+        m_textReturned = m_textReturned
+                || std::find(replaced.begin(), replaced.end(), *action.text) != replaced.end();
         daemon.installed = action.version;
+        daemon.text = action.text;
     }
 
     PropagationFaults m_faults;
     SeededRandom m_random;
     std::vector<Daemon> m_daemons;
     std::vector<Instant> m_acceptedAt; // version n is at index n - 1
+    std::string m_headDigest = "0";
+    bool m_acceptedAgain = false; // acceptAgain() was called
+    bool m_textReturned = false;
     measure::EventQueue m_events;
     std::uint64_t m_reads = 0;
     std::uint64_t m_bytes = 0;
@@ -203,6 +241,11 @@
     d->accept();
 }
 
+void PropagationModel::acceptAgain()
+{
+    d->acceptAgain();
+}
+
 void PropagationModel::runFor(Duration duration)
 {
     d->runFor(duration);
@@ -228,6 +271,16 @@
     return d->countOutdatedDaemons(version);
 }
 
+std::size_t PropagationModel::countOtherTexts() const
+{
+    return d->countOtherTexts();
+}
+
+bool PropagationModel::textReturned() const
+{
+    return d->textReturned();
+}
+
 void PropagationModel::inject(std::size_t n, const PropagationMessage &message)
 {
     d->inject(n, message);
--- a/apps/measure/propagationmodel.h
+++ b/apps/measure/propagationmodel.h
@@ -33,15 +33,26 @@
 
     // An operator accepts the next configuration version. Versions start at 1.
     void accept();
+
+    // The table returns from an older copy, and an operator accepts another configuration under the
+    // newest version. There must be one.
+    void acceptAgain();
     void runFor(Duration duration);
 
     std::uint64_t reads() const;     // of the head row, which names the accepted version
     std::uint64_t bytesSent() const; // between daemons, without transport headers
-    bool versionDecreased() const;   // a daemon installed a version not newer than its own
+    // A daemon installed a version not newer than its own, other than in place of the same version
+    // after acceptAgain().
+    bool versionDecreased() const;
+    bool textReturned() const; // a daemon installed a text that it had replaced
 
     // Number of daemons that have run since the version was accepted and have not installed it.
     std::size_t countOutdatedDaemons(std::uint64_t version) const;
 
+    // Number of daemons that have run since the head row was last written and have not installed
+    // the text that it names.
+    std::size_t countOtherTexts() const;
+
     // Delivers a message to daemon n as if it came from daemon 0.
     void inject(std::size_t n, const PropagationMessage &message);
     std::uint64_t installed(std::size_t n) const;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -6,7 +6,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("cornelshed::wire");
 
-struct SpreadAnnounce { version @0 :UInt64; reply @1 :Bool; }
+struct SpreadAnnounce { version @0 :UInt64; reply @1 :Bool; digest @2 :Text; }
 
 # A configuration version, encoded as a difference from a base version (src/configpropagation.h): the
 # text consists of the first prefixBytes of the base, middle, and the last suffixBytes of the base.
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -44,7 +44,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a357019a0ba99bdf, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a357019a0ba99bdf, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -222,6 +222,9 @@
 
   inline bool getReply() const;
 
+  inline bool hasDigest() const;
+  inline  ::capnp::Text::Reader getDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -256,6 +259,13 @@
   inline bool getReply();
   inline void setReply(bool value);
 
+  inline bool hasDigest();
+  inline  ::capnp::Text::Builder getDigest();
+  inline void setDigest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1084,6 +1094,40 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SpreadAnnounce::Reader::hasDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SpreadAnnounce::Builder::hasDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SpreadAnnounce::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SpreadAnnounce::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SpreadAnnounce::Builder::setDigest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SpreadAnnounce::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SpreadAnnounce::Builder::adoptDigest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SpreadAnnounce::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SpreadUpdate::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -54,7 +54,7 @@
 }
 
 struct RequestAndGrant { request @0 :RequestId; grant @1 :GrantId; }
-struct ConfigurationNotice { version @0 :UInt64; text @1 :Text; }
+struct ConfigurationNotice { version @0 :UInt64; text @1 :Text; replacesText @2 :Bool; }
 
 struct EntryMessage {
   union {
--- a/schema/wire.capnp.h
+++ b/schema/wire.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -205,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b15561f36f08ccfc, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b15561f36f08ccfc, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1320,6 +1323,8 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline bool getReplacesText() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1358,6 +1363,9 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline bool getReplacesText();
+  inline void setReplacesText(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3427,6 +3435,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigurationNotice::Reader::getReplacesText() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigurationNotice::Builder::getReplacesText() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationNotice::Builder::setReplacesText(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cornelshed::wire::EntryMessage::Which EntryMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/agentdaemon.cpp
+++ b/src/agentdaemon.cpp
@@ -112,6 +112,7 @@
     Instant m_timerExpiry = instantNever; // time for which m_timer is set
     Instant m_shutdownDeadline = instantNever;
     std::uint64_t m_configurationVersion = 0;
+    std::string m_configurationText; // of the installed configuration
     std::atomic<bool> m_reachable {false};
     bool m_shuttingDown = false;
     DaemonExitStatus m_status = DaemonExitStatus::Success;
@@ -208,10 +209,13 @@
         carryOut(m_scheduler.handle(session, message, monotonicNow()));
 }
 
-// Only a newer version is installed, so that a delayed notice cannot restore an old configuration.
+// Only a newer version is installed, or another text of the same version that the head row names,
+// so that a delayed notice cannot restore an old configuration.
 void AgentDaemon::Private::installConfiguration(const ConfigurationNotice &notice)
 {
-    if (notice.version <= m_configurationVersion)
+    const bool isOtherText = notice.replacesText && notice.version == m_configurationVersion
+            && notice.text != m_configurationText;
+    if (notice.version <= m_configurationVersion && !isOtherText)
         return;
     Result<Configuration, TomlProblems> parsed = parseConfiguration(notice.text, "configuration");
     if (const auto *problems = std::get_if<TomlProblems>(&parsed)) {
@@ -223,6 +227,7 @@
     auto &configuration = std::get<Configuration>(parsed);
     configuration.version = notice.version;
     m_configurationVersion = notice.version;
+    m_configurationText = notice.text;
     EventLog("configuration_installed").field("version", notice.version);
     carryOut(m_scheduler.setConfiguration(configuration, monotonicNow()));
 }
--- a/src/configpropagation.cpp
+++ b/src/configpropagation.cpp
@@ -20,6 +20,13 @@
     std::shared_ptr<const std::string> text;
 };
 
+// A version and the digest of its text, as the head row names them.
+struct HeadVersion
+{
+    std::uint64_t version = 0;
+    std::string digest;
+};
+
 // The update that turns base into next. A base with version 0 gives the whole text.
 ConfigurationUpdate makeUpdate(const VersionedText &base, const VersionedText &next)
 {
@@ -65,26 +72,68 @@
 
     void setPeers(std::vector<std::string> peers) { m_peers = std::move(peers); }
 
-    PropagationActions headRowRead(std::uint64_t version, const std::string &digest)
+    PropagationActions headRowRead(std::uint64_t version, const std::string &digest,
+                                   Instant readStartedAt)
+    {
+        const bool isInOrder = readStartedAt > m_overlappingReadsUntil;
+        if (isInOrder) {
+            m_head = {version, digest};
+            m_overlappingReadsUntil = m_lastPollAt;
+        }
+        const bool isOtherText =
+                !m_texts.empty() && version == this->version() && digest != this->digest();
+        if (version > this->version() || (isInOrder && isOtherText))
+            return {FetchText {version, digest}};
+        return {};
+    }
+
+    PropagationActions textFetched(std::uint64_t version, const std::string &digest,
+                                   const std::string &text, Instant now)
     {
-        if (version <= this->version())
+        const bool isOtherTextOfHead = version == m_head.version && digest != m_head.digest;
+        if (version < this->version() || isOtherTextOfHead)
             return {};
-        return {FetchText {version, digest}};
+        if (version == this->version() && (digest == this->digest() || m_head.version != version))
+            return {};
+        return install(version, digest, text, now);
     }
 
     // Installs the version and pushes it to peers, if it is newer and its text is valid.
+    PropagationActions installFromPeer(const ConfigurationUpdate &update, const std::string &text,
+                                       Instant now)
+    {
+        if (update.version <= version())
+            return {};
+        PropagationActions actions = install(update.version, update.digest, text, now);
+        // The head row may have changed since it was read, so a fetch that is under way must not
+        // replace the peer's text.
+        if (!actions.empty() && update.version == m_head.version
+            && update.digest != m_head.digest) {
+            m_head = {};
+            pollSoon(now, m_limits.minPollInterval);
+        }
+        return actions;
+    }
+
+    // Installs the text, as a newer version or in place of the installed text of the same version,
+    // and pushes it to peers, if it is valid.
     PropagationActions install(std::uint64_t version, const std::string &digest,
                                const std::string &text, Instant now)
     {
-        if (version <= this->version() || !m_isValidText(digest, text))
+        if (!m_isValidText(digest, text))
             return {};
+        const bool replacesText = version == this->version();
+        // The earlier versions may have other texts in the table's present history, too.
+        if (replacesText)
+            m_texts.clear();
         m_texts.push_back({version, digest, std::make_shared<const std::string>(text)});
         while (m_texts.size() > m_limits.maxBaseTexts + 1)
             m_texts.pop_front();
         // A second push makes up for lost messages: at 10% loss, the slowest of 380 daemons took up
         // to 3.55 s to get a change with one push, and 2.5 s with two.
         m_secondPushAt = now + m_limits.exchangeInterval / 2;
-        PropagationActions actions {InstallConfiguration {version, m_texts.back().text}};
+        PropagationActions actions {
+                InstallConfiguration {version, m_texts.back().text, replacesText}};
         push(actions);
         return actions;
     }
@@ -103,7 +152,7 @@
     void noteAcceptedVersion(std::uint64_t version, Instant now)
     {
         if (version > this->version())
-            m_pollAt = std::min(m_pollAt, std::max(now, m_lastPollAt + m_limits.minPollInterval));
+            pollSoon(now, m_limits.minPollInterval);
     }
 
     PropagationActions tick(Instant now)
@@ -130,6 +179,24 @@
     std::uint64_t version() const { return m_texts.empty() ? 0 : m_texts.back().version; }
 
 private:
+    std::string digest() const { return m_texts.empty() ? std::string() : m_texts.back().digest; }
+
+    VersionAnnouncement announcement(bool reply) const { return {version(), reply, digest()}; }
+
+    // Polls the head row once the interval since the last poll has passed.
+    void pollSoon(Instant now, Duration interval)
+    {
+        m_pollAt = std::min(m_pollAt, std::max(now, m_lastPollAt + interval));
+    }
+
+    // A peer that does not reach the table may keep another text for long, so its messages cause
+    // fewer polls than minPollInterval allows.
+    void noteTextOfPeer(std::uint64_t version, const std::string &digest, Instant now)
+    {
+        if (version == this->version() && !digest.empty() && digest != this->digest())
+            pollSoon(now, m_limits.exchangeInterval);
+    }
+
     // Uniformly distributed in [0, limit).
     Duration randomDurationBelow(Duration limit)
     {
@@ -172,7 +239,7 @@
         if (isIsolated(now))
             m_pollAt = std::min(m_pollAt, std::max(now, m_lastPollAt + meanPollInterval(now)));
         if (!m_peers.empty())
-            actions.emplace_back(SendToPeer {randomPeer(), VersionAnnouncement {version(), false}});
+            actions.emplace_back(SendToPeer {randomPeer(), announcement(false)});
     }
 
     const std::string &randomPeer() { return m_peers[m_random.below(m_peers.size())]; }
@@ -199,17 +266,18 @@
             if (update.middle.size() <= m_limits.maxPushBytes)
                 return update;
         }
-        return VersionAnnouncement {newest.version, false};
+        return announcement(false);
     }
 
     PropagationActions handleAnnouncement(const std::string &peer,
-                                          const VersionAnnouncement &announcement, Instant now)
+                                          const VersionAnnouncement &received, Instant now)
     {
-        if (announcement.version > version())
-            return requestNewerVersion(peer, announcement.version, now);
-        if (announcement.reply)
+        if (received.version > version())
+            return requestNewerVersion(peer, received.version, now);
+        noteTextOfPeer(received.version, received.digest, now);
+        if (received.reply)
             return {};
-        return {SendToPeer {peer, VersionAnnouncement {version(), true}}};
+        return {SendToPeer {peer, announcement(true)}};
     }
 
     PropagationActions requestNewerVersion(const std::string &peer, std::uint64_t version,
@@ -263,16 +331,17 @@
     PropagationActions handleUpdate(const std::string &peer, const ConfigurationUpdate &update,
                                     Instant now)
     {
-        if (update.version <= version())
+        if (update.version <= version()) {
+            noteTextOfPeer(update.version, update.digest, now);
             return {};
+        }
         if (update.baseVersion == 0)
-            return install(update.version, update.digest, update.middle, now);
+            return installFromPeer(update, update.middle, now);
         const VersionedText *base = findText(update.baseVersion);
         if (base == nullptr)
             return requestNewerVersion(peer, update.version, now);
         const auto text = applyUpdate(*base->text, update);
-        return text.has_value() ? install(update.version, update.digest, *text, now)
-                                : PropagationActions();
+        return text.has_value() ? installFromPeer(update, *text, now) : PropagationActions();
     }
 
     PropagationLimits m_limits;
@@ -280,6 +349,9 @@
     TextValidator m_isValidText;
     std::vector<std::string> m_peers;
     std::deque<VersionedText> m_texts; // in order of version; the last one is installed
+    HeadVersion m_head;                // last read of the head row in order; version 0: unknown
+    // Reads that started by then were under way when m_head was read, and may be older or newer.
+    Instant m_overlappingReadsUntil = Instant::min();
     Instant m_pollAt;
     Instant m_lastPollAt {};
     bool m_hasPolled = false;
@@ -309,16 +381,17 @@
 }
 
 PropagationActions ConfigurationPropagation::headRowRead(std::uint64_t version,
-                                                         const std::string &digest, Instant)
+                                                         const std::string &digest,
+                                                         Instant readStartedAt)
 {
-    return d->headRowRead(version, digest);
+    return d->headRowRead(version, digest, readStartedAt);
 }
 
 PropagationActions ConfigurationPropagation::textFetched(std::uint64_t version,
                                                          const std::string &digest,
                                                          const std::string &text, Instant now)
 {
-    return d->install(version, digest, text, now);
+    return d->textFetched(version, digest, text, now);
 }
 
 PropagationActions ConfigurationPropagation::handle(const std::string &peer,
--- a/src/configpropagation.h
+++ b/src/configpropagation.h
@@ -8,6 +8,10 @@
 // Versions only increase: a message whose version is not newer than the receiver's changes nothing,
 // no matter how late or how often it arrives.
 //
+// After the table has returned from an older copy, it can give out a version again with another
+// text. Only the head row tells which text of a version is the present one. A message from a peer
+// that holds another text of the same version causes a poll of the head row, nothing else.
+//
 // ConfigurationPropagation does no I/O: the caller performs the returned actions.
 
 #ifndef CORNELSHED_CONFIGPROPAGATION_H
@@ -48,6 +52,7 @@
 {
     std::uint64_t version = 0;
     bool reply = false; // answers an announcement and gets no answer itself
+    std::string digest; // of the version's text; empty if unknown
 
     bool operator==(const VersionAnnouncement &) const = default;
 };
@@ -104,6 +109,7 @@
 {
     std::uint64_t version = 0;
     std::shared_ptr<const std::string> text;
+    bool replacesText = false; // of the same version, according to the head row
 
     bool operator==(const InstallConfiguration &) const = default;
 };
@@ -128,7 +134,11 @@
     // Sets the names of all other entry daemons.
     void setPeers(std::vector<std::string> peers);
 
-    PropagationActions headRowRead(std::uint64_t version, const std::string &digest, Instant now);
+    // readStartedAt: when the read was sent. The table is linearizable, so of two reads that do not
+    // overlap the later one is newer. A read that overlaps an earlier answered one replaces no
+    // text.
+    PropagationActions headRowRead(std::uint64_t version, const std::string &digest,
+                                   Instant readStartedAt);
     PropagationActions textFetched(std::uint64_t version, const std::string &digest,
                                    const std::string &text, Instant now);
     PropagationActions handle(const std::string &peer, const PropagationMessage &message,
--- a/src/controlloop.cpp
+++ b/src/controlloop.cpp
@@ -142,7 +142,8 @@
 
 void ControlLoop::perform(const PollHead &)
 {
-    m_client.read({configurationHeadKey}, [this](const Result<TableRows, TableError> &answer) {
+    const Instant startedAt = now();
+    const auto handleRows = [this, startedAt](const Result<TableRows, TableError> &answer) {
         const auto *rows = std::get_if<TableRows>(&answer);
         if (rows == nullptr || rows->empty())
             return;
@@ -151,8 +152,9 @@
             LOG(WARNING) << "event=configuration_head_malformed";
             return;
         }
-        carryOut(m_propagation.headRowRead(head->version, head->digest, now()));
-    });
+        carryOut(m_propagation.headRowRead(head->version, head->digest, startedAt));
+    };
+    m_client.read({configurationHeadKey}, handleRows);
 }
 
 void ControlLoop::perform(const FetchText &action)
@@ -175,7 +177,9 @@
     m_validatedConfiguration.version = action.version;
     m_configuration = std::make_shared<const Configuration>(std::move(m_validatedConfiguration));
     m_configurationText = action.text;
-    LOG(INFO) << "event=configuration_installed version=" << action.version;
+    m_configurationReplacesText = action.replacesText;
+    LOG(INFO) << "event=configuration_installed version=" << action.version
+              << " replaces_text=" << action.replacesText;
     for (const auto &it : m_parts)
         it->configurationInstalled(m_configuration, now());
     m_version.store(action.version);
@@ -199,6 +203,7 @@
     auto view = std::make_shared<ControlView>();
     view->routing = std::move(routing);
     view->configurationText = m_configurationText;
+    view->configurationReplacesText = m_configurationReplacesText;
     view->agents = m_agents;
     m_viewChanged(std::move(view));
 }
--- a/src/controlloop.h
+++ b/src/controlloop.h
@@ -99,6 +99,7 @@
     Configuration m_validatedConfiguration;
     std::shared_ptr<const Configuration> m_configuration; // in force; null if none
     std::shared_ptr<const std::string> m_configurationText;
+    bool m_configurationReplacesText = false; // of the same version
     std::vector<std::string> m_peerNames;
     std::vector<AgentAddress> m_agents;      // sorted by name
     std::vector<std::string> m_hostsLeaving; // according to the host list; sorted by name
--- a/src/controlthread.h
+++ b/src/controlthread.h
@@ -50,6 +50,8 @@
     std::shared_ptr<const RoutingView> routing;
     std::shared_ptr<const std::string> configurationText; // for ConfigurationNotice
     std::vector<AgentAddress> agents;                     // sorted by name
+    // The table gave out the version again with this text, which replaced another one here.
+    bool configurationReplacesText = false;
 };
 
 // How a valid request ended from its caller's point of view.
--- a/src/entrydispatcher.cpp
+++ b/src/entrydispatcher.cpp
@@ -122,6 +122,12 @@
         return m_view ? m_view->routing->configuration->version : 0;
     }
 
+    ConfigurationNotice configurationNotice() const
+    {
+        return {configurationVersion(), *m_view->configurationText,
+                m_view->configurationReplacesText};
+    }
+
     std::vector<asio::io_context *> m_contexts;
     std::size_t m_nextContext = 0;
     asio::strand<asio::io_context::executor_type> m_strand;
@@ -146,8 +152,12 @@
 {
     m_connectedSessions[welcome.backendServer] = session;
     m_connectedAgentCount = m_connectedSessions.size();
-    if (m_view && welcome.configurationVersion < configurationVersion())
-        session->send(ConfigurationNotice {configurationVersion(), *m_view->configurationText});
+    // An agent that was not connected when a text was replaced may hold the earlier one.
+    if (m_view
+        && (welcome.configurationVersion < configurationVersion()
+            || (m_view->configurationReplacesText
+                && welcome.configurationVersion == configurationVersion())))
+        session->send(configurationNotice());
     processEvent([&](Instant now) { return m_scheduler.connected(welcome, now); });
 }
 
@@ -161,11 +171,13 @@
 void EntryDispatcher::Private::setView(const std::shared_ptr<const ControlView> &view)
 {
     const std::uint64_t before = configurationVersion();
+    const auto textBefore = m_view ? m_view->configurationText : nullptr;
     if (m_stopped || view->routing->configuration->version < before)
         return;
     m_view = view;
     updateSessions();
-    if (configurationVersion() > before)
+    if (configurationVersion() > before
+        || (view->configurationReplacesText && view->configurationText != textBefore))
         sendConfiguration();
     processEvent([&](Instant now) { return m_scheduler.setView(view->routing, now); });
 }
@@ -206,7 +218,7 @@
 
 void EntryDispatcher::Private::sendConfiguration()
 {
-    const ConfigurationNotice notice {configurationVersion(), *m_view->configurationText};
+    const ConfigurationNotice notice = configurationNotice();
     for (const auto &[id, session] : m_connectedSessions)
         session->send(notice);
 }
--- a/src/messages.h
+++ b/src/messages.h
@@ -117,6 +117,8 @@
 {
     std::uint64_t version = 0;
     std::string text;
+    // The head row names this text, and the sender held another one with the same version.
+    bool replacesText = false;
 
     bool operator==(const ConfigurationNotice &) const = default;
 };
--- a/src/peercodec.cpp
+++ b/src/peercodec.cpp
@@ -48,6 +48,7 @@
         auto announceBuilder = builder.initAnnounce();
         announceBuilder.setVersion(announce->version);
         announceBuilder.setReply(announce->reply);
+        announceBuilder.setDigest(announce->digest);
     } else if (const auto *request = std::get_if<UpdateRequest>(&message)) {
         builder.setRequestBase(request->version);
     } else {
@@ -60,7 +61,8 @@
     switch (reader.which()) {
     case wire::SpreadMessage::ANNOUNCE:
         return VersionAnnouncement {reader.getAnnounce().getVersion(),
-                                    reader.getAnnounce().getReply()};
+                                    reader.getAnnounce().getReply(),
+                                    reader.getAnnounce().getDigest().cStr()};
     case wire::SpreadMessage::REQUEST_BASE:
         return UpdateRequest {reader.getRequestBase()};
     case wire::SpreadMessage::UPDATE:
--- a/src/wirecodec.cpp
+++ b/src/wirecodec.cpp
@@ -211,6 +211,7 @@
     auto notice = out.initConfigurationNotice();
     notice.setVersion(message.version);
     notice.setText(message.text);
+    notice.setReplacesText(message.replacesText);
 }
 
 Result<EntryMessage, WireError> read(wire::EntryMessage::Reader in)
@@ -231,7 +232,8 @@
         return EntryMessage(Cancel {read(in.getCancel())});
     case wire::EntryMessage::CONFIGURATION_NOTICE:
         return EntryMessage(ConfigurationNotice {in.getConfigurationNotice().getVersion(),
-                                                 toString(in.getConfigurationNotice().getText())});
+                                                 toString(in.getConfigurationNotice().getText()),
+                                                 in.getConfigurationNotice().getReplacesText()});
     }
     return WireError {"unknown type of entry message"};
 }
--- a/test/correctness/wirecodec.cpp
+++ b/test/correctness/wirecodec.cpp
@@ -88,7 +88,7 @@
     case 5:
         return Cancel {anyRequest()};
     default:
-        return ConfigurationNotice {any<std::uint64_t>(), anyText()};
+        return ConfigurationNotice {any<std::uint64_t>(), anyText(), any<bool>()};
     }
 }
 
--- a/test/support/entryrunner.h
+++ b/test/support/entryrunner.h
@@ -121,13 +121,16 @@
             throw std::runtime_error(*problem);
     }
 
-    void configure(const Configuration &configuration, std::vector<AgentAddress> agents)
+    // text: what agents are sent. replacesText: another one was in force with the same version.
+    void configure(const Configuration &configuration, std::vector<AgentAddress> agents,
+                   const std::string &text = {}, bool replacesText = false)
     {
         auto routing = std::make_shared<RoutingView>();
         routing->configuration = std::make_shared<const Configuration>(configuration);
         auto view = std::make_shared<ControlView>();
         view->routing = std::move(routing);
-        view->configurationText = std::make_shared<const std::string>();
+        view->configurationText = std::make_shared<const std::string>(text);
+        view->configurationReplacesText = replacesText;
         view->agents = std::move(agents);
         m_service.setView(std::move(view));
     }
