--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -14,8 +14,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/in.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -43,8 +44,10 @@
 // A pooled connection expires this long before the server's own timeout, so that a request does not
 // race with the server's close.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds(500);
-// Interval at which the acknowledgements of sent data are checked.
-constexpr Duration acknowledgementCheckInterval = std::chrono::milliseconds(200);
+// Interval at which a connection is checked for a closed receive window while data is being sent.
+constexpr Duration windowCheckInterval = std::chrono::milliseconds(200);
+// A probe of the window may be on its way; more of them have not been answered.
+constexpr std::uint32_t answeredProbes = 1;
 
 // Returns whether an idle connection can be reused. Data to read means that the server has closed
 // it or sent something unexpected.
@@ -55,23 +58,25 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-// Whether sent data awaits an acknowledgement, and the time since the last one of any kind. A
-// closed receive window counts only if the probes of it aren't answered either: the server's
-// process may read nothing for a while, but its host acknowledges what arrives.
-struct AcknowledgementState
+// What the kernel knows of the data that was sent on a connection.
+struct SendState
 {
-    bool outstanding = false;
-    Duration sinceLast {};
+    bool delivered = false; // all of it has been acknowledged
+    // The server's process reads nothing for now, but its host acknowledges what arrives and
+    // answers probes of the closed receive window.
+    bool windowClosed = false;
 };
 
-AcknowledgementState acknowledgementState(asio::ip::tcp::socket &socket)
+SendState sendState(asio::ip::tcp::socket &socket)
 {
     tcp_info info {};
     socklen_t size = sizeof info;
     if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
         return {};
-    return {info.tcpi_unacked > 0 || info.tcpi_probes > 0,
-            std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+    int queuedBytes = 0;
+    ::ioctl(socket.native_handle(), SIOCOUTQ, &queuedBytes);
+    const bool acknowledged = info.tcpi_unacked == 0 && info.tcpi_probes <= answeredProbes;
+    return {acknowledged && queuedBytes == 0, acknowledged && queuedBytes > 0};
 }
 
 Headers copyHeaders(const http::fields &fields)
@@ -219,7 +224,7 @@
              std::shared_ptr<BackendResponseHandler> responseHandler)
         : m_pool(std::move(pool)), m_responseHandler(std::move(responseHandler)),
           m_socket(m_pool->context()), m_timer(m_pool->context()),
-          m_connectTimer(m_pool->context()), m_acknowledgementTimer(m_pool->context())
+          m_connectTimer(m_pool->context()), m_windowTimer(m_pool->context())
     {
         buildRequest(std::move(request));
         resetParser();
@@ -270,27 +275,35 @@
     {
         boost::system::error_code ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (m_pool->settings().tcpUserTimeout > Duration::zero())
+            setUserTimeout(m_pool->settings().tcpUserTimeout);
     }
 
-    // Not left to TCP_USER_TIMEOUT, which also ends connections whose receive window stays closed,
-    // although the server's host answers the probes of it.
-    void checkAcknowledgements()
+    void setUserTimeout(Duration limit)
     {
-        const Duration limit = m_pool->settings().unacknowledgedLimit;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+        using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        boost::system::error_code ignored;
+        m_socket.set_option(UserTimeout(static_cast<int>(ms)), ignored);
+    }
+
+    // TCP_USER_TIMEOUT also ends connections whose receive window stays closed, although the
+    // server's host answers the probes of it, so it is lifted for that time.
+    void watchWindow()
+    {
+        const Duration limit = m_pool->settings().tcpUserTimeout;
         if (limit <= Duration::zero())
             return;
-        m_acknowledgementTimer.expires_after(acknowledgementCheckInterval);
-        m_acknowledgementTimer.async_wait([self = shared_from_this(), limit](auto ec) {
+        m_windowTimer.expires_after(windowCheckInterval);
+        m_windowTimer.async_wait([self = shared_from_this(), limit](auto ec) {
             if (ec || self->m_ended)
                 return;
-            const Instant now = monotonicNow();
-            const AcknowledgementState state = acknowledgementState(self->m_socket);
-            if (!state.outstanding || state.sinceLast < now - self->m_acknowledgedAt)
-                self->m_acknowledgedAt = now;
-            if (now - self->m_acknowledgedAt >= limit)
-                self->fail(BackendError::Cut);
-            else
-                self->checkAcknowledgements();
+            const SendState state = sendState(self->m_socket);
+            if (state.windowClosed != self->m_windowClosed)
+                self->setUserTimeout(state.windowClosed ? Duration::zero() : limit);
+            self->m_windowClosed = state.windowClosed;
+            if (!self->m_writeCompleted || !state.delivered)
+                self->watchWindow();
         });
     }
 
@@ -325,8 +338,7 @@
     void writeRequest()
     {
         m_writeStarted = true;
-        m_acknowledgedAt = monotonicNow();
-        checkAcknowledgements();
+        watchWindow();
         http::async_write(m_socket, m_request, [self = shared_from_this()](auto ec, std::size_t) {
             self->m_writeCompleted = !ec;
             // Errors are left to the read: a server may respond and close before it has read the
@@ -461,7 +473,7 @@
     {
         m_ended = true;
         m_timer.cancel();
-        m_acknowledgementTimer.cancel();
+        m_windowTimer.cancel();
         const bool reusable = m_reuseAllowed && !m_otherResponseSeen && m_writeCompleted
                 && m_parser->keep_alive() && m_buffer.size() == 0;
         if (reusable) {
@@ -479,7 +491,7 @@
             return;
         m_ended = true;
         m_timer.cancel();
-        m_acknowledgementTimer.cancel();
+        m_windowTimer.cancel();
         m_connectTimer.cancel();
         boost::system::error_code ec;
         m_socket.close(ec);
@@ -495,10 +507,8 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     asio::steady_timer m_connectTimer;
-    asio::steady_timer m_acknowledgementTimer;
-    // When the request was begun to be written, or the last check found nothing unacknowledged or
-    // new acknowledgements.
-    Instant m_acknowledgedAt {};
+    asio::steady_timer m_windowTimer;
+    bool m_windowClosed = false; // see watchWindow()
     http::request<http::string_body> m_request;
     std::string m_echoHeaderName;
     std::string m_echoHeaderValue;
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -46,9 +46,9 @@
     // Maximum time that a connection stays idle in the pool; the server's Keep-Alive timeout
     // applies if it is shorter.
     Duration idleTimeout = std::chrono::seconds(10);
-    // Ends an exchange whose server's host has acknowledged nothing for this long although sent
-    // data awaits it. 0: never.
-    Duration unacknowledgedLimit {};
+    // TCP_USER_TIMEOUT: closes a connection whose sent data stays unacknowledged this long. 0: the
+    // system default.
+    Duration tcpUserTimeout {};
     // Accepts a body that is delimited only by the close of the connection.
     bool acceptsCloseDelimitedBody = false;
     // A response with a longer body is malformed.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -798,7 +798,7 @@
             BackendClientSettings clientSettings;
             clientSettings.connectTimeout = backendConnectLimit;
             clientSettings.idleTimeout = backendIdleLimit;
-            clientSettings.unacknowledgedLimit = backendUnacknowledgedLimit;
+            clientSettings.tcpUserTimeout = backendUnacknowledgedLimit;
             clientSettings.acceptsCloseDelimitedBody = true;
             entry = {
                     std::make_unique<BackendClient>(ioContext, it.address, it.port, clientSettings),
