Test what other callers get while a backend server sends bytes without end

Twelve kinds of bytes: small chunks with extensions, informational responses with large heads, absurd lengths, bodies for 204 and 304, empty lines, comments and small events.

--- a/test/error/gateway.cpp
+++ b/test/error/gateway.cpp
@@ -13,9 +13,13 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -29,6 +33,16 @@
 // Larger than the socket buffers, smaller than what the gateway buffers for a slow caller.
 constexpr std::size_t largeBodyBytes = 3800000;
 
+// Resident memory of this process.
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 } // namespace
 
 TEST_CASE("a backend server receives the caller's request without forged internal headers")
@@ -591,6 +605,88 @@
     CHECK(complete < 26);
 }
 
+// Guards against a backend server whose bytes keep the gateway from serving other callers, or stay
+// in its memory, although each of its messages may be valid.
+TEST_CASE("other callers are answered while a backend server sends bytes without end")
+{
+    struct EndlessBytes
+    {
+        std::string description;
+        std::string target;
+        std::string start;
+        std::string repeated;
+        int status; // 504 and 0: at the caller's time limit
+    };
+    const std::string authentic = "X-Request-Id: bad\r\nX-Response-Seal: s\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + authentic;
+    const std::string chunkedHead = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(4000, 'x');
+    std::string smallChunks;
+    std::string smallEvents;
+    std::string comments;
+    for (int i = 0; i < 50; ++i) {
+        smallChunks += "1;" + std::string(60, 'x') + "\r\nx\r\n";
+        smallEvents += chunk("data: x\n\n");
+        comments += chunk(": x\n\n");
+    }
+    const std::vector<EndlessBytes> cases {
+            {"small chunks with extensions", "/order/bad", chunkedHead, smallChunks, 504},
+            {"one byte and a long extension", "/order/bad", chunkedHead,
+             "1;" + std::string(60000, 'x') + "\r\nx\r\n", 504},
+            {"informational responses with large heads", "/order/bad", "",
+             "HTTP/1.1 103 x\r\nX-Filler: " + filler + "\r\n\r\n", 502},
+            {"an absurd length", "/order/bad", ok + "Content-Length: 9999999999999999999\r\n\r\n",
+             filler, 502},
+            {"a length above all integers", "/order/bad",
+             ok + "Content-Length: 99999999999999999999999\r\n\r\n", filler, 502},
+            {"a length just below the client's limit", "/order/bad",
+             ok + "Content-Length: 268000000\r\n\r\n", filler, 502},
+            {"a body for 204", "/order/bad", "HTTP/1.1 204 x\r\n" + authentic + "\r\n", filler,
+             204},
+            {"a body for 304", "/order/bad", "HTTP/1.1 304 x\r\n" + authentic + "\r\n", filler,
+             304},
+            {"empty lines", "/order/bad", "", "\r\n\r\n\r\n\r\n", 502},
+            {"comments without blank lines", "/query/bad", streamResponseHead("bad"),
+             chunk(": " + filler + "\n"), 502},
+            {"comments", "/query/bad", streamResponseHead("bad"), comments, 0},
+            {"small events", "/query/bad", streamResponseHead("bad"), smallEvents, 0}};
+    for (const EndlessBytes &it : cases) {
+        CAPTURE(it.description);
+        Fixture fixture([&](const StubRequest &request, StubReply &reply) {
+            if (requestIdOf(request) != "bad") {
+                sendCompleteResponse(request, reply);
+                return;
+            }
+            reply.send(it.start);
+            reply.sendUntilClosed(it.repeated, 10us);
+        });
+        const double residentBefore = residentBytes();
+        const auto start = std::chrono::steady_clock::now();
+        std::vector<std::unique_ptr<Caller>> callers; // none of them reads
+        for (int i = 0; i < 3; ++i) {
+            callers.push_back(std::make_unique<Caller>(fixture.runner.port()));
+            callers.back()->send(requestText("POST", it.target, "bad"));
+        }
+        int answered = 0;
+        int sent = 0;
+        std::chrono::steady_clock::duration longest {};
+        while (std::chrono::steady_clock::now() < start + 1s) {
+            const auto sentAt = std::chrono::steady_clock::now();
+            ++sent;
+            const auto answer = fixture.sendAndReceive(
+                    requestText("GET", "/look/b", "other-" + std::to_string(sent)));
+            answered += answer.status == 200 ? 1 : 0;
+            longest = std::max(longest, std::chrono::steady_clock::now() - sentAt);
+        }
+        const double grown = residentBytes() - residentBefore;
+        CHECK(answered == sent);
+        CHECK(longest < 500ms);
+        CHECK(grown < 64e6);
+        for (const auto &caller : callers)
+            CHECK(caller->receive().status == it.status);
+    }
+}
+
 TEST_CASE("a stalled stream that sends a byte now and then is resumed elsewhere, a slow one is not")
 {
     Fixture fixture([](const StubRequest &request, StubReply &reply) {
