Limit the answers that entry daemons and agents hold

What callers saw: a backend server that sent an answer without end grew the entry daemon and the agent by hundreds of MiB. When 64 MiB waited for one entry daemon, the agent closed its session with all requests on it, so callers whose requests had nothing to do with the answer got a 502.

Cause: the entry daemon kept up to 64 MiB of each answer, without a limit for all, and the chunks on their way to the caller's thread without any; a longer answer was dropped only at its end, and nobody was told to stop. The agent forwarded up to 256 MiB of it, kept a stream's event without end, and discarded a cancelled answer for as long as it came. It also put long events into one frame, which an entry daemon with a lower limit of frames answers by closing the session.

Now AnswerBudget limits each answer and all answers that a daemon holds, with the settings answer_limit_bytes and buffered_answers_limit_bytes. An answer beyond them ends at once: the entry daemon cancels the run and answers 502 or cuts the stream; the agent closes the connection to the backend server, also when a cancelled answer goes on for another MiB. The limit of a session's write queue is above the one of all answers, so that a long queue ends single runs. A quarter of the budget is kept for short answers. Events are split into chunks of 64 KiB at most. Buffers of large answers are freed once they are written. The default limit of one answer falls from 64 to 16 MiB.

--- a/src/agentdaemon.cpp
+++ b/src/agentdaemon.cpp
@@ -7,6 +7,7 @@
 #include "agentrun.h"
 #include "agentscheduler.h"
 #include "agentserver.h"
+#include "answerbudget.h"
 #include "backendclient.h"
 #include "configurationfile.h"
 #include "daemonsignals.h"
@@ -23,6 +24,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <unordered_map>
 #include <utility>
 
@@ -40,6 +42,9 @@
 // must not delay the exit.
 constexpr std::chrono::milliseconds sessionCloseTimeout {500};
 constexpr std::chrono::milliseconds shutdownPollInterval {5};
+// Room in the write queue of a session for the messages that are not parts of answers, and for the
+// frames around those that are.
+constexpr std::size_t controlMessagesMarginBytes = std::size_t {64} << 20U;
 
 struct RunningRequest
 {
@@ -78,6 +83,9 @@
     void pollSessionClose();
 
     void sendToEntry(SessionId session, const AgentMessage &message) override;
+    void sendToEntry(SessionId session, const AgentMessage &message,
+                     std::shared_ptr<AnswerShare> share, std::size_t size) override;
+    void abandonResponse(RequestId request) override;
     void runFirstToken(RequestId request) override;
     void runTokens(RequestId request, std::uint64_t count) override;
     void runFinished(RequestId request, const Usage &usage) override;
@@ -89,6 +97,7 @@
     void carryOut(const SendToEntry &action);
     void carryOut(const StartOnServer &action);
     void carryOut(const CancelOnServer &action);
+    void cancelOnEngine(const AgentRun &run, std::function<void(std::uint32_t status)> done);
     BackendRequest backendRequest(const Dispatch &dispatch) const;
     void setReachable(bool reachable);
     void armTimer();
@@ -96,6 +105,7 @@
     AgentServerCallbacks serverCallbacks();
 
     AgentSettings m_settings;
+    std::shared_ptr<AnswerBudget> m_answerBudget;
     asio::io_context m_context {1}; // declared before the members that use it
     Metrics m_metrics;
     Welcome m_identity;
@@ -124,12 +134,16 @@
 };
 
 AgentDaemon::Private::Private(const AgentSettings &settings)
-    : m_settings(settings), m_identity(makeIdentity(settings)),
-      m_scheduler(makeLimits(settings), m_identity, {}),
+    : m_settings(settings),
+      m_answerBudget(std::make_shared<AnswerBudget>(
+              AnswerLimits {settings.answerLimitBytes, settings.bufferedAnswersLimitBytes})),
+      m_identity(makeIdentity(settings)), m_scheduler(makeLimits(settings), m_identity, {}),
       m_client(m_context, settings.serverAddress, settings.serverPort),
       m_probe(m_context, {settings.serverKind, settings.serverAddress, settings.serverPort},
               m_client, [this](bool reachable) { setReachable(reachable); }),
-      m_server(m_context, {settings.frameLimitBytes, settings.sessionLimitCount},
+      m_server(m_context,
+               {settings.frameLimitBytes, settings.sessionLimitCount,
+                settings.bufferedAnswersLimitBytes + controlMessagesMarginBytes},
                serverCallbacks()),
       m_admin(m_context,
               {[this] { return m_metrics.text(); },
@@ -175,6 +189,9 @@
                     [this] { return static_cast<double>(m_scheduler.load().waiting); });
     m_metrics.gauge("cornelshed_agent_concurrency_limit", "Requests the server bears.",
                     [this] { return static_cast<double>(m_scheduler.load().concurrencyLimit); });
+    m_metrics.gauge("cornelshed_agent_buffered_answer_bytes",
+                    "Bytes of answers that are not sent to entry daemons yet.",
+                    [this] { return static_cast<double>(m_answerBudget->heldBytes()); });
     m_metrics.gauge("cornelshed_agent_sessions", "Sessions of entry daemons.",
                     [this] { return static_cast<double>(m_server.sessionCount()); });
     m_metrics.gauge("cornelshed_agent_configuration_version", "Configuration in force.",
@@ -250,7 +267,7 @@
 {
     const RequestId request = action.dispatch.request;
     m_started.add();
-    auto run = std::make_shared<AgentRun>(action.session, action.dispatch, *this);
+    auto run = std::make_shared<AgentRun>(action.session, action.dispatch, *this, m_answerBudget);
     auto exchange = m_client.start(backendRequest(action.dispatch), run);
     m_runningRequests[request] = {std::move(run), std::move(exchange)};
 }
@@ -281,9 +298,15 @@
     it->second.run->cancel();
     if (m_settings.serverKind == PoolKind::Service)
         return;
-    const std::string json = "{\"request_id\":\"" + it->second.run->serverRequestId() + "\"}";
-    m_client.post("/control/cancel", json,
-                  [exchange = it->second.exchange](std::uint32_t) { exchange->abandon(); });
+    cancelOnEngine(*it->second.run,
+                   [exchange = it->second.exchange](std::uint32_t) { exchange->abandon(); });
+}
+
+void AgentDaemon::Private::cancelOnEngine(const AgentRun &run,
+                                          std::function<void(std::uint32_t status)> done)
+{
+    const std::string json = "{\"request_id\":\"" + run.serverRequestId() + "\"}";
+    m_client.post("/control/cancel", json, std::move(done));
 }
 
 void AgentDaemon::Private::sendToEntry(SessionId session, const AgentMessage &message)
@@ -291,6 +314,23 @@
     m_server.send(session, message);
 }
 
+void AgentDaemon::Private::sendToEntry(SessionId session, const AgentMessage &message,
+                                       std::shared_ptr<AnswerShare> share, std::size_t size)
+{
+    m_server.send(session, message, std::move(share), size);
+}
+
+// An engine is told as well: it may not notice the close before it has generated all tokens.
+void AgentDaemon::Private::abandonResponse(RequestId request)
+{
+    const auto it = m_runningRequests.find(request);
+    if (it == m_runningRequests.end())
+        return;
+    it->second.exchange->abandon();
+    if (m_settings.serverKind == PoolKind::Engine)
+        cancelOnEngine(*it->second.run, [](std::uint32_t) {});
+}
+
 void AgentDaemon::Private::runFirstToken(RequestId request)
 {
     carryOut(m_scheduler.firstToken(request, monotonicNow()));
--- a/src/agentrun.cpp
+++ b/src/agentrun.cpp
@@ -4,6 +4,7 @@
 
 #include "agentrun.h"
 
+#include "eventlog.h"
 #include "httpheaders.h"
 #include "monotonicclock.h"
 
@@ -17,11 +18,19 @@
 // responses.
 constexpr std::size_t usageBufferLimitBytes = std::size_t {4} << 20U;
 constexpr std::uint32_t firstServerErrorStatus = 500;
+// Of a response that is not forwarded, this much is read, so that the server can end it in an
+// orderly way. The connection is closed if it goes on.
+constexpr std::size_t discardLimitBytes = std::size_t {1} << 20U;
+// A frame with one chunk stays within the frame limit of every entry daemon.
+constexpr std::size_t chunkLimitBytes = std::size_t {64} << 10U;
 
 } // namespace
 
-AgentRun::AgentRun(SessionId session, const Dispatch &dispatch, AgentRunOwner &owner)
-    : m_session(session), m_request(dispatch.request), m_owner(owner), m_startedAt(monotonicNow())
+AgentRun::AgentRun(SessionId session, const Dispatch &dispatch, AgentRunOwner &owner,
+                   const std::shared_ptr<AnswerBudget> &budget)
+    : m_session(session), m_request(dispatch.request), m_owner(owner), m_startedAt(monotonicNow()),
+      m_answerLimitBytes(budget->limits().answerBytes),
+      m_share(std::make_shared<AnswerShare>(budget)), m_bodyShare(budget)
 {
     if (const std::string *id = findHeader(dispatch.headers, requestIdHeader))
         m_serverRequestId = *id;
@@ -38,30 +47,95 @@
 
 void AgentRun::body(std::string data)
 {
-    if (m_cancelled || m_status >= firstServerErrorStatus)
+    if (m_isCut)
         return;
-    if (m_isStream)
+    if (m_cancelled || m_status >= firstServerErrorStatus)
+        discard(data.size());
+    else if (m_isStream)
         forwardEvents(data);
     else
-        forwardBody(std::move(data));
+        forwardBody(data);
+}
+
+void AgentRun::discard(std::size_t bytes)
+{
+    m_discardedBytes += bytes;
+    if (m_discardedBytes <= discardLimitBytes)
+        return;
+    m_isCut = true;
+    m_owner.abandonResponse(m_request);
+}
+
+// Ends the run: what it has sent so far cannot become a complete response.
+void AgentRun::cut(std::string_view reason)
+{
+    if (std::exchange(m_isCut, true))
+        return;
+    EventLog("answer_over_limit", EventLevel::Warning)
+            .field("request", m_serverRequestId)
+            .field("limit", reason);
+    m_owner.abandonResponse(m_request);
 }
 
 void AgentRun::forwardEvents(const std::string &data)
 {
-    std::string completeEvents = m_eventParser.append(data);
-    if (completeEvents.empty())
+    const std::string completeEvents = m_eventParser.append(data);
+    if (m_eventParser.malformed()) {
+        cut("event");
+        return;
+    }
+    if (!holdPartialEvent() || completeEvents.empty())
         return;
     reportFirstToken();
-    sendChunk(std::move(completeEvents));
+    sendChunks(completeEvents);
     if (m_eventParser.newTokenCount() > 0)
         m_owner.runTokens(m_request, m_eventParser.newTokenCount());
 }
 
-void AgentRun::forwardBody(std::string data)
+// Returns false if the run has ended.
+bool AgentRun::holdPartialEvent()
+{
+    const std::size_t bytes = m_eventParser.bufferedBytes();
+    m_share->release(std::exchange(m_partialEventBytes, 0));
+    if (!take(bytes))
+        return false;
+    m_partialEventBytes = bytes;
+    return true;
+}
+
+// Returns false if the bytes exceed a limit; the run has then ended.
+bool AgentRun::take(std::size_t bytes)
 {
-    if (m_responseBody.size() + data.size() <= usageBufferLimitBytes)
+    const AnswerRoom room = m_share->tryTake(bytes);
+    if (room == AnswerRoom::Taken)
+        return true;
+    cut(room == AnswerRoom::AnswerTooLarge ? "answer_limit_bytes" : "buffered_answers_limit_bytes");
+    return false;
+}
+
+void AgentRun::forwardBody(const std::string &data)
+{
+    m_bodyBytes += data.size();
+    if (m_bodyBytes > m_answerLimitBytes) {
+        cut("answer_limit_bytes");
+        return;
+    }
+    keepForUsage(data);
+    sendChunks(data);
+}
+
+void AgentRun::keepForUsage(const std::string &data)
+{
+    if (!m_keepsBody)
+        return;
+    if (m_bodyBytes <= usageBufferLimitBytes
+        && m_bodyShare.tryTake(data.size()) == AnswerRoom::Taken) {
         m_responseBody += data;
-    sendChunk(std::move(data));
+        return;
+    }
+    m_keepsBody = false;
+    m_bodyShare.release(m_responseBody.size());
+    m_responseBody = std::string();
 }
 
 void AgentRun::reportFirstToken()
@@ -72,9 +146,27 @@
     m_owner.runFirstToken(m_request);
 }
 
-void AgentRun::sendChunk(std::string data)
+void AgentRun::sendChunks(std::string_view data)
+{
+    while (data.size() > chunkLimitBytes) {
+        // An entry daemon takes a chunk that begins with the end line for the end event.
+        const std::size_t size = data.substr(chunkLimitBytes).starts_with(streamEndLine)
+                ? chunkLimitBytes - 1
+                : chunkLimitBytes;
+        if (!sendChunk(data.substr(0, size)))
+            return;
+        data.remove_prefix(size);
+    }
+    sendChunk(data);
+}
+
+// Returns false if the run has ended.
+bool AgentRun::sendChunk(std::string_view data)
 {
-    m_owner.sendToEntry(m_session, Chunk {m_request, std::move(data)});
+    if (!take(data.size()))
+        return false;
+    m_owner.sendToEntry(m_session, Chunk {m_request, std::string(data)}, m_share, data.size());
+    return true;
 }
 
 Usage AgentRun::usage() const
@@ -97,9 +189,11 @@
     } else if (m_isStream && (!m_eventParser.ended() || m_eventParser.malformed())) {
         m_owner.runFailed(m_request, FailReason::StreamCut, false);
     } else {
-        if (m_isStream)
-            sendChunk(m_eventParser.endEvent());
-        m_owner.runFinished(m_request, usage());
+        // Sent in one chunk, by which the entry daemon recognizes it.
+        if (m_isStream && !sendChunk(m_eventParser.endEvent()))
+            m_owner.runFailed(m_request, FailReason::StreamCut, false);
+        else
+            m_owner.runFinished(m_request, usage());
     }
 }
 
@@ -110,7 +204,7 @@
         m_owner.runFailed(m_request, FailReason::Cancelled, notRun);
     else if (notRun)
         m_owner.runFailed(m_request, FailReason::EngineUnreachable, true);
-    else if (error == BackendError::Cut)
+    else if (m_status < firstServerErrorStatus && (error == BackendError::Cut || m_isCut))
         m_owner.runFailed(m_request, FailReason::StreamCut, false);
     else
         m_owner.runFailed(m_request, FailReason::EngineError, false);
--- a/src/agentserver.cpp
+++ b/src/agentserver.cpp
@@ -51,6 +51,7 @@
         const SessionId id = ++m_lastSession;
         FramedConnectionLimits limits;
         limits.frameLimitBytes = m_limits.frameLimitBytes;
+        limits.writeQueueLimitBytes = m_limits.writeQueueLimitBytes;
         Session &session = m_sessions[id];
         session.connection = std::make_shared<FramedConnection>(std::move(socket), limits);
         session.helloTimer = std::make_shared<asio::steady_timer>(m_context, helloTimeout);
@@ -143,11 +144,14 @@
     return d->m_listener->port();
 }
 
-void AgentServer::send(SessionId session, const AgentMessage &message)
+void AgentServer::send(SessionId session, const AgentMessage &message,
+                       std::shared_ptr<AnswerShare> share, std::size_t size)
 {
     const auto it = d->m_sessions.find(session);
     if (it != d->m_sessions.end())
-        it->second.connection->send(encodeFrame(message));
+        it->second.connection->send(encodeFrame(message), std::move(share), size);
+    else if (share)
+        share->release(size);
 }
 
 void AgentServer::sendToAll(const AgentMessage &message)
--- a/src/agentserver.h
+++ b/src/agentserver.h
@@ -5,6 +5,7 @@
 #define CORNELSHED_AGENTSERVER_H
 
 #include "agentscheduler.h"
+#include "answerbudget.h"
 #include "messages.h"
 
 #include <cstddef>
@@ -24,6 +25,9 @@
 {
     std::size_t frameLimitBytes = 0;
     std::size_t sessionLimitCount = 0;
+    // For the messages that wait to be written to one entry daemon. Must exceed the limit of all
+    // answers: an answer that waits too long ends alone, and not with its session.
+    std::size_t writeQueueLimitBytes = 0;
 
     bool operator==(const AgentServerLimits &) const = default;
 };
@@ -54,7 +58,9 @@
     std::uint16_t port() const;
 
     // Does nothing if the session has been closed.
-    void send(SessionId session, const AgentMessage &message);
+    // share: as in FramedConnection::send().
+    void send(SessionId session, const AgentMessage &message,
+              std::shared_ptr<AnswerShare> share = nullptr, std::size_t size = 0);
     void sendToAll(const AgentMessage &message);
 
     std::size_t sessionCount() const;
--- a/src/agentsession.cpp
+++ b/src/agentsession.cpp
@@ -209,6 +209,10 @@
     {
         if (const auto *notice = std::get_if<ConfigurationNotice>(&message))
             m_configurationVersion = std::max(m_configurationVersion, notice->version);
+        // The rest of a cancelled response is dropped here, before it takes memory on the way to
+        // the caller's connection.
+        if (const auto *cancel = std::get_if<Cancel>(&message))
+            m_running.erase(cancel->request);
         if (m_connection && m_welcome)
             m_connection->send(encodeFrame(message));
     }
--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -40,6 +40,12 @@
             readCount(section, "frame_limit_bytes", 4096, 1 << 30, settings.frameLimitBytes);
     settings.sessionLimitCount =
             readCount(section, "session_limit_count", 1, 65536, settings.sessionLimitCount);
+    settings.answerLimitBytes =
+            readCount(section, "answer_limit_bytes", 1024, 1 << 30, settings.answerLimitBytes);
+    settings.bufferedAnswersLimitBytes = readCount(section, "buffered_answers_limit_bytes", 1024,
+                                                   1 << 30, settings.bufferedAnswersLimitBytes);
+    if (settings.bufferedAnswersLimitBytes < settings.answerLimitBytes)
+        section.reject("buffered_answers_limit_bytes", "at least answer_limit_bytes");
     settings.shutdownTimeoutMs =
             readCount(section, "shutdown_timeout_ms", 0, 3600000, settings.shutdownTimeoutMs);
     settings.maximumConcurrencyCount = readCount(section, "maximum_concurrency_count", 1, 65536,
--- /dev/null
+++ b/src/answerbudget.h
@@ -0,0 +1,77 @@
+// Limits of the bytes of answers that a daemon holds until they are sent on: one limit for each
+// answer and one for all. Thread-safe.
+
+#ifndef CORNELSHED_ANSWERBUDGET_H
+#define CORNELSHED_ANSWERBUDGET_H
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace cornelshed {
+
+struct AnswerLimits
+{
+    std::size_t answerBytes = 0;     // for each answer
+    std::size_t allAnswersBytes = 0; // for all answers together
+
+    bool operator==(const AnswerLimits &) const = default;
+};
+
+enum class AnswerRoom {
+    Taken,
+    AnswerTooLarge, // beyond the limit for each answer
+    BudgetExhausted // beyond the limit for all answers
+};
+
+class AnswerBudget
+{
+public:
+    // An answer that holds no more than this may use the whole budget, others only three quarters
+    // of it: large answers, of which few fill the budget, leave room for the short ones.
+    static constexpr std::size_t shortAnswerBytes = std::size_t {64} << 10U;
+
+    explicit AnswerBudget(const AnswerLimits &limits) : m_limits(limits) { }
+    AnswerBudget(const AnswerBudget &) = delete;
+    AnswerBudget &operator=(const AnswerBudget &) = delete;
+
+    const AnswerLimits &limits() const { return m_limits; }
+    std::size_t heldBytes() const { return m_held; }
+
+private:
+    friend class AnswerShare;
+
+    // answerBytes: held by the answer, including bytes.
+    AnswerRoom tryTake(std::size_t answerBytes, std::size_t bytes);
+    void release(std::size_t bytes) { m_held -= bytes; }
+
+    const AnswerLimits m_limits;
+    std::atomic<std::size_t> m_held {0};
+};
+
+// Bytes of the budget that one answer holds. The destructor releases them.
+class AnswerShare
+{
+public:
+    explicit AnswerShare(std::shared_ptr<AnswerBudget> budget) : m_budget(std::move(budget)) { }
+    ~AnswerShare() { m_budget->release(m_held); }
+    AnswerShare(const AnswerShare &) = delete;
+    AnswerShare &operator=(const AnswerShare &) = delete;
+
+    // Takes the bytes, or none if a limit does not permit them.
+    AnswerRoom tryTake(std::size_t bytes);
+
+    // The bytes must have been taken.
+    void release(std::size_t bytes);
+
+    std::size_t heldBytes() const { return m_held; }
+
+private:
+    std::shared_ptr<AnswerBudget> m_budget;
+    std::atomic<std::size_t> m_held {0};
+};
+
+} // namespace cornelshed
+
+#endif // CORNELSHED_ANSWERBUDGET_H
--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -37,8 +37,6 @@
 constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
 // A time limit that passes while received data is still unread is checked again after this time.
 constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
-constexpr std::size_t bufferedAnswerLimitBytes = std::size_t {64} << 20U;
-constexpr std::size_t streamWriteBacklogLimitBytes = std::size_t {16} << 20U;
 
 Headers copyHeaders(const http::fields &fields)
 {
@@ -83,7 +81,8 @@
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
                                    std::shared_ptr<CallerContext> context)
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-      m_callerContext(std::move(context)), m_writer(m_socket, *this)
+      m_callerContext(std::move(context)), m_writer(m_socket, *this),
+      m_share(m_callerContext->answerBudget)
 {
     boost::system::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
@@ -149,10 +148,9 @@
     m_phase = Phase::Idle;
     m_request = nullptr;
     m_submitted = false;
-    m_hasResponseHead = m_isStream = m_isBodyTooLarge = false;
+    m_hasResponseHead = m_isStream = m_isOverLimit = false;
     m_headers.clear();
-    m_body.clear();
-    m_streamEndEvent.clear();
+    dropBody();
     m_parser.emplace();
     m_parser->header_limit(m_callerContext->settings.headerLimitBytes);
     m_parser->body_limit(m_callerContext->settings.bodyLimitBytes);
@@ -367,6 +365,7 @@
         return;
     if (m_submitted)
         m_callerContext->dispatcher.callerDisconnected(m_request->arrival.request);
+    dropBody();
     boost::system::error_code ec;
     m_socket.close(ec);
 }
@@ -386,9 +385,19 @@
 
 void CallerConnection::chunk(RequestId request, std::string data)
 {
-    dispatch([request, data = std::move(data)](CallerConnection &self) mutable {
+    const AnswerRoom room = m_share.tryTake(data.size());
+    if (room != AnswerRoom::Taken) {
+        dispatch([request, room](CallerConnection &self) {
+            if (self.isCurrent(request))
+                self.handleOverLimit(room);
+        });
+        return;
+    }
+    dispatch([request, data = std::move(data)](CallerConnection &self) {
         if (self.isCurrent(request))
-            self.handleChunk(std::move(data));
+            self.handleChunk(data);
+        else
+            self.m_share.release(data.size());
     });
 }
 
@@ -416,26 +425,55 @@
     m_writer.beginStream(makeHead(m_status, std::move(answerHeaders)));
 }
 
-void CallerConnection::handleChunk(std::string data)
+// The bytes of data are held in m_share.
+void CallerConnection::handleChunk(const std::string &data)
 {
-    if (m_callerGone || !m_hasResponseHead)
+    if (m_callerGone || !m_hasResponseHead || m_isOverLimit) {
+        m_share.release(data.size());
         return;
+    }
     if (!m_isStream) {
-        m_isBodyTooLarge =
-                m_isBodyTooLarge || m_body.size() + data.size() > bufferedAnswerLimitBytes;
-        if (!m_isBodyTooLarge)
-            m_body += data;
+        m_body += data;
         return;
     }
     // Agents send the final event in a separate chunk.
     if (data.starts_with("data: [DONE]")) {
-        m_streamEndEvent = std::move(data);
+        m_share.release(m_streamEndEvent.size());
+        m_streamEndEvent = data;
         return;
     }
     m_callerContext->metrics.chunks.add();
+    m_writerBytes += data.size();
     m_writer.writeChunk(data);
-    if (m_writer.queuedBytes() > streamWriteBacklogLimitBytes)
-        callerDisconnected(); // the caller does not read fast enough
+}
+
+// Ends the answer: the agent is told to cancel the run, and the caller gets an error response or,
+// in a stream, an error event. A stream that the caller does not read fast enough is cut, because
+// the event would follow everything that waits to be written.
+void CallerConnection::handleOverLimit(AnswerRoom room)
+{
+    if (m_callerGone || std::exchange(m_isOverLimit, true))
+        return;
+    dropBody();
+    EventLog("answer_over_limit", EventLevel::Warning)
+            .field("request", m_request->headers.back().second)
+            .field("limit",
+                   room == AnswerRoom::AnswerTooLarge ? "answer_limit_bytes"
+                                                      : "buffered_answers_limit_bytes");
+    if (m_writer.queuedBytes() > AnswerBudget::shortAnswerBytes) {
+        callerDisconnected();
+        return;
+    }
+    m_callerContext->dispatcher.answerOverLimit(m_request->arrival.request,
+                                                room == AnswerRoom::AnswerTooLarge);
+}
+
+void CallerConnection::dropBody()
+{
+    m_share.release(m_body.size() + m_streamEndEvent.size());
+    // Frees the memory, which clear() would keep.
+    m_body = std::string();
+    m_streamEndEvent = std::string();
 }
 
 void CallerConnection::handleEnding(const Ending &ending)
@@ -444,7 +482,7 @@
     // A response without its head, or a stream without its final event, is incomplete even if the
     // agent reports success.
     const bool isComplete =
-            m_isStream ? !m_streamEndEvent.empty() : m_hasResponseHead && !m_isBodyTooLarge;
+            !m_isOverLimit && (m_isStream ? !m_streamEndEvent.empty() : m_hasResponseHead);
     const bool isAnswered = std::holds_alternative<Answered>(ending) && isComplete;
     const Ending effectiveEnding = isAnswered || !std::holds_alternative<Answered>(ending)
             ? ending
@@ -457,11 +495,19 @@
     if (m_isStream)
         finishStream(effectiveEnding);
     else if (isAnswered)
-        sendResponse(m_status, m_headers, m_body);
+        sendBody();
     else
         sendErrorResponse(endingErrorResponse(effectiveEnding));
 }
 
+// The writer copies the body, which is then no longer needed here.
+void CallerConnection::sendBody()
+{
+    m_writerBytes += m_body.size();
+    sendResponse(m_status, m_headers, m_body);
+    m_body = std::string();
+}
+
 // The claim stays open if the outcome is unknown, so that a retry cannot run the request again.
 void CallerConnection::finishOrReleaseClaim(const Ending &ending)
 {
@@ -524,6 +570,12 @@
     m_writer.endStream(answer.outcome);
 }
 
+void CallerConnection::bytesWritten()
+{
+    const std::size_t remaining = std::min(m_writerBytes, m_writer.queuedBytes());
+    m_share.release(std::exchange(m_writerBytes, remaining) - remaining);
+}
+
 void CallerConnection::responseSent()
 {
     // If the head did not announce the close, the caller may send its next request here.
@@ -583,6 +635,7 @@
     setActive(false);
     m_timer.cancel();
     m_request = nullptr;
+    dropBody();
     boost::system::error_code ec;
     m_socket.close(ec);
 }
--- a/src/callerconnection.h
+++ b/src/callerconnection.h
@@ -5,6 +5,7 @@
 #ifndef CORNELSHED_CALLERCONNECTION_H
 #define CORNELSHED_CALLERCONNECTION_H
 
+#include "answerbudget.h"
 #include "callercontext.h"
 #include "callerrequest.h"
 #include "errorresponse.h"
@@ -48,6 +49,7 @@
     void ended(RequestId request, const Ending &ending) override;
 
     std::shared_ptr<void> retainOwner() override { return shared_from_this(); }
+    void bytesWritten() override;
     void responseSent() override;
     void writeFailed() override;
 
@@ -72,9 +74,12 @@
     void handleClaim(const ClaimResult &result);
     void callerDisconnected();
     void handleEnding(const Ending &ending);
+    void sendBody();
+    void dropBody();
     void finishOrReleaseClaim(const Ending &ending);
     void handleResponseHead(std::uint32_t status, const Headers &headers);
-    void handleChunk(std::string data);
+    void handleChunk(const std::string &data);
+    void handleOverLimit(AnswerRoom room);
 
     // --- answering ---
     ResponseHeader makeHead(std::uint32_t status, Headers headers);
@@ -116,11 +121,17 @@
     // The part of the response that has arrived so far.
     bool m_hasResponseHead = false;
     bool m_isStream = false;
-    bool m_isBodyTooLarge = false;
+    bool m_isOverLimit = false; // the rest of the response is dropped
     std::uint32_t m_status = 0;
     Headers m_headers;
     std::string m_body;           // response that is not a stream, until the request has ended
     std::string m_streamEndEvent; // final event of a stream, held until the request has ended
+
+    // Holds the chunks that are on their way to this connection's thread, m_body, m_streamEndEvent
+    // and m_writerBytes. Taken on the threads of the agents' sessions, released on this
+    // connection's.
+    AnswerShare m_share;
+    std::size_t m_writerBytes = 0; // of m_share, of data that was passed to m_writer
 };
 
 } // namespace cornelshed
--- a/src/callercontext.h
+++ b/src/callercontext.h
@@ -3,6 +3,7 @@
 #ifndef CORNELSHED_CALLERCONTEXT_H
 #define CORNELSHED_CALLERCONTEXT_H
 
+#include "answerbudget.h"
 #include "controllink.h"
 #include "entrydispatcher.h"
 #include "entrysettings.h"
@@ -36,6 +37,8 @@
     CallerContext(const EntrySettings &settings, std::uint64_t entryIncarnation,
                   EntryDispatcher &dispatcher, ControlLink &control, Metrics &metrics)
         : settings(settings), dispatcher(dispatcher), control(control), metrics(metrics),
+          answerBudget(std::make_shared<AnswerBudget>(
+                  AnswerLimits {settings.answerLimitBytes, settings.bufferedAnswersLimitBytes})),
           m_entryIncarnation(entryIncarnation)
     { }
 
@@ -58,6 +61,7 @@
     EntryDispatcher &dispatcher;
     ControlLink &control;
     CallerMetrics metrics;
+    const std::shared_ptr<AnswerBudget> answerBudget; // of the answers that the connections hold
     std::atomic<std::size_t> connectionCount {0};
     std::atomic<std::size_t> activeCount {0}; // connections that the shutdown waits for
     std::atomic<bool> shuttingDown {false};
--- a/src/entrydecisions.cpp
+++ b/src/entrydecisions.cpp
@@ -433,6 +433,21 @@
         refuse(*request, NotRunReason::CallerGone);
 }
 
+void EntryDecisions::answerOverLimit(RequestId id, bool serverFault, Instant now)
+{
+    EntryRequest *request = m_requests.find(id);
+    if (request == nullptr || request->state != RequestState::Dispatched)
+        return;
+    const EntryReservation reservation = request->dispatchedTo;
+    send(reservation.slot, Cancel {id});
+    reportOutcome(*request, serverFault, {}, now);
+    endUnknown(*request, RequestEvent::Cancelled, UnknownReason::StreamCut, now);
+    if (serverFault)
+        recordResult(reservation.slot, {true, 0, 0, Duration::zero(), reservation.probe}, now);
+    else
+        releaseProbe(reservation);
+}
+
 void EntryDecisions::reportOutcome(const EntryRequest &request, bool failed, const Usage &usage,
                                    Instant now)
 {
--- a/src/entrydecisions.h
+++ b/src/entrydecisions.h
@@ -32,6 +32,7 @@
     void disconnected(const BackendServerId &backendServer, Instant now);
     void submit(const RequestArrival &arrival, Instant now);
     void callerDisconnected(RequestId id, Instant now);
+    void answerOverLimit(RequestId id, bool serverFault, Instant now);
     void handle(const BackendServerId &from, const AgentMessage &message, Instant now);
     void tick(Instant now);
     Instant nextWakeTime() const;
--- a/src/entrydispatcher.cpp
+++ b/src/entrydispatcher.cpp
@@ -101,6 +101,7 @@
     void sendConfiguration();
     void submit(const std::shared_ptr<const CallerRequest> &request);
     void callerDisconnected(RequestId request);
+    void answerOverLimit(RequestId request, bool serverFault);
     void carryOut(const EntryActions &actions);
     void carryOut(const SendToAgent &action);
     void carryOut(const EndRequest &action);
@@ -224,6 +225,14 @@
         processEvent([&](Instant now) { return m_scheduler.callerDisconnected(request, now); });
 }
 
+void EntryDispatcher::Private::answerOverLimit(RequestId request, bool serverFault)
+{
+    if (m_requests.contains(request))
+        processEvent([&](Instant now) {
+            return m_scheduler.answerOverLimit(request, serverFault, now);
+        });
+}
+
 void EntryDispatcher::Private::carryOut(const EntryActions &actions)
 {
     for (const EntryAction &it : actions)
@@ -314,6 +323,12 @@
     d->runOnStrand([request](Private &self) { self.callerDisconnected(request); });
 }
 
+void EntryDispatcher::answerOverLimit(RequestId request, bool serverFault)
+{
+    d->runOnStrand(
+            [request, serverFault](Private &self) { self.answerOverLimit(request, serverFault); });
+}
+
 void EntryDispatcher::beginShutdown()
 {
     d->runOnStrand([](Private &self) { self.m_scheduler.beginShutdown(); });
--- a/src/entrydispatcher.h
+++ b/src/entrydispatcher.h
@@ -38,6 +38,7 @@
     // Calls ended() of the request's sink exactly once, unless the daemon exits first.
     void submit(std::shared_ptr<const CallerRequest> request);
     void callerDisconnected(RequestId request);
+    void answerOverLimit(RequestId request, bool serverFault);
 
     // Rejects new requests; requests that are waiting or running continue.
     void beginShutdown();
--- a/src/entryscheduler.cpp
+++ b/src/entryscheduler.cpp
@@ -68,6 +68,12 @@
     return d->decisions.takeActions();
 }
 
+EntryActions EntryScheduler::answerOverLimit(RequestId request, bool serverFault, Instant now)
+{
+    d->decisions.answerOverLimit(request, serverFault, now);
+    return d->decisions.takeActions();
+}
+
 EntryActions EntryScheduler::handle(const BackendServerId &from, const AgentMessage &message,
                                     Instant now)
 {
--- a/src/entryscheduler.h
+++ b/src/entryscheduler.h
@@ -196,6 +196,10 @@
     // cancelled and ends as Unknown.
     EntryActions callerDisconnected(RequestId request, Instant now);
 
+    // The answer of a dispatched request exceeds a limit of this daemon: the request is cancelled
+    // and ends as Unknown. serverFault: counts as a failure of the backend server.
+    EntryActions answerOverLimit(RequestId request, bool serverFault, Instant now);
+
     // Processes any agent message but Welcome. Chunks and response heads need not be passed in,
     // except the first chunk of each request: it shows that the request has run, and that its
     // prompt prefixes are cached now.
--- a/src/entryservice.cpp
+++ b/src/entryservice.cpp
@@ -72,6 +72,10 @@
         m_metrics.gauge("cornelshed_entry_active_requests", "Requests not answered yet.", [this] {
             return static_cast<double>(m_callerContext->activeCount.load());
         });
+        m_metrics.gauge("cornelshed_entry_buffered_answer_bytes",
+                        "Bytes of answers that are not sent to their callers yet.", [this] {
+                            return static_cast<double>(m_callerContext->answerBudget->heldBytes());
+                        });
         m_metrics.gauge("cornelshed_entry_agent_sessions", "Sessions to agents.",
                         [this] { return static_cast<double>(m_dispatcher.connectedAgentCount()); });
         m_metrics.gauge("cornelshed_entry_configuration_version", "Configuration in force.",
--- a/src/entrysettings.cpp
+++ b/src/entrysettings.cpp
@@ -39,6 +39,12 @@
             readCount(section, "connection_limit_count", 1, 1 << 20, settings.connectionLimitCount);
     settings.waitingLimitCount =
             readCount(section, "waiting_limit_count", 1, 1 << 20, settings.waitingLimitCount);
+    settings.answerLimitBytes =
+            readCount(section, "answer_limit_bytes", 1024, 1 << 30, settings.answerLimitBytes);
+    settings.bufferedAnswersLimitBytes = readCount(section, "buffered_answers_limit_bytes", 1024,
+                                                   1 << 30, settings.bufferedAnswersLimitBytes);
+    if (settings.bufferedAnswersLimitBytes < settings.answerLimitBytes)
+        section.reject("buffered_answers_limit_bytes", "at least answer_limit_bytes");
     settings.headerTimeoutMs =
             readCount(section, "header_timeout_ms", 1, 600000, settings.headerTimeoutMs);
     settings.shutdownTimeoutMs =
--- a/src/entrysettings.h
+++ b/src/entrysettings.h
@@ -31,6 +31,9 @@
     std::uint32_t bodyLimitBytes = 8U << 20U;
     std::uint32_t connectionLimitCount = 8192;
     std::uint32_t waitingLimitCount = 4096;
+    // Bytes of answers that are held until they are sent on: of each answer, and of all together.
+    std::uint32_t answerLimitBytes = 16U << 20U;
+    std::uint32_t bufferedAnswersLimitBytes = 128U << 20U;
     std::uint32_t headerTimeoutMs = 10000;
     std::uint32_t shutdownTimeoutMs = 30000;
     std::uint32_t reservationCount = 3;
--- a/src/eventstream.h
+++ b/src/eventstream.h
@@ -31,6 +31,9 @@
     // True if bytes followed the end event or an event exceeded the size limit.
     bool malformed() const { return m_malformed; }
 
+    // Bytes kept between calls of append(), at most the size limit of an event unless malformed().
+    std::size_t bufferedBytes() const { return m_buffer.size(); }
+
     // The end event as received; empty until ended().
     const std::string &endEvent() const { return m_endEvent; }
 
--- a/src/framedconnection.cpp
+++ b/src/framedconnection.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::size_t initialInputBytes = std::size_t {16} << 10U;
+// A larger buffer is freed after it is written, so that a session does not keep the memory of its
+// longest queue.
+constexpr std::size_t keptWriteBytes = std::size_t {1} << 20U;
 
 } // namespace
 
@@ -36,10 +39,15 @@
     readSome();
 }
 
-void FramedConnection::send(std::string frame)
+void FramedConnection::send(std::string frame, std::shared_ptr<AnswerShare> share, std::size_t size)
 {
-    if (!m_socket.is_open() || m_isFinishing)
+    if (!m_socket.is_open() || m_isFinishing) {
+        if (share)
+            share->release(size);
         return;
+    }
+    if (share)
+        m_queuedHeld.push_back({std::move(share), size});
     if (m_queued.size() + m_writing.size() + frame.size() > m_limits.writeQueueLimitBytes) {
         close("write queue limit exceeded");
         return;
@@ -64,6 +72,7 @@
     boost::system::error_code ec;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
     m_socket.close(ec);
+    releaseHeld(m_queuedHeld);
     // Posted, because close() may be called from one of the owner's callbacks.
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] {
         const ClosedCallback closed = std::exchange(self->m_onClosed, nullptr);
@@ -138,10 +147,13 @@
 
 void FramedConnection::writeSome()
 {
-    m_writing.clear();
     std::swap(m_writing, m_queued);
+    std::swap(m_writingHeld, m_queuedHeld);
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
                              [self = shared_from_this()](auto ec, std::size_t) {
+                                 self->releaseHeld(self->m_writingHeld);
+                                 if (self->m_writing.capacity() > keptWriteBytes)
+                                     self->m_writing = std::string();
                                  self->m_writing.clear();
                                  if (!self->m_socket.is_open())
                                      return;
@@ -154,6 +166,13 @@
                              });
 }
 
+void FramedConnection::releaseHeld(std::vector<HeldBytes> &held)
+{
+    for (const HeldBytes &it : held)
+        it.share->release(it.size);
+    held.clear();
+}
+
 void FramedConnection::writeDone()
 {
     m_isWriting = false;
--- a/src/framedconnection.h
+++ b/src/framedconnection.h
@@ -5,6 +5,8 @@
 #ifndef CORNELSHED_FRAMEDCONNECTION_H
 #define CORNELSHED_FRAMEDCONNECTION_H
 
+#include "answerbudget.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
@@ -12,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cornelshed {
 
@@ -37,7 +40,9 @@
 
     // Queues a complete frame, including its header. A peer that does not read fast enough to keep
     // the queue within its limit is disconnected, because an unbounded queue would exhaust memory.
-    void send(std::string frame);
+    // share: holds size bytes, which are released once the frame is written.
+    void send(std::string frame, std::shared_ptr<AnswerShare> share = nullptr,
+              std::size_t size = 0);
 
     void close(const std::string &reason);
 
@@ -48,11 +53,18 @@
     bool isOpen() const { return m_socket.is_open(); }
 
 private:
+    struct HeldBytes
+    {
+        std::shared_ptr<AnswerShare> share; // never null
+        std::size_t size = 0;
+    };
+
     void readSome();
     void consumeFrames();
     void compactInput();
     void writeSome();
     void writeDone();
+    static void releaseHeld(std::vector<HeldBytes> &held);
 
     boost::asio::ip::tcp::socket m_socket;
     FramedConnectionLimits m_limits;
@@ -63,9 +75,11 @@
     // m_end.
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
-    std::string m_queued;     // frames not yet passed to the socket
-    std::string m_writing;    // invariant: unchanged while a write is in progress
-    bool m_isWriting = false; // a write is posted or in progress
+    std::string m_queued;                 // frames not yet passed to the socket
+    std::string m_writing;                // invariant: unchanged while a write is in progress
+    std::vector<HeldBytes> m_queuedHeld;  // of the frames in m_queued
+    std::vector<HeldBytes> m_writingHeld; // of the frames in m_writing
+    bool m_isWriting = false;             // a write is posted or in progress
     bool m_isFinishing = false;
 };
 
--- a/src/responsewriter.cpp
+++ b/src/responsewriter.cpp
@@ -116,7 +116,10 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
                              [this, owner = m_owner.retainOwner()](auto ec, std::size_t) {
                                  m_isWriting = false;
-                                 m_writing.clear();
+                                 // Frees the memory: an idle connection must not keep the room of
+                                 // a large response.
+                                 m_writing = std::string();
+                                 m_owner.bytesWritten();
                                  if (ec)
                                      m_owner.writeFailed();
                                  else if (!m_queued.empty())
--- a/src/responsewriter.h
+++ b/src/responsewriter.h
@@ -32,6 +32,7 @@
     // Returns a reference that keeps the owner alive while a write is in progress.
     virtual std::shared_ptr<void> retainOwner() = 0;
 
+    virtual void bytesWritten() = 0; // after each write; queuedBytes() has shrunk
     virtual void responseSent() = 0; // the complete response was written
     virtual void writeFailed() = 0;
 };
