Let a frame's buffer grow with the bytes that arrive

What callers saw: nothing yet; a peer that only declared frames could exhaust the daemon's memory.

Cause: FramedConnection took the whole length that a frame's header declares, 16 MiB by default, before a byte of the frame had arrived, and an agent accepts 1024 sessions that may do so before their Hello.

The buffer now grows to at most twice the bytes that have arrived.

--- a/src/framedconnection.cpp
+++ b/src/framedconnection.cpp
@@ -137,8 +137,9 @@
     m_begin = 0;
     m_end = unread;
     std::size_t needed = initialInputBytes;
+    // Grows with the bytes that have arrived, because a peer can declare a length and send nothing.
     if (unread >= frameHeaderBytes)
-        needed = std::max(needed, frameHeaderBytes + messageLength(m_input));
+        needed = std::max(needed, std::min(frameHeaderBytes + messageLength(m_input), unread * 2));
     // Shrinks the buffer again after a large frame, so that it does not keep the memory for the
     // rest of the session.
     if (needed > m_input.size() || (unread == 0 && m_input.size() > initialInputBytes))
--- a/test/error/endlessanswers.cpp
+++ b/test/error/endlessanswers.cpp
@@ -408,6 +408,21 @@
     CHECK(answer.body == "data: " + event + "\n\ndata: [DONE]\n\n");
 }
 
+// Failure: each peer that declared a long frame took its whole length from the daemon's memory.
+TEST_CASE("a declared frame length takes no memory before the frame arrives")
+{
+    BackendStub backend([](const StubRequest &, StubReply &) {});
+    AgentRunner agent(agentSettings(backend.port()));
+    const MemoryWatch memory;
+    std::vector<std::unique_ptr<SessionPeer>> peers;
+    for (int n = 0; n < 32; ++n) {
+        peers.push_back(std::make_unique<SessionPeer>(agent.daemon().entryPort()));
+        peers.back()->sendRaw(std::string("\x00\x00\xff\x00", 4)); // 16 MiB less 64 KiB
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(memory.growthBytes() < 32 * mebibyte);
+}
+
 // Failure: a limit that is counted wrongly ends answers that have room, or none at all.
 TEST_CASE("the budget of answers keeps room for short ones and counts what is released")
 {
