Soak: report a process that cannot be started again instead of SIGSEGV

A soak by hand ended once with SIGSEGV of the test's own process after 22 seeds, while the daemons' programs were being built again.

Cause: RestartableProcess::restart() empties m_process before it starts the program. While a program is missing, the start throws; the thread that injects process faults reports that and ends. run() then sends SIGCONT to all processes, through the empty optional. The product is not involved.

Evidence: with both programs moved away 1.6 s after the start of seed 1, the soak ended with SIGSEGV (exit 139). The new test case ended the program with SIGBUS before the fix (exit 135) and passes now. That the SIGSEGV seen earlier had this cause is inferred from the rebuild at that time, as no core was kept.

signal() and restart() now skip a process that is not there. The failed start is still a problem that the soak reports, so its test case fails.

--- a/test/error/gatewaysoak.cpp
+++ b/test/error/gatewaysoak.cpp
@@ -32,6 +32,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -274,11 +275,17 @@
     {
         m_process.emplace(m_program, std::vector<std::string> {"--settings", m_settings}, m_log);
     }
-    void signal(int number) { m_process->sendSignal(number); }
+    void signal(int number)
+    {
+        if (m_process)
+            m_process->sendSignal(number);
+    }
+    // Throws if the program cannot be started again.
     void restart(int number)
     {
-        m_process->sendSignal(number);
-        m_process->waitForExit(4s);
+        signal(number);
+        if (m_process)
+            m_process->waitForExit(4s);
         m_process.reset();
         start();
     }
@@ -287,7 +294,7 @@
     std::string m_program;
     std::string m_settings;
     std::string m_log;
-    std::optional<demo::ChildProcess> m_process;
+    std::optional<demo::ChildProcess> m_process; // none after a start that failed
 };
 
 class SoakRun
@@ -690,6 +697,20 @@
 
 } // namespace
 
+// Guards against a soak that ends with SIGSEGV instead of a report when a program is missing for a
+// moment, because it is being built again.
+TEST_CASE("a process whose program cannot be started again is reported and takes signals")
+{
+    const demo::TemporaryFolder folder;
+    const std::string program = folder.file("program");
+    std::filesystem::create_symlink(CORNELSHED_BINARY_DIR "/cornelshed-admitd", program);
+    RestartableProcess process(program, folder.file("none.toml"), folder.file("log"));
+    std::filesystem::remove(program);
+    CHECK_THROWS_AS(process.restart(SIGKILL), std::runtime_error);
+    process.signal(SIGCONT);
+    CHECK_THROWS_AS(process.restart(SIGKILL), std::runtime_error);
+}
+
 TEST_CASE("process and connection faults violate no guarantee to callers")
 {
     const std::uint64_t first = environmentNumber("CORNELSHED_SOAK_SEED", 1);
