Sent data that the server's host drops doesn't end a request

A request with a long body could end with 502 about 1.6 s after it was sent, although its sound backend server only paused.

The check of acknowledgements took any unacknowledged data for a lost path once nothing had been acknowledged for a second. While a server's process reads nothing, its host may drop data for lack of memory, but acknowledges each transmission of it. These follow each other at growing intervals, which can exceed a second.

Now only what was sent after the last acknowledgement counts, and the first unanswered window probe does not.

That dropped data was the reason is concluded from the times, not observed.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -55,9 +55,11 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-// Whether sent data awaits an acknowledgement, and the time since the last one of any kind. A
-// closed receive window counts only if the probes of it aren't answered either: the server's
-// process may read nothing for a while, but its host acknowledges what arrives.
+// Whether something was sent that awaits an acknowledgement, and the time since the last one of any
+// kind. While a server's process reads nothing, its host acknowledges what arrives and answers the
+// probes of its closed receive window, but may drop the data, which is sent again at intervals that
+// can exceed any limit. Only what was sent after the last acknowledgement counts, and not the first
+// probe, whose answer may be on its way.
 struct AcknowledgementState
 {
     bool outstanding = false;
@@ -70,7 +72,8 @@
     socklen_t size = sizeof info;
     if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
         return {};
-    return {info.tcpi_unacked > 0 || info.tcpi_probes > 0,
+    const bool sentSince = info.tcpi_last_data_sent < info.tcpi_last_ack_recv;
+    return {(info.tcpi_unacked > 0 && sentSince) || info.tcpi_probes > 1,
             std::chrono::milliseconds(info.tcpi_last_ack_recv)};
 }
 
