Name the request whose caller's connection is closed

caller_connection_closed did not say which request it was about, and a connection that was lost while its response was still being written left no line at all. The line now has the id of the last request that was read whole and the bytes that were not written.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -125,6 +125,8 @@
         readSome();
     }
 
+    void setRequestId(std::string id) override { m_requestId = std::move(id); }
+
     void respond(std::uint32_t status, Headers headers, std::string body) override
     {
         if (m_closed)
@@ -434,6 +436,7 @@
         m_isHeadRequest = message.method() == http::verb::head;
         m_closeAfterResponse = m_closeAfterResponse || !m_parser->keep_alive();
         m_requestInProgress = true;
+        m_requestId.clear();
         m_timer.cancel();
         auto exchange = m_handler(std::move(request), shared_from_this());
         if (m_requestInProgress && !m_closed)
@@ -562,10 +565,15 @@
             return;
         m_closed = true;
         // Closing between requests is routine.
-        if (m_requestInProgress || m_receivedAt) {
+        if (m_requestInProgress || m_receivedAt || !m_writes.empty()) {
             EventLog("caller_connection_closed", EventLevel::Warning)
                     .field("reason", reason)
-                    .field("request", m_requestInProgress ? "unanswered" : "incomplete")
+                    .field("request",
+                           m_requestInProgress        ? "unanswered"
+                                   : m_writes.empty() ? "incomplete"
+                                                      : "answered")
+                    .field("id", m_requestId)
+                    .field("unwritten_bytes", m_pendingBytes)
                     .field("response_begun", m_streaming ? "yes" : "no")
                     .field("age_ms",
                            m_receivedAt
@@ -593,6 +601,7 @@
     std::optional<Instant> m_receivedAt;
     Instant m_waitingSince {}; // start of the wait for that byte, or end of the last write after it
     std::shared_ptr<IngressExchange> m_exchange;
+    std::string m_requestId;          // of the last request that was handled
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
     std::uint64_t m_currentWrite = 0; // its number in m_allPendingWrites
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -83,6 +83,9 @@
 
     virtual void start() = 0;
 
+    // Sets the id under which the current request is logged.
+    virtual void setRequestId(std::string id) = 0;
+
     // Sends a complete response and adds its Content-Length.
     virtual void respond(std::uint32_t status, Headers headers, std::string body) = 0;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -141,6 +141,7 @@
         const Instant now = monotonicNow();
         CallerMetadata metadata;
         auto result = admission.admit(std::move(request), proofAge(), metadata, now);
+        channel->setRequestId(metadata.requestId);
         if (const auto *refusal = std::get_if<detail::AdmissionRefusal>(&result))
             return refuse(channel, metadata, refusal->error, refusal->retryAfter);
         auto &admitted = std::get<AdmittedRequest>(result);
