--- a/test/error/configurationchanges.cpp
+++ b/test/error/configurationchanges.cpp
@@ -242,7 +242,8 @@
     } else {
         ++tally.lost;
         const std::lock_guard lock(tally.mutex);
-        tally.losses.append(id).append(path).append(" " + std::to_string(answer.status) + " " + answer.body.substr(0, 40) + "\n");
+        tally.losses.append(id).append(path).append(" " + std::to_string(answer.status) + " "
+                                                    + answer.body.substr(0, 40) + "\n");
     }
 }
 
