A connection returns to the pool with its limit for unacknowledged data

The limit is lifted while a server's receive window is closed. An exchange that ended before the next check of the window left it lifted on a connection that is used again, so that a later request on a lost path would not have been noticed.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -481,6 +481,8 @@
         const bool reusable = m_reuseAllowed && !m_endsWithReset && !m_otherResponseSeen
                 && m_writeCompleted && m_parser->keep_alive() && m_buffer.size() == 0;
         if (reusable) {
+            if (std::exchange(m_windowClosed, false))
+                setUserTimeout(m_pool->settings().tcpUserTimeout);
             m_pool->putIdle(std::move(m_socket), parseKeepAliveTimeout(m_parser->get()));
         } else {
             boost::system::error_code ec;
