Review: what the end of a shutdown, a closed window and a caller that left left open

- A request that waited when a shutdown ended the others was started in the place of one of them, and cut off itself (error.callerchannel, a request that waits at the end of a shutdown ...).
The end of a shutdown is now timed from its start.
- The limit for unacknowledged data was lifted without end for a path that is lost while the window is closed; it is ten times as long instead, and probes must be answered.
- The body of a failed attempt kept its part of the memory for incomplete responses while the request waited for another attempt, and could not be ended in favour of others.
- In the entry daemon, the body of an answer was dropped when its caller left, and the claim was finished with what was left of it: a retry with the same key got an empty 200.
The claim now stays open, as for any unknown outcome.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -48,6 +48,9 @@
 constexpr Duration windowCheckInterval = std::chrono::milliseconds(200);
 // A probe of the window may be on its way; more of them have not been answered.
 constexpr std::uint32_t answeredProbes = 1;
+// TCP_USER_TIMEOUT is longer by this factor while the window is closed. Not unlimited: a lost path
+// is not noticed for that time where the kernel does not count unanswered probes.
+constexpr int closedWindowFactor = 10;
 
 // Returns whether an idle connection can be reused. Data to read means that the server has closed
 // it or sent something unexpected.
@@ -75,11 +78,12 @@
         return {};
     int queuedBytes = 0;
     ::ioctl(socket.native_handle(), SIOCOUTQ, &queuedBytes);
-    const bool acknowledged = info.tcpi_unacked == 0 && info.tcpi_probes <= answeredProbes;
+    const bool probesAnswered = info.tcpi_probes <= answeredProbes;
     // 0 also where the time is not known.
     const bool answersLast =
             info.tcpi_last_ack_recv > 0 && info.tcpi_last_ack_recv <= info.tcpi_last_data_sent;
-    return {acknowledged && queuedBytes == 0, (acknowledged || answersLast) && queuedBytes > 0};
+    const bool hostAnswers = probesAnswered && (info.tcpi_unacked == 0 || answersLast);
+    return {hostAnswers && queuedBytes == 0, hostAnswers && queuedBytes > 0};
 }
 
 Headers copyHeaders(const http::fields &fields)
@@ -292,7 +296,7 @@
     }
 
     // TCP_USER_TIMEOUT also ends connections whose receive window stays closed, although the
-    // server's host answers the probes of it, so it is lifted for that time.
+    // server's host answers the probes of it, so it is longer for that time.
     void watchWindow()
     {
         const Duration limit = m_pool->settings().tcpUserTimeout;
@@ -304,7 +308,7 @@
                 return;
             const SendState state = sendState(self->m_socket);
             if (state.windowClosed != self->m_windowClosed)
-                self->setUserTimeout(state.windowClosed ? Duration::zero() : limit);
+                self->setUserTimeout(state.windowClosed ? limit * closedWindowFactor : limit);
             self->m_windowClosed = state.windowClosed;
             if (!self->m_writeCompleted || !state.delivered)
                 self->watchWindow();
--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -480,9 +480,9 @@
 {
     m_callerContext->metrics.answerTime.record(monotonicNow() - m_receivedAt);
     // A response without its head, or a stream without its final event, is incomplete even if the
-    // agent reports success.
-    const bool isComplete =
-            !m_isOverLimit && (m_isStream ? !m_streamEndEvent.empty() : m_hasResponseHead);
+    // agent reports success. So is one whose body was dropped when its caller left.
+    const bool isComplete = !m_isOverLimit && !m_callerGone
+            && (m_isStream ? !m_streamEndEvent.empty() : m_hasResponseHead);
     const bool isAnswered = std::holds_alternative<Answered>(ending) && isComplete;
     const Ending effectiveEnding = isAnswered || !std::holds_alternative<Answered>(ending)
             ? ending
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -284,6 +284,11 @@
         const auto exchange = found->second; // a copy, as ending an exchange releases it
         queued.erase(found);
         exchange->leftQueue();
+        if (drainEnded) {
+            neverSent(action.request);
+            exchange->shutDown();
+            return;
+        }
         if (exchange->isClosedByCaller()) {
             neverSent(action.request);
             exchange->callerDisconnected();
@@ -871,6 +876,8 @@
     // Ends what is left of the requests and connections at the end of a shutdown.
     void endDrain()
     {
+        closing = true;
+        drainEnded = true;
         const auto unfinished = exchanges;
         for (const auto &[id, exchange] : unfinished)
             exchange->shutDown();
@@ -993,6 +1000,7 @@
     Instant requestsEndAt = instantNever; // a shutdown ends the remaining requests
     bool closing = false;                 // requests that could outlast the shutdown are refused
     bool listening = true;                // until the end of a shutdown
+    bool drainEnded = false;              // no request is started any more
 };
 
 Gateway::Gateway(asio::io_context &context, const IngressProtocol &protocol,
@@ -1175,16 +1183,16 @@
             channel->announceClose();
     }
     d->drainTimer.expires_after(announce);
-    d->drainTimer.async_wait([self = d, announce, limit](auto ec) {
+    d->drainTimer.async_wait([self = d](auto ec) {
         if (ec)
             return;
         self->closing = true;
         self->checkDrainedLater();
-        self->drainLimitTimer.expires_after(limit - announce - shutdownMargin);
-        self->drainLimitTimer.async_wait([self](auto limitError) {
-            if (!limitError)
-                self->endDrain();
-        });
+    });
+    d->drainLimitTimer.expires_after(limit - shutdownMargin);
+    d->drainLimitTimer.async_wait([self = d](auto ec) {
+        if (!ec)
+            self->endDrain();
     });
 }
 
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -552,6 +552,10 @@
     else
         ++m_history.ran;
     m_hasErrorAnswer = end == AttemptEnd::RanAndFailed;
+    // Only a complete answer may be delivered; the memory of another one is free for other
+    // requests.
+    if (end != AttemptEnd::Success && !m_hasErrorAnswer)
+        takeBody();
     m_services.attemptEnded(*this, report(outcome));
     if (m_queuedId)
         m_services.withdraw(*this);
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -396,6 +396,36 @@
     CHECK(unanswered == 0);
 }
 
+// Guards against a request that waits for a backend server, gets the place of one that the end of a
+// shutdown has just ended, and is then cut off itself.
+TEST_CASE("a request that waits at the end of a shutdown is refused and reaches no server")
+{
+    std::atomic<bool> release = false;
+    BackendStub server([&](const StubRequest &, StubReply &) {
+        while (!release)
+            std::this_thread::sleep_for(1ms);
+    });
+    GatewayRunner runner;
+    RouteTableContent content = gatewayRouteTable();
+    for (DirectRoute &it : content.routes)
+        it.objective = 2s; // so that requests wait for a place
+    BackendRecord record = gatewayBackend("i-1", server.port());
+    record.slots = 1;
+    runner.configure(content, {record});
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int n = 0; n < 3; ++n) {
+        callers.push_back(std::make_unique<Caller>(runner.port()));
+        callers.back()->send(requestText("/order/" + std::to_string(n)));
+        std::this_thread::sleep_for(30ms);
+    }
+    runner.runOnTrafficThread([&] { runner.gateway().drain(100ms, 900ms, [] {}); });
+    CHECK(callers[0]->receive().status == 502);
+    CHECK(callers[1]->receive().status == 503);
+    CHECK(callers[2]->receive().status == 503);
+    CHECK(server.requests().size() == 1);
+    release = true;
+}
+
 // Guards against closed connections that are kept as if they waited for a request, for which a
 // shutdown then waits.
 TEST_CASE("a channel that was closed because its caller reads too slowly is released at once")
