--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -371,6 +371,7 @@
     std::atomic<int> unanswered = 0;
     std::atomic<int> answered = 0;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int n = 0; n < 4; ++n) {
         threads.emplace_back([&] {
             while (!stopped) {
--- a/test/error/endlessanswers.cpp
+++ b/test/error/endlessanswers.cpp
@@ -194,6 +194,7 @@
     auto others = std::async(std::launch::async,
                              [&] { return sendShortRequests(all.entry.port(), stopped); });
     std::vector<std::future<CallerAnswer>> endless;
+    endless.reserve(8);
     const auto start = Clock::now();
     for (int n = 0; n < 8; ++n) {
         endless.push_back(std::async(std::launch::async, [&] {
@@ -361,6 +362,7 @@
     for (const auto &it : agents)
         REQUIRE(waitUntilReady(it->daemon().adminPort()));
     std::vector<std::future<CallerAnswer>> large;
+    large.reserve(count);
     for (int n = 0; n < count; ++n) {
         large.push_back(std::async(std::launch::async, [&] {
             return Caller(entry.port()).post("/status", {organisationHeader}, endlessBody);
