Review: a silent end of a resumed stream is cut off

Cause: a server that is silent for a second after its last event is replaced, and the empty rest of the other server does not count as the end of the answer.

--- a/review/standins/daemons.cpp
+++ b/review/standins/daemons.cpp
@@ -54,6 +54,13 @@
     m_thread.join();
 }
 
+void Daemon::terminate()
+{
+    m_isTerminating = true;
+    m_record.add("platform sends SIGTERM to " + m_name);
+    ::kill(m_process, SIGTERM);
+}
+
 bool Daemon::start()
 {
     const pid_t parent = ::getpid();
@@ -82,8 +89,9 @@
         int status = 0;
         if (::waitpid(m_process, &status, WNOHANG) != m_process)
             continue;
-        ++m_ownEnds;
-        m_record.add("process of " + m_name + " ended by itself: "
+        const bool isPlanned = m_isTerminating.exchange(false);
+        m_ownEnds += isPlanned ? 0 : 1;
+        m_record.add("process of " + m_name + (isPlanned ? " stopped: " : " ended by itself: ")
                      + (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                             : "status " + std::to_string(WEXITSTATUS(status))));
         std::this_thread::sleep_for(restartDelay);
--- a/review/standins/daemons.h
+++ b/review/standins/daemons.h
@@ -41,6 +41,9 @@
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
+    // Sends SIGTERM, as the platform does for a planned stop.
+    void terminate();
+
     unsigned ownEnds() const { return m_ownEnds; } // by itself, or by the limit of memory
     std::uint64_t peakMemoryKb() const { return m_peakMemoryKb; }
 
@@ -55,7 +58,8 @@
     const std::string m_logFile;
     Record &m_record;
     const std::uint64_t m_memoryLimitKb;
-    pid_t m_process = -1;
+    std::atomic<pid_t> m_process {-1};
+    std::atomic<bool> m_isTerminating {false}; // the next end of the process is planned
     std::atomic<bool> m_stopped {false};
     std::atomic<unsigned> m_ownEnds {0};
     std::atomic<std::uint64_t> m_peakMemoryKb {0};
--- a/review/standins/scene.h
+++ b/review/standins/scene.h
@@ -38,7 +38,7 @@
     bool isUsable();
 
     Record &record() { return m_record; }
-    const Daemon &gateway() const { return *m_gateway; }
+    Daemon &gateway() { return *m_gateway; }
     Caller newCaller() { return {m_places.address, m_places.frontPort, m_record}; }
 
 private:
--- a/review/standins/server.cpp
+++ b/review/standins/server.cpp
@@ -158,7 +158,7 @@
 }
 
 bool sendEvents(Connection &connection, const HttpRequest &request, int count,
-                std::chrono::milliseconds pause)
+                std::chrono::milliseconds pause, bool isEnded)
 {
     const std::string last = headerValue(request.headers, "Last-Event-Id");
     if (!connection.send(answerHead(
@@ -176,7 +176,7 @@
         if (!connection.send(chunk))
             return false;
     }
-    return connection.send("0\r\n\r\n");
+    return !isEnded || connection.send("0\r\n\r\n");
 }
 
 } // namespace review
--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -78,8 +78,9 @@
 bool sendAnswer(Connection &connection, const HttpRequest &request, int status = 200);
 
 // Sends a stream of this many events with a pause before each, from the one after Last-Event-Id on.
+// isEnded: whether the last chunk follows.
 bool sendEvents(Connection &connection, const HttpRequest &request, int count,
-                std::chrono::milliseconds pause);
+                std::chrono::milliseconds pause, bool isEnded = true);
 
 } // namespace review
 
