--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,7 @@
 # Builds the stand-ins and cases of the review into target/review/, after the build of the deploy
 # file. Needs only the packages of that build.
 set -eu
+trap wait EXIT # for compilers that still run after a failure
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 objects=()
