Review: count memory of the gateway's own program only

Cause: between fork and exec the new process has the memory of the case, up to 260 MB, and was killed.

--- a/review/standins/daemons.cpp
+++ b/review/standins/daemons.cpp
@@ -112,6 +112,9 @@
     std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
     std::uint64_t residentKb = 0;
     for (std::string line; std::getline(status, line);) {
+        // Until it runs its program, the process has this program's memory and name.
+        if (line.starts_with("Name:") && line.find("cornelshed") == std::string::npos)
+            return;
         if (line.starts_with("VmRSS:"))
             residentKb = std::strtoull(line.c_str() + 6, nullptr, 10);
     }
