Count crashes before an answer against all parts of a prompt

Callers saw: a part of prompts that crashes its engine before any byte of the answer was never quarantined.

Cause: PromptGuard::recordCut() kept only the whole prompt of a request that was cut before the head of its answer, as all requests that wait at the engine are cut then. Ruled out: late confirmation, answers that clear the part.

Change: all parts are kept until the crash is confirmed. Such a crash says less than one under an answer that had just begun, so it takes five servers instead of three, and each counts half a second after it, when it has been confirmed under all prompts that were on the server.

--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -54,6 +54,7 @@
   sentAgeMicros @2 :Int64;  # since the request was sent
   crashAgeMicros @3 :Int64;
   organisation @4 :UInt64;  # digest of the name of the one that sent the request; 0: none
+  answerAwaited @5 :Bool;   # nothing of the answer had arrived; never set for a whole prompt
 }
 
 struct GossipPromptPart {   # a part of prompts, or a whole one, that may crash backend servers
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -115,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f227f59ac6d91d3b, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f227f59ac6d91d3b, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -697,6 +697,8 @@
 
   inline  ::uint64_t getOrganisation() const;
 
+  inline bool getAnswerAwaited() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -740,6 +742,9 @@
   inline  ::uint64_t getOrganisation();
   inline void setOrganisation( ::uint64_t value);
 
+  inline bool getAnswerAwaited();
+  inline void setAnswerAwaited(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1651,6 +1656,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipCrash::Reader::getAnswerAwaited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipCrash::Builder::getAnswerAwaited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void GossipCrash::Builder::setAnswerAwaited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GossipPromptPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -533,7 +533,7 @@
             return;
         prompts.recordCut({exchange.admitted().prompt, backend, backendDigest(backend),
                            now - exchange.attemptAge(), now},
-                          exchange.answerJustBegun());
+                          exchange.answerPhase());
         enforceQuarantine(now);
         if (prompts.isUnconfirmed(backend) && portsInCheck.insert(backend).second)
             checkPort(backend, portChecks);
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -444,9 +444,12 @@
         failAttempt("answer_too_large");
 }
 
-bool GatewayExchange::answerJustBegun() const
+AnswerPhase GatewayExchange::answerPhase() const
 {
-    return m_status && *m_status < 300 && !m_reply.notRun && !answerWentOn();
+    if (!m_status)
+        return AnswerPhase::Awaited;
+    const bool hasBegun = *m_status < 300 && !m_reply.notRun && !answerWentOn();
+    return hasBegun ? AnswerPhase::Begun : AnswerPhase::Later;
 }
 
 bool GatewayExchange::answerWentOn() const
@@ -569,8 +572,9 @@
     }
     const bool inTime = hasTimeForRetry();
     const bool suspect = m_cut
-            && m_services.isSuspect(answerJustBegun() ? m_admitted.prompt
-                                                      : m_admitted.prompt.wholeOnly());
+            && m_services.isSuspect(answerPhase() == AnswerPhase::Begun
+                                            ? m_admitted.prompt
+                                            : m_admitted.prompt.wholeOnly());
     // The same backend server would most likely answer with the same error.
     const bool elsewhere = end != AttemptEnd::RanAndFailed || m_services.hasOtherBackend(*this);
     const bool retry =
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -11,6 +11,7 @@
 #include "directscheduler.h"
 #include "eventsplitter.h"
 #include "ingressprotocol.h"
+#include "promptguard.h"
 #include "promptquarantine.h"
 #include "requestaudit.h"
 #include "routetable.h"
@@ -166,9 +167,8 @@
     bool everSent() const { return m_history.ran > 0 || m_attemptRunning; }
     const std::string &lastBackend() const { return m_backendId; }
     Duration attemptAge() const; // since the current attempt was sent
-    // Whether the answer of the current attempt, or of the last one, had begun but went no further
-    // than its beginning.
-    bool answerJustBegun() const;
+    // How far the answer of the current attempt, or of the last one, has come.
+    AnswerPhase answerPhase() const;
     // Whether the backend server broke the connection of the current attempt, or of the last one.
     bool wasCut() const { return m_cut; }
     // Whether nothing listened at its address instead.
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -99,6 +99,7 @@
         crashes[i].setOrganisation(it.organisation);
         crashes[i].setSentAgeMicros(it.sentAge.count());
         crashes[i].setCrashAgeMicros(it.crashAge.count());
+        crashes[i].setAnswerAwaited(it.answerAwaited);
     }
     if (report.quarantineAge)
         out.setQuarantineAgeMicros(report.quarantineAge->count());
@@ -124,7 +125,7 @@
     for (const auto it : in.getCrashes())
         report.crashes.push_back({it.getBackend(), it.getVariant(), it.getOrganisation(),
                                   decodeTime(it.getSentAgeMicros()),
-                                  decodeTime(it.getCrashAgeMicros())});
+                                  decodeTime(it.getCrashAgeMicros()), it.getAnswerAwaited()});
     if (in.getQuarantineAgeMicros() >= 0)
         report.quarantineAge = decodeTime(in.getQuarantineAgeMicros());
     report.quarantine = decodeTime(in.getQuarantineMicros());
--- a/src/promptguard.cpp
+++ b/src/promptguard.cpp
@@ -103,17 +103,18 @@
     return wait;
 }
 
-void PromptGuard::recordCut(const CutRequest &request, bool justBegun)
+void PromptGuard::recordCut(const CutRequest &request, AnswerPhase phase)
 {
-    if (justBegun) {
+    if (phase == AnswerPhase::Begun) {
         m_quarantine.recordCrash(request.prompt, request.backendDigest, request.sentAt,
                                  request.cutAt);
         return;
     }
-    // Requests of ordinary prompts are also cut in these phases.
-    CutRequest whole = request;
-    whole.prompt = request.prompt.wholeOnly();
-    m_cutRequests.add(std::move(whole));
+    // Connections are also lost in these phases for other reasons than a crash.
+    CutRequest unconfirmed = request;
+    if (phase == AnswerPhase::Later)
+        unconfirmed.prompt = request.prompt.wholeOnly();
+    m_cutRequests.add(std::move(unconfirmed));
 }
 
 void PromptGuard::recordBackendEnd(const std::string &backend, CrashEvidence evidence, Instant now)
@@ -128,7 +129,7 @@
             .field("requests", confirmed.size())
             .field("after_ms", (now - confirmed.front().cutAt) / 1ms);
     for (const CutRequest &it : confirmed)
-        m_quarantine.recordCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
+        m_quarantine.recordConfirmedCrash(it.prompt, it.backendDigest, it.sentAt, it.cutAt, now);
 }
 
 std::optional<Instant> PromptGuard::firstCutAt(const std::string &backend) const
--- a/src/promptguard.h
+++ b/src/promptguard.h
@@ -25,6 +25,13 @@
     ConnectionRefused // nothing listens at its address
 };
 
+// How far the answer had come when its connection was lost.
+enum class AnswerPhase : std::uint8_t {
+    Awaited, // nothing of it had arrived
+    Begun,   // it had just begun
+    Later    // it had gone on, or was an error or a refusal
+};
+
 class PromptGuard
 {
 public:
@@ -43,9 +50,8 @@
     std::optional<Duration> probationWait(const PromptIdentity &prompt,
                                           const std::string &requestId, Instant now) const;
 
-    // A backend server broke the connection of the request. justBegun: when the answer had begun
-    // but had gone no further.
-    void recordCut(const CutRequest &request, bool justBegun);
+    // A backend server broke the connection of the request.
+    void recordCut(const CutRequest &request, AnswerPhase phase);
     // A backend server is no longer listed, or has started again.
     void recordBackendEnd(const std::string &backend, CrashEvidence evidence, Instant now);
     // Whether the backend server cut requests, and it is not known yet whether it has crashed; when
--- a/src/promptquarantine.cpp
+++ b/src/promptquarantine.cpp
@@ -97,6 +97,26 @@
             explainOthers(part.id, suspect, now);
     }
 
+    // The crash ended a request with the prompt.
+    void recordCrash(const PromptIdentity &prompt, PromptCrash crash, Instant now)
+    {
+        const bool isAnswerAwaited = crash.answerAwaited;
+        // Under a quarantined part, the crash says nothing about the others.
+        const bool hasQuarantinedPart = hasQuarantined(prompt);
+        const ExplainedCrashes explained = explainedCrashes();
+        prompt.forEachPart([&](const PromptPart &it) {
+            const PromptSuspect *suspect = find(it.id);
+            if (hasQuarantinedPart && (suspect == nullptr || !suspect->isQuarantined()))
+                return;
+            crash.variant = it.variant;
+            crash.answerAwaited = isAnswerAwaited && it.kind != PromptPartKind::Whole;
+            crash.explained = isExplained(explained, it.kind, crash);
+            if (!crash.explained || it.kind == PromptPartKind::Whole)
+                addCrash(it, crash, now);
+        });
+        convict(now);
+    }
+
     PromptSuspect &remember(std::uint64_t id, PromptPartKind kind, std::uint32_t position,
                             Instant now)
     {
@@ -170,7 +190,8 @@
             auto worst = suspects.end();
             for (auto it = suspects.begin(); it != suspects.end(); ++it) {
                 if (isConvicted(it->first, it->second, now)
-                    && (worst == suspects.end() || it->second.guilt() > worst->second.guilt()))
+                    && (worst == suspects.end()
+                        || it->second.guilt(settings, now) > worst->second.guilt(settings, now)))
                     worst = it;
             }
             if (worst == suspects.end())
@@ -266,8 +287,8 @@
     {
         const PromptPart part {report.part, report.kind, report.position, 0};
         for (const PromptCrashReport &it : report.crashes) {
-            PromptCrash crash {it.backend, it.variant, it.organisation, now - it.sentAge,
-                               now - it.crashAge};
+            PromptCrash crash {it.backend,       it.variant,        it.organisation,
+                               now - it.sentAge, now - it.crashAge, it.answerAwaited};
             crash.explained = isExplained(explained, part.kind, crash);
             if (!crash.explained || part.kind == PromptPartKind::Whole)
                 addCrash(part, crash, now);
@@ -345,21 +366,15 @@
 }
 
 void PromptQuarantine::recordCrash(const PromptIdentity &prompt, std::uint64_t backend,
-                                   Instant sentAt, Instant crashedAt, Instant now)
+                                   Instant sentAt, Instant now)
 {
-    // Under a quarantined part, the crash says nothing about the others.
-    const bool hasQuarantined = d->hasQuarantined(prompt);
-    const Private::ExplainedCrashes explained = d->explainedCrashes();
-    prompt.forEachPart([&](const PromptPart &it) {
-        const PromptSuspect *suspect = d->find(it.id);
-        if (hasQuarantined && (suspect == nullptr || !suspect->isQuarantined()))
-            return;
-        PromptCrash crash {backend, it.variant, prompt.organisation, sentAt, crashedAt};
-        crash.explained =
-                it.kind == PromptPartKind::Whole && Private::isExplained(explained, it.kind, crash);
-        d->addCrash(it, crash, now);
-    });
-    d->convict(now);
+    d->recordCrash(prompt, {backend, 0, prompt.organisation, sentAt, now, false}, now);
+}
+
+void PromptQuarantine::recordConfirmedCrash(const PromptIdentity &prompt, std::uint64_t backend,
+                                            Instant sentAt, Instant crashedAt, Instant now)
+{
+    d->recordCrash(prompt, {backend, 0, prompt.organisation, sentAt, crashedAt, true}, now);
 }
 
 void PromptQuarantine::recordAnswer(const PromptIdentity &prompt, Instant now)
@@ -427,7 +442,8 @@
     prompt.forEachPart([&](const PromptPart &it) {
         const PromptSuspect *suspect = d->find(it.id);
         found = found
-                || (suspect != nullptr && (suspect->isQuarantined() || suspect->unexplained() > 1));
+                || (suspect != nullptr
+                    && (suspect->isQuarantined() || suspect->unexplainedDirect() > 1));
     });
     return found;
 }
--- a/src/promptquarantine.h
+++ b/src/promptquarantine.h
@@ -4,9 +4,11 @@
 //
 // A crash ends all requests on its backend server. Those whose answer had just begun are suspected
 // first, as an engine crashes when it begins to write: all shared parts of such a prompt, its last
-// part, and the prompt as a whole. Of the others only the whole is suspected, when the crash is
-// confirmed. An answer to any prompt with a part that goes on clears the part; only a complete
-// answer clears a whole prompt.
+// part, and the prompt as a whole. Those whose answer was still awaited are suspected in the same
+// way once the crash is confirmed, but their parts only after more crashes: all requests that the
+// server had not begun to answer are among them. Of an answer that had gone on only the whole
+// prompt is suspected, again when the crash is confirmed. An answer to any prompt with a part that
+// goes on clears the part; only a complete answer clears a whole prompt.
 //
 // A part is quarantined after crashes of several backend servers under different prompts with it,
 // at least one of them sent after the first crash, without an answer in between: a failure of many
@@ -36,11 +38,16 @@
 
 struct PromptQuarantineSettings
 {
-    std::uint32_t crashes = 3;  // of backend servers, before a part is quarantined
+    std::uint32_t crashes = 3; // of backend servers, before a part is quarantined
+    // The same for a part of prompts, counting also crashes before the answer had begun.
+    std::uint32_t crashesWithAwaited = 5;
     std::uint32_t variants = 2; // different prompts among them, except for a whole prompt
     // From the first of the crashes, except for a whole prompt: answers that clear a part, and what
     // peers know of the same crashes, may take this time to arrive.
     Duration settleTime = std::chrono::milliseconds(500);
+    // From each crash before the answer had begun: it is confirmed at different times under the
+    // prompts that were on the server.
+    Duration awaitedSettleTime = std::chrono::milliseconds(500);
     // The same for a whole prompt, from the last of its crashes, while there are others that may be
     // to blame.
     Duration rivalSettleTime = std::chrono::milliseconds(200);
@@ -55,8 +62,7 @@
     bool operator==(const PromptQuarantineSettings &) const = default;
 };
 
-// A crash of a backend server under a request whose answer had just begun. Times are ages: they
-// count back from the report.
+// A crash of a backend server under a request. Times are ages: they count back from the report.
 struct PromptCrashReport
 {
     std::uint64_t backend = 0; // digest of its id and start
@@ -64,6 +70,7 @@
     std::uint64_t organisation = 0;
     Duration sentAge {};
     Duration crashAge {};
+    bool answerAwaited = false; // nothing of the answer had arrived; never set for a whole prompt
 
     auto operator<=>(const PromptCrashReport &) const = default;
 };
@@ -96,13 +103,11 @@
 
     // The connection to a backend server was lost when the answer had just begun.
     void recordCrash(const PromptIdentity &prompt, std::uint64_t backend, Instant sentAt,
-                     Instant now)
-    {
-        recordCrash(prompt, backend, sentAt, now, now);
-    }
-    // A backend server is known to have crashed, at an earlier time.
-    void recordCrash(const PromptIdentity &prompt, std::uint64_t backend, Instant sentAt,
-                     Instant crashedAt, Instant now);
+                     Instant now);
+    // A backend server is known to have crashed, at an earlier time, while the answer was awaited,
+    // or, for a whole prompt, at any point of the answer.
+    void recordConfirmedCrash(const PromptIdentity &prompt, std::uint64_t backend, Instant sentAt,
+                              Instant crashedAt, Instant now);
 
     // The answer to the prompt went on beyond its beginning.
     void recordAnswer(const PromptIdentity &prompt, Instant now);
--- a/src/promptsuspect.cpp
+++ b/src/promptsuspect.cpp
@@ -11,8 +11,9 @@
 
 using namespace std::chrono_literals;
 
-// Further crashes under a part add nothing to what is known of it.
-constexpr std::size_t crashLimit = 8;
+// Further crashes under a part add nothing to what is known of it. Half of them are the oldest
+// ones, which must be enough to quarantine it while the newest have not settled.
+constexpr std::size_t crashLimit = 10;
 // A crash under a whole prompt may be due to its backend server if there was no other one.
 constexpr std::size_t minBackends = 2;
 // Of a whole prompt on probation, in crashes that another one shares.
@@ -34,11 +35,13 @@
             && std::chrono::abs(crashedAt - other.crashedAt) <= timeTolerance;
 }
 
-bool PromptSuspect::hasCrash(const PromptCrash &crash) const
+PromptCrash *PromptSuspect::findCrash(const PromptCrash &crash)
 {
-    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &it) {
-        return m_kind == PromptPartKind::Whole ? it.isSameAs(crash) : it.backend == crash.backend;
+    const auto it = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &known) {
+        return m_kind == PromptPartKind::Whole ? known.isSameAs(crash)
+                                               : known.backend == crash.backend;
     });
+    return it == m_crashes.end() ? nullptr : &*it;
 }
 
 std::optional<Instant> PromptSuspect::quarantinedUntil() const
@@ -67,13 +70,29 @@
         lastSent = std::max(lastSent, it.sentAt);
         allShared = allShared && m_kind == PromptPartKind::Whole && isShared(it);
     }
-    if (unexplained() < settings.crashes || lastSent <= firstCrash || allShared)
+    if (!hasEnoughCrashes(settings, now) || lastSent <= firstCrash || allShared)
         return false;
     if (m_kind == PromptPartKind::Whole)
         return backends.size() >= minBackends;
     return variants.size() >= settings.variants && firstCrash + settings.settleTime <= now;
 }
 
+std::size_t PromptSuspect::settled(const PromptQuarantineSettings &settings, Instant now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_crashes.begin(), m_crashes.end(), [&](const PromptCrash &it) {
+                const bool isSettled =
+                        !it.answerAwaited || it.crashedAt + settings.awaitedSettleTime <= now;
+                return !it.explained && isSettled;
+            }));
+}
+
+bool PromptSuspect::hasEnoughCrashes(const PromptQuarantineSettings &settings, Instant now) const
+{
+    return unexplainedDirect() >= settings.crashes
+            || settled(settings, now) >= settings.crashesWithAwaited;
+}
+
 bool PromptSuspect::isOnProbation(const PromptQuarantineSettings &settings) const
 {
     return m_kind == PromptPartKind::Whole && !m_quarantinedAt
@@ -106,6 +125,14 @@
                           [](const PromptCrash &it) { return !it.explained; }));
 }
 
+std::size_t PromptSuspect::unexplainedDirect() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_crashes.begin(), m_crashes.end(), [](const PromptCrash &it) {
+                return !it.explained && !it.answerAwaited;
+            }));
+}
+
 bool PromptSuspect::isContradicted(const PromptQuarantineSettings &settings,
                                    Instant quarantinedAt) const
 {
@@ -132,8 +159,16 @@
 bool PromptSuspect::addCrash(const PromptCrash &crash, Instant now)
 {
     const bool isOlderThanAnswer = m_clearedAt && crash.sentAt < *m_clearedAt;
-    if (hasCrash(crash) || isOlderThanAnswer)
+    if (isOlderThanAnswer)
         return false;
+    if (PromptCrash *known = findCrash(crash)) {
+        if (!known->answerAwaited || crash.answerAwaited)
+            return false;
+        known->answerAwaited = false;
+        m_evidenceAt = now;
+        m_changedAt = now;
+        return true;
+    }
     m_crashes.insert(std::upper_bound(m_crashes.begin(), m_crashes.end(), crash,
                                       [](const PromptCrash &a, const PromptCrash &b) {
                                           return a.crashedAt < b.crashedAt;
@@ -199,8 +234,8 @@
 {
     PromptPartReport report {id, m_kind, m_position, {}, {}, m_quarantine, {}};
     for (const PromptCrash &it : m_crashes)
-        report.crashes.push_back(
-                {it.backend, it.variant, it.organisation, now - it.sentAt, now - it.crashedAt});
+        report.crashes.push_back({it.backend, it.variant, it.organisation, now - it.sentAt,
+                                  now - it.crashedAt, it.answerAwaited});
     if (m_quarantinedAt)
         report.quarantineAge = now - *m_quarantinedAt;
     if (m_clearedAt)
--- a/src/promptsuspect.h
+++ b/src/promptsuspect.h
@@ -23,6 +23,9 @@
     std::uint64_t organisation = 0;
     Instant sentAt {};
     Instant crashedAt {};
+    // Nothing of the answer had arrived, so that any request on the server may be to blame. Never
+    // set for a whole prompt, against which every crash counts in full.
+    bool answerAwaited = false;
     // A quarantined part explains it. It still shows that the server ended under this one, too.
     bool explained = false;
 
@@ -59,6 +62,8 @@
     bool isOnProbation(const PromptQuarantineSettings &settings) const;
     // Number of crashes that no quarantined part explains.
     std::size_t unexplained() const;
+    // The same without those before the answer had begun.
+    std::size_t unexplainedDirect() const;
     // Whether an answer went on after the quarantine began at that time, or too shortly before it:
     // a part that crashes servers has no such answers.
     bool isContradicted(const PromptQuarantineSettings &settings, Instant quarantinedAt) const;
@@ -71,9 +76,13 @@
     // The suspects with the least weight are dropped first, those with the most reported first.
     auto weight() const { return std::make_tuple(isQuarantined(), unexplained(), m_changedAt); }
     // Of those convicted at the same time, the one with the most weight is to blame.
-    auto guilt() const { return std::make_tuple(unexplained(), m_kind, m_position); }
+    auto guilt(const PromptQuarantineSettings &settings, Instant now) const
+    {
+        return std::make_tuple(settled(settings, now), unexplainedDirect(), m_kind, m_position);
+    }
 
-    // Returns whether the crash was not known and may be due to the part.
+    // Returns whether this adds evidence: the crash may be due to the part, and was not known or
+    // was known only from requests whose answer was awaited.
     bool addCrash(const PromptCrash &crash, Instant now);
     // Whether the crash under a part that is quarantined explains the other one, under this part:
     // it does if it is the same crash, unless that is a shared part of the prompt which is
@@ -96,7 +105,12 @@
     PromptPartReport report(std::uint64_t id, Instant now) const;
 
 private:
-    bool hasCrash(const PromptCrash &crash) const;
+    // The same crash, if it is known.
+    PromptCrash *findCrash(const PromptCrash &crash);
+    // Number of unexplained crashes without those before the answer had begun which peers may still
+    // confirm under other parts.
+    std::size_t settled(const PromptQuarantineSettings &settings, Instant now) const;
+    bool hasEnoughCrashes(const PromptQuarantineSettings &settings, Instant now) const;
     bool hasFailedProbation(const PromptQuarantineSettings &settings,
                             const IsShared &isShared) const;
 
--- a/test/correctness/promptquarantine.cpp
+++ b/test/correctness/promptquarantine.cpp
@@ -291,14 +291,23 @@
 
 namespace {
 
+// Crashes of servers before the answers of their requests have begun.
+struct SilentCrashes
+{
+    bool deadlyParts = false;               // requests with the deadly part crash servers so
+    std::optional<Duration> ownInterval {}; // servers crash by themselves, one in this time
+};
+
 // Gateways in virtual time. Requests with the deadly part and sound ones arrive at random gateways;
-// each deadly one crashes its server when its answer begins. Reports are late and may be lost.
+// each deadly one crashes its server when its answer begins, or just before. Reports are late and
+// may be lost.
 class Fleet
 {
 public:
     Fleet(std::uint32_t gatewayCount, std::uint32_t lossPercent, Duration reportInterval,
-          std::uint64_t seed)
-        : m_random(seed), m_lossPercent(lossPercent), m_reportInterval(reportInterval)
+          std::uint64_t seed, const SilentCrashes &silentCrashes = {})
+        : m_random(seed), m_lossPercent(lossPercent), m_reportInterval(reportInterval),
+          m_silentCrashes(silentCrashes)
     {
         for (std::uint32_t n = 0; n < gatewayCount; ++n) {
             m_gateways.push_back(std::make_unique<PromptQuarantine>());
@@ -316,6 +325,8 @@
             for (int n = 0; n < 3; ++n)
                 arrive(m_random.below(100) < deadlyPercent);
             endRequests();
+            crashByThemselves();
+            confirmCrashes();
             exchangeReports();
             for (auto &it : m_gateways)
                 it->advance(m_now);
@@ -327,6 +338,8 @@
                 m_gateways[n]->setGateways(static_cast<std::uint32_t>(m_gateways.size()),
                                            static_cast<std::uint32_t>(n));
                 m_startedAt[n] = m_now;
+                std::erase_if(m_unconfirmed,
+                              [&](const Unconfirmed &it) { return it.request.gateway == n; });
                 for (auto &it : m_gateways)
                     it->peerStarted(m_now);
             }
@@ -356,10 +369,26 @@
         bool deadly = false;
         Instant sentAt {};
         Instant beginsAt {};
+        std::size_t server = 0;
     };
 
+    // A request whose server crashed while its gateway awaited the answer.
+    struct Unconfirmed
+    {
+        Running request;
+        std::uint64_t crash = 0; // digest of the server and its start
+        Instant crashedAt {};
+        Instant confirmedAt {};
+    };
+
+    static constexpr std::size_t serverCount = 16;
+    static constexpr Duration downTime = 3s;
+
     void arrive(bool deadly)
     {
+        const std::size_t server = m_random.below(serverCount);
+        if (m_now < m_upAt[server])
+            return;
         const std::size_t gateway = m_random.below(m_gateways.size());
         // Sound requests share their first part with the deadly ones, or have one of many others.
         std::vector<std::uint64_t> parts {m_random.below(4) == 0 ? sharedPart
@@ -374,7 +403,7 @@
         if (deadly)
             m_deadlySent.emplace_back(m_now, m_now - m_startedAt[gateway]);
         m_running.push_back({gateway, identity, deadly, m_now,
-                             m_now + 50ms + Duration(m_random.below(300000))});
+                             m_now + 50ms + Duration(m_random.below(300000)), server});
     }
 
     void endRequests()
@@ -391,6 +420,12 @@
                 continue;
             }
             m_crashes.push_back(m_now);
+            if (m_silentCrashes.deadlyParts) {
+                m_running.push_back(it);
+                crash(it.server);
+                i = 0;
+                continue;
+            }
             m_gateways[it.gateway]->recordCrash(it.prompt, ++m_crashedServer, it.sentAt, m_now);
             // A few sound ones were beside it, and one of them had just begun to be answered, too.
             if (!m_running.empty() && m_random.below(3) == 0) {
@@ -403,6 +438,38 @@
         }
     }
 
+    // Cuts all requests on the server before their answers begin.
+    void crash(std::size_t server)
+    {
+        ++m_crashedServer;
+        m_upAt[server] = m_now + downTime;
+        std::erase_if(m_running, [&](const Running &it) {
+            if (it.server == server)
+                m_unconfirmed.push_back(
+                        {it, m_crashedServer, m_now, m_now + Duration(m_random.below(300000))});
+            return it.server == server;
+        });
+    }
+
+    void crashByThemselves()
+    {
+        if (!m_silentCrashes.ownInterval || m_now < m_nextOwnCrash)
+            return;
+        m_nextOwnCrash = m_now + *m_silentCrashes.ownInterval;
+        crash(m_random.below(serverCount));
+    }
+
+    void confirmCrashes()
+    {
+        std::erase_if(m_unconfirmed, [&](const Unconfirmed &it) {
+            if (it.confirmedAt > m_now)
+                return false;
+            m_gateways[it.request.gateway]->recordConfirmedCrash(
+                    it.request.prompt, it.crash, it.request.sentAt, it.crashedAt, m_now);
+            return true;
+        });
+    }
+
     void exchangeReports()
     {
         for (auto &from : m_gateways) {
@@ -419,7 +486,11 @@
     SeededRandom m_random;
     std::uint32_t m_lossPercent;
     Duration m_reportInterval;
+    SilentCrashes m_silentCrashes;
     Instant m_now {};
+    Instant m_nextOwnCrash {};
+    std::array<Instant, serverCount> m_upAt {};
+    std::vector<Unconfirmed> m_unconfirmed;
     std::vector<std::unique_ptr<PromptQuarantine>> m_gateways;
     std::vector<Running> m_running;
     std::vector<Instant> m_crashes;
@@ -448,3 +519,83 @@
         RC_ASSERT(fleet.soundHeldBack() == 0U);
     }));
 }
+
+// Guards against a part that goes on crashing servers because nothing of an answer ever arrives,
+// and against sound parts that are held back because they were on these servers, too.
+TEST_CASE("property: the same holds if servers crash before any answer begins, under the part and "
+          "by themselves")
+{
+    CHECK(rc::check([] {
+        const auto gatewayCount = *rc::gen::inRange<std::uint32_t>(1, 60);
+        const auto loss = *rc::gen::inRange<std::uint32_t>(0, 50);
+        const auto deadlyPercent = *rc::gen::inRange<std::uint32_t>(1, 40);
+        const auto restarts = *rc::gen::arbitrary<bool>();
+        const auto ownMilliseconds = *rc::gen::inRange<std::uint32_t>(1000, 8000);
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000);
+        Fleet fleet(gatewayCount, loss, 50ms, seed,
+                    {true, std::chrono::milliseconds(ownMilliseconds)});
+        fleet.run(40s, deadlyPercent, restarts && gatewayCount > 3);
+        RC_ASSERT(fleet.sentLaterThan(3s) <= 3U);
+        RC_ASSERT(fleet.soundHeldBack() == 0U);
+    }));
+}
+
+// Guards against prompts that are held back because a server crashes by itself every second.
+TEST_CASE("property: servers that crash by themselves before answers begin hold back no prompt")
+{
+    CHECK(rc::check([] {
+        const auto gatewayCount = *rc::gen::inRange<std::uint32_t>(1, 60);
+        const auto ownMilliseconds = *rc::gen::inRange<std::uint32_t>(200, 2000);
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000);
+        Fleet fleet(gatewayCount, 10, 50ms, seed,
+                    {false, std::chrono::milliseconds(ownMilliseconds)});
+        fleet.run(40s, 0, false);
+        RC_ASSERT(fleet.soundHeldBack() == 0U);
+    }));
+}
+
+TEST_CASE("a part is quarantined after three crashes once answers had begun, or after five if some "
+          "were awaited; an answer in between begins the count again")
+{
+    const auto crash = [](PromptQuarantine &quarantine, std::uint64_t n, bool awaited) {
+        const Instant at = start + n * 1s;
+        if (awaited)
+            quarantine.recordConfirmedCrash(prompt({deadlyPart}, n), n, at - 100ms, at, at + 200ms);
+        else
+            quarantine.recordCrash(prompt({deadlyPart}, n), n, at - 100ms, at);
+        quarantine.advance(at + 600ms);
+    };
+    const auto isQuarantined = [](const PromptQuarantine &quarantine) {
+        return quarantine.refusal(prompt({deadlyPart}, 99), start + 1min).has_value();
+    };
+    for (const std::uint64_t begun : {0, 2}) {
+        PromptQuarantine quarantine;
+        for (std::uint64_t n = 1; n <= 5; ++n) {
+            CHECK_FALSE(isQuarantined(quarantine));
+            crash(quarantine, n, n > begun);
+        }
+        CHECK(isQuarantined(quarantine));
+    }
+    PromptQuarantine answered;
+    for (std::uint64_t n = 1; n <= 9; ++n) {
+        crash(answered, n, true);
+        if (n == 4)
+            answered.recordAnswer(prompt({deadlyPart}, 50), start + n * 1s + 300ms);
+        CHECK(isQuarantined(answered) == (n == 9));
+    }
+}
+
+TEST_CASE("a crash that is first known from a request whose answer was awaited counts in full once "
+          "another one shows that an answer had begun")
+{
+    PromptQuarantine first;
+    PromptQuarantine second;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        const Instant at = start + n * 1s;
+        first.recordConfirmedCrash(prompt({deadlyPart}, n), n, at - 100ms, at, at);
+        second.recordCrash(prompt({deadlyPart}, 10 + n), n, at - 100ms, at);
+    }
+    CHECK_FALSE(first.refusal(prompt({deadlyPart}, 20), start + 4s));
+    share(second, first, start + 4s);
+    CHECK(first.refusal(prompt({deadlyPart}, 20), start + 4s));
+}
