Keep a silent attempt that may be at the end of its stream

Cause: a stream that is silent for four times its gap objective is sent to another server, and the silent attempt was cancelled at once. After the last event the other server has nothing to send, which does not show that the stream is complete, and with two attempts none is left. Evidence: attempt_replaced after 1000 ms, then request_ended status=0 problem=stream_not_resumed ran=2 in the same millisecond. Ruled out: the shutdown; the check of the empty rest, which error.misbehavingserver needs.

Change: a silent attempt that has sent complete events only is set aside while the other one starts. The first event of either cancels the other one; if the new one is refused, fails or has no event, the old one is the request's attempt again. An attempt that stopped inside an event is cancelled as before. auditRequests() knows of both. This works because no attempt is given up before another one has gone further.

--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -114,17 +114,31 @@
     }
     void body(std::string data) override
     {
-        if (const auto exchange = m_exchange)
+        const auto exchange = m_exchange;
+        if (!exchange)
+            return;
+        if (exchange->isSilentAttempt(*this))
+            exchange->handleSilentBody(data);
+        else
             exchange->handleBody(data);
     }
     void finished() override
     {
-        if (const auto exchange = m_exchange)
-            exchange->handleFinished();
+        const auto exchange = m_exchange;
+        if (!exchange)
+            return;
+        if (exchange->isSilentAttempt(*this))
+            exchange->returnToSilentAttempt();
+        exchange->handleFinished();
     }
     void failed(BackendError error) override
     {
-        if (const auto exchange = m_exchange)
+        const auto exchange = m_exchange;
+        if (!exchange)
+            return;
+        if (exchange->isSilentAttempt(*this))
+            exchange->handleSilentFailed(error);
+        else
             exchange->handleFailed(error);
     }
 
@@ -159,7 +173,7 @@
     if (m_finished)
         return;
     m_problem = "deadline";
-    if (m_attemptRunning) {
+    if (m_attempt.running) {
         ++m_history.ran;
         abandonAttempt();
     }
@@ -186,28 +200,25 @@
                                    BackendClient &client)
 {
     const Instant now = monotonicNow();
-    if (m_attemptRunning)
-        cancelSilentAttempt();
+    if (m_attempt.running) {
+        if (mayBeAtEnd() && !m_silentAttempt)
+            setAsideSilentAttempt();
+        else
+            cancelSilentAttempt();
+    }
     if (m_triedBackends.empty())
         m_timeInQueue = now - m_admitted.request.receivedAt;
     m_retryTaken = false;
     m_hasErrorAnswer = false;
-    m_attemptId = id;
     m_excludedBackends.insert(backend.id);
-    m_attemptRunning = true;
-    m_backendId = backend.id;
     const bool isTriedBackend = !m_triedBackends.insert(backend.id).second;
-    m_attemptStart = now;
-    m_lastProgressAt = now;
-    m_cut = false;
-    m_connectionRefused = false;
-    m_status.reset();
-    m_responseHeaders.clear();
-    m_reply = {};
     takeBody();
-    m_bodyBytesAtProgress = 0;
-    m_eventSplitter.reset();
-    m_firstEventAt = {};
+    m_attempt = {};
+    m_attempt.running = true;
+    m_attempt.id = id;
+    m_attempt.backendId = backend.id;
+    m_attempt.start = now;
+    m_attempt.lastProgressAt = now;
 
     const Duration remaining = std::max<Duration>(m_admitted.deadline - now, 1ms);
     ForwardMetadata metadata {remaining, m_admitted.organisation, backend.id, m_lastEventId};
@@ -222,10 +233,10 @@
     // On a connection of an earlier attempt, a copy of the answer to that one would bear the id of
     // this one.
     forwarded.ownConnection = isTriedBackend;
-    m_responseHandler = std::make_shared<ResponseHandler>(shared_from_this());
-    m_call = client.start(std::move(forwarded), m_responseHandler);
+    m_attempt.handler = std::make_shared<ResponseHandler>(shared_from_this());
+    m_attempt.call = client.start(std::move(forwarded), m_attempt.handler);
     if (m_history.retryable)
-        armSearchTimer(m_lastProgressAt + silenceLimit());
+        armSearchTimer(m_attempt.lastProgressAt + silenceLimit());
 }
 
 // --- unresponsive backend servers ---
@@ -233,7 +244,7 @@
 Duration GatewayExchange::silenceLimit() const
 {
     const DirectRoute &route = m_admitted.route;
-    const bool begun = m_firstEventAt != Instant {};
+    const bool begun = m_attempt.firstEventAt != Instant {};
     const double factor = begun ? silenceGapFactor : silenceObjectiveFactor;
     const Duration base =
             begun && route.gapObjective > Duration::zero() ? route.gapObjective : route.objective;
@@ -263,14 +274,14 @@
     if (m_finished || m_queuedId)
         return;
     const Instant now = monotonicNow();
-    if (m_attemptRunning && now < m_lastProgressAt + silenceLimit()) {
-        armSearchTimer(m_lastProgressAt + silenceLimit());
+    if (m_attempt.running && now < m_attempt.lastProgressAt + silenceLimit()) {
+        armSearchTimer(m_attempt.lastProgressAt + silenceLimit());
         return;
     }
     // Without a further attempt the current one continues, as it may still respond. Without any,
     // the request waits for its deadline.
     if (!mayRunAgain() || !hasTimeForRetry()) {
-        if (!m_attemptRunning)
+        if (!m_attempt.running)
             armSearchTimer(m_admitted.deadline);
         return;
     }
@@ -278,11 +289,8 @@
         armSearchTimer(now + searchPause);
         return;
     }
-    if (m_attemptRunning) {
-        EventLog("attempt_silent", EventLevel::Warning)
-                .field("request", m_admitted.metadata.requestId)
-                .field("backend", m_backendId)
-                .field("silent_ms", (now - m_lastProgressAt) / 1ms);
+    if (m_attempt.running) {
+        logSilence("attempt_silent", m_attempt);
         m_problem = "silent";
     }
     m_services.requeue(*this);
@@ -291,24 +299,101 @@
 // Called when the current attempt has sent more of its response.
 void GatewayExchange::recordProgress()
 {
-    m_lastProgressAt = monotonicNow();
+    m_attempt.lastProgressAt = monotonicNow();
     if (!m_queuedId)
         return;
     m_services.withdraw(*this);
-    armSearchTimer(m_lastProgressAt + silenceLimit());
+    armSearchTimer(m_attempt.lastProgressAt + silenceLimit());
 }
 
-void GatewayExchange::cancelSilentAttempt()
+void GatewayExchange::logSilence(const char *event, const Attempt &attempt) const
 {
-    EventLog("attempt_replaced", EventLevel::Warning)
+    EventLog(event, EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
-            .field("backend", m_backendId)
-            .field("silent_ms", (monotonicNow() - m_lastProgressAt) / 1ms);
+            .field("backend", attempt.backendId)
+            .field("silent_ms", (monotonicNow() - attempt.lastProgressAt) / 1ms);
+}
+
+void GatewayExchange::cancelSilentAttempt()
+{
+    logSilence("attempt_replaced", m_attempt);
     ++m_history.ran;
     m_cancelledSilent = true;
     stopAttempt(AttemptOutcome::TimedOut);
 }
 
+// Whether the current attempt may have sent all events of its stream. Another backend server has
+// none then, which does not show that the stream is complete.
+bool GatewayExchange::mayBeAtEnd() const
+{
+    return m_attempt.firstEventAt != Instant {} && !m_attempt.eventSplitter->pending();
+}
+
+void GatewayExchange::setAsideSilentAttempt()
+{
+    logSilence("attempt_set_aside", m_attempt);
+    ++m_history.ran;
+    m_silentAttempt = std::exchange(m_attempt, {});
+}
+
+bool GatewayExchange::isSilentAttempt(const ResponseHandler &handler) const
+{
+    return m_silentAttempt && m_silentAttempt->handler.get() == &handler;
+}
+
+void GatewayExchange::dropSilentAttempt(AttemptOutcome outcome)
+{
+    if (!m_silentAttempt)
+        return;
+    tryReserve(*m_silentAttempt, 0);
+    std::swap(m_attempt, *m_silentAttempt);
+    releaseAttempt(outcome);
+    std::swap(m_attempt, *m_silentAttempt);
+    m_silentAttempt.reset();
+}
+
+// Makes the silent attempt the current one again, and cancels the one that was to replace it.
+void GatewayExchange::returnToSilentAttempt()
+{
+    if (m_queuedId)
+        m_services.withdraw(*this);
+    takeBody();
+    if (m_attempt.running) {
+        ++m_history.ran;
+        releaseAttempt(AttemptOutcome::Abandoned);
+    }
+    m_attempt = std::move(*m_silentAttempt);
+    m_silentAttempt.reset();
+    --m_history.ran; // it counts again once it ends
+    m_problem = "";
+    logSilence("attempt_taken_up", m_attempt);
+    if (m_history.retryable)
+        waitForPlace();
+}
+
+void GatewayExchange::handleSilentBody(const std::string &data)
+{
+    EventSplitter &splitter = *m_silentAttempt->eventSplitter;
+    const std::string completeEvents = splitter.append(data);
+    if (!completeEvents.empty()) {
+        returnToSilentAttempt();
+        forwardEvents(completeEvents);
+    } else if (splitter.malformed() || !tryReserve(*m_silentAttempt, splitter.pendingBytes())) {
+        dropSilentAttempt(AttemptOutcome::Failed);
+    }
+}
+
+void GatewayExchange::handleSilentFailed(BackendError error)
+{
+    m_silentAttempt->call = nullptr;
+    if (error == BackendError::Cut) {
+        std::swap(m_attempt, *m_silentAttempt);
+        recordCut();
+        std::swap(m_attempt, *m_silentAttempt);
+    }
+    dropSilentAttempt(AttemptOutcome::Broken);
+}
+
 bool GatewayExchange::hasTimeForRetry() const
 {
     return monotonicNow() + minTimeForRetry < m_admitted.deadline;
@@ -318,7 +403,7 @@
 bool GatewayExchange::mayRunAgain() const
 {
     return m_history.retryable
-            && m_history.ran + (m_attemptRunning ? 1 : 0) < m_history.attemptLimit;
+            && m_history.ran + (m_attempt.running ? 1 : 0) < m_history.attemptLimit;
 }
 
 // Whether a request without an attempt may wait until it is queued again: one whose answer has
@@ -340,61 +425,63 @@
 void GatewayExchange::handleHead(std::uint32_t status, Headers headers)
 {
     recordProgress();
-    m_status = status;
-    m_reply = m_services.protocol().decodeReply(status, headers);
-    m_responseHeaders = std::move(headers);
-    m_services.replyReceived(m_attemptId, m_backendId, m_reply);
+    m_attempt.status = status;
+    m_attempt.reply = m_services.protocol().decodeReply(status, headers);
+    m_attempt.responseHeaders = std::move(headers);
+    m_services.replyReceived(m_attempt.id, m_attempt.backendId, m_attempt.reply);
     if (isStreamedResponse())
-        m_eventSplitter.emplace(m_lastEventId);
-    else if (m_history.answerStarted && !m_reply.notRun && !m_reply.misdirected)
+        m_attempt.eventSplitter.emplace(m_lastEventId);
+    else if (m_history.answerStarted && !m_attempt.reply.notRun && !m_attempt.reply.misdirected)
         failAttempt("stream_not_resumed"); // only further events may follow those already sent
 }
 
 bool GatewayExchange::isStreamedResponse() const
 {
-    const bool mayBeEvents = declaresEventStream(m_responseHeaders)
-            || findHeader(m_responseHeaders, "Content-Type") == nullptr;
-    return m_admitted.route.kind == RequestKind::Stream && m_status && *m_status < 300
-            && m_reply.authenticated && !m_reply.encoded && !m_reply.notRun && mayBeEvents;
+    const bool mayBeEvents = declaresEventStream(m_attempt.responseHeaders)
+            || findHeader(m_attempt.responseHeaders, "Content-Type") == nullptr;
+    return m_admitted.route.kind == RequestKind::Stream && m_attempt.status
+            && *m_attempt.status < 300 && m_attempt.reply.authenticated && !m_attempt.reply.encoded
+            && !m_attempt.reply.notRun && mayBeEvents;
 }
 
 void GatewayExchange::handleBody(const std::string &data)
 {
-    if (m_eventSplitter)
-        forwardEvents(data);
+    if (m_attempt.eventSplitter)
+        forwardEvents(m_attempt.eventSplitter->append(data));
     else
         bufferBody(data);
 }
 
 void GatewayExchange::bufferBody(const std::string &data)
 {
-    if (!tryReserve(m_responseBody.size() + data.size())) {
+    if (!tryReserve(m_attempt, m_attempt.responseBody.size() + data.size())) {
         failAttempt("answer_too_large");
         return;
     }
-    m_responseBody += data;
-    if (m_responseBody.size() < m_bodyBytesAtProgress + progressBytes)
+    m_attempt.responseBody += data;
+    if (m_attempt.responseBody.size() < m_attempt.bodyBytesAtProgress + progressBytes)
         return;
-    m_bodyBytesAtProgress = m_responseBody.size();
+    m_attempt.bodyBytesAtProgress = m_attempt.responseBody.size();
     recordProgress();
 }
 
 // Returns what is buffered of the body, and its memory to the gateway's limit.
 std::string GatewayExchange::takeBody()
 {
-    tryReserve(0);
-    return std::exchange(m_responseBody, std::string());
+    tryReserve(m_attempt, 0);
+    return std::exchange(m_attempt.responseBody, std::string());
 }
 
 // Adjusts what is reserved of the gateway's limit to this size. Returns false if the limit does not
 // allow it.
-bool GatewayExchange::tryReserve(std::size_t bytes)
+bool GatewayExchange::tryReserve(Attempt &attempt, std::size_t bytes)
 {
-    if (bytes > m_reservedBytes && !m_services.tryBuffer(m_reservedBytes, bytes - m_reservedBytes))
+    const std::size_t reserved = attempt.reservedBytes;
+    if (bytes > reserved && !m_services.tryBuffer(reserved, bytes - reserved))
         return false;
-    if (bytes < m_reservedBytes)
-        m_services.releaseBuffer(m_reservedBytes - bytes);
-    m_reservedBytes = bytes;
+    if (bytes < reserved)
+        m_services.releaseBuffer(reserved - bytes);
+    attempt.reservedBytes = bytes;
     return true;
 }
 
@@ -402,12 +489,12 @@
 void GatewayExchange::failAttempt(const char *problem)
 {
     m_problem = problem;
-    m_responseHandler->detach();
-    m_call->abandon();
+    m_attempt.handler->detach();
+    m_attempt.call->abandon();
     // The request may wait for another attempt.
     takeBody();
-    if (m_eventSplitter)
-        m_eventSplitter->discardPending();
+    if (m_attempt.eventSplitter)
+        m_attempt.eventSplitter->discardPending();
     endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Failed);
 }
 
@@ -415,47 +502,53 @@
 {
     if (m_finished || incompleteBytes() == 0)
         return;
-    failAttempt("answer_too_large");
+    if (m_silentAttempt && m_silentAttempt->reservedBytes >= m_attempt.reservedBytes)
+        dropSilentAttempt(AttemptOutcome::Failed);
+    else
+        failAttempt("answer_too_large");
 }
 
-void GatewayExchange::forwardEvents(std::string_view data)
+void GatewayExchange::forwardEvents(const std::string &completeEvents)
 {
-    const std::string completeEvents = m_eventSplitter->append(data);
     if (!completeEvents.empty()) {
-        if (m_firstEventAt == Instant {}) {
-            m_firstEventAt = monotonicNow();
+        if (m_silentAttempt) {
+            logSilence("attempt_replaced", *m_silentAttempt);
+            dropSilentAttempt(AttemptOutcome::TimedOut);
+        }
+        if (m_attempt.firstEventAt == Instant {}) {
+            m_attempt.firstEventAt = monotonicNow();
             m_services.firstEvent(*this);
         }
         recordProgress();
         if (answerWentOn())
             m_services.answerContinued(m_admitted.prompt);
         beginResponse();
-        m_lastEventId = m_eventSplitter->lastId();
+        m_lastEventId = m_attempt.eventSplitter->lastId();
         // Without ids, a repeated attempt would send the same events again.
-        if (m_eventSplitter->count() > 0 && !m_lastEventId)
+        if (m_attempt.eventSplitter->count() > 0 && !m_lastEventId)
             m_history.retryable = false;
         m_channel->writeStreamChunk(completeEvents);
     }
     if (m_finished)
         return;
-    if (m_eventSplitter->malformed())
+    if (m_attempt.eventSplitter->malformed())
         failAttempt("events_out_of_order");
-    else if (!tryReserve(m_eventSplitter->pendingBytes()))
+    else if (!tryReserve(m_attempt, m_attempt.eventSplitter->pendingBytes()))
         failAttempt("answer_too_large");
 }
 
 AnswerPhase GatewayExchange::answerPhase() const
 {
-    if (!m_status)
+    if (!m_attempt.status)
         return AnswerPhase::Awaited;
-    const bool hasBegun = *m_status < 300 && !m_reply.notRun && !answerWentOn();
+    const bool hasBegun = *m_attempt.status < 300 && !m_attempt.reply.notRun && !answerWentOn();
     return hasBegun ? AnswerPhase::Begun : AnswerPhase::Later;
 }
 
 bool GatewayExchange::answerWentOn() const
 {
-    return m_eventSplitter ? m_eventSplitter->count() >= continuedEvents
-                           : m_responseBody.size() >= progressBytes;
+    return m_attempt.eventSplitter ? m_attempt.eventSplitter->count() >= continuedEvents
+                                   : m_attempt.responseBody.size() >= progressBytes;
 }
 
 void GatewayExchange::beginResponse()
@@ -464,15 +557,16 @@
         return;
     m_history.answerStarted = true;
     m_timeToFirstEvent = monotonicNow() - m_admitted.request.receivedAt;
-    m_channel->beginStream(*m_status, responseHeaders());
+    m_channel->beginStream(*m_attempt.status, responseHeaders());
 }
 
 void GatewayExchange::handleFinished()
 {
-    if (m_eventSplitter) {
+    if (m_attempt.eventSplitter) {
         // Without a length, the end of the answer is only that of the connection.
-        const bool hasNoEvent = m_eventSplitter->count() == 0;
-        if (m_eventSplitter->pending() || (hasNoEvent && isCloseDelimited(m_responseHeaders))) {
+        const bool hasNoEvent = m_attempt.eventSplitter->count() == 0;
+        if (m_attempt.eventSplitter->pending()
+            || (hasNoEvent && isCloseDelimited(m_attempt.responseHeaders))) {
             m_problem = "event_cut";
             recordCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
@@ -486,13 +580,14 @@
         }
         return;
     }
-    const AttemptEnd end = classifyAnswer(*m_status, m_reply);
+    const AttemptEnd end = classifyAnswer(*m_attempt.status, m_attempt.reply);
     if (end == AttemptEnd::Success)
         m_services.answerCompleted(m_admitted.prompt);
     AttemptOutcome outcome = AttemptOutcome::Answered;
     if (end == AttemptEnd::NotRun) {
-        m_problem = m_reply.misdirected ? "misdirected" : "backend_full";
-        outcome = m_reply.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::NotRun;
+        m_problem = m_attempt.reply.misdirected ? "misdirected" : "backend_full";
+        outcome =
+                m_attempt.reply.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::NotRun;
     } else if (end != AttemptEnd::Success) {
         m_problem = end == AttemptEnd::RanAndFailed ? "backend_error" : "answer_not_authentic";
         outcome = AttemptOutcome::Failed;
@@ -507,7 +602,7 @@
     const bool broken = !sent || error == BackendError::Cut;
     if (error == BackendError::Cut)
         recordCut();
-    m_connectionRefused = error == BackendError::Refused;
+    m_attempt.connectionRefused = error == BackendError::Refused;
     endAttempt(sent ? AttemptEnd::MayHaveRun : AttemptEnd::NotRun,
                broken ? AttemptOutcome::Broken : AttemptOutcome::Failed);
 }
@@ -515,40 +610,41 @@
 // Logs what the backend server was doing when it was lost, and for which prompt.
 void GatewayExchange::recordCut()
 {
-    m_cut = true;
+    m_attempt.cut = true;
     EventLog("attempt_cut", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
-            .field("backend", m_backendId)
+            .field("backend", m_attempt.backendId)
             .field("sent_ms", attemptAge() / 1ms)
-            .field("head_received", m_status ? "yes" : "no")
-            .field("events", m_eventSplitter ? m_eventSplitter->count() : 0)
-            .field("event_cut", m_eventSplitter && m_eventSplitter->pending() ? "yes" : "no")
+            .field("head_received", m_attempt.status ? "yes" : "no")
+            .field("events", m_attempt.eventSplitter ? m_attempt.eventSplitter->count() : 0)
+            .field("event_cut",
+                   m_attempt.eventSplitter && m_attempt.eventSplitter->pending() ? "yes" : "no")
             .field("shared_parts", joinedParts(m_admitted.metadata.sharedPromptParts))
             .field("last_part", m_admitted.metadata.sessionAffinityKey)
             .field("content", m_admitted.prompt.content.value_or(0))
-            .field("crash", m_services.backendDigest(m_backendId))
+            .field("crash", m_services.backendDigest(m_attempt.backendId))
             .field("resumed", m_lastEventId ? "yes" : "no");
 }
 
 Duration GatewayExchange::attemptAge() const
 {
-    return monotonicNow() - m_attemptStart;
+    return monotonicNow() - m_attempt.start;
 }
 
 AttemptReport GatewayExchange::report(AttemptOutcome outcome) const
 {
     const Instant now = monotonicNow();
-    AttemptReport report {outcome, now - m_attemptStart, {}};
-    if (m_eventSplitter && m_eventSplitter->count() > 2)
-        report.eventInterval =
-                (now - m_firstEventAt) / static_cast<std::int64_t>(m_eventSplitter->count() - 1);
+    AttemptReport report {outcome, now - m_attempt.start, {}};
+    if (m_attempt.eventSplitter && m_attempt.eventSplitter->count() > 2)
+        report.eventInterval = (now - m_attempt.firstEventAt)
+                / static_cast<std::int64_t>(m_attempt.eventSplitter->count() - 1);
     return report;
 }
 
 void GatewayExchange::endAttempt(AttemptEnd end, AttemptOutcome outcome)
 {
-    m_attemptRunning = false;
-    m_call = nullptr;
+    m_attempt.running = false;
+    m_attempt.call = nullptr;
     cancelSearchTimer();
     if (end == AttemptEnd::NotRun)
         ++m_history.refused;
@@ -562,6 +658,10 @@
     m_services.attemptEnded(*this, report(outcome));
     if (m_queuedId)
         m_services.withdraw(*this);
+    if (m_silentAttempt && end != AttemptEnd::Success) {
+        returnToSilentAttempt();
+        return;
+    }
     const NextSteps steps = afterAttempt(end, m_history);
     if (steps.preferred != NextStep::Retry) {
         if (steps.preferred != NextStep::Deliver && mayResumeLater())
@@ -571,7 +671,7 @@
         return;
     }
     const bool inTime = hasTimeForRetry();
-    const bool suspect = m_cut
+    const bool suspect = m_attempt.cut
             && m_services.isSuspect(answerPhase() == AnswerPhase::Begun
                                             ? m_admitted.prompt
                                             : m_admitted.prompt.wholeOnly());
@@ -581,7 +681,7 @@
             inTime && !suspect && elsewhere && m_services.tryTakeRetry(m_admitted.service);
     EventLog(retry ? "attempt_repeated" : "attempt_not_repeated", EventLevel::Warning)
             .field("request", m_admitted.metadata.requestId)
-            .field("backend", m_backendId)
+            .field("backend", m_attempt.backendId)
             .field("problem", m_problem)
             .field("ran", m_history.ran)
             .field("refused", m_history.refused)
@@ -629,11 +729,18 @@
 
 void GatewayExchange::stopAttempt(AttemptOutcome outcome)
 {
-    m_attemptRunning = false;
     cancelSearchTimer();
-    m_responseHandler->detach();
-    m_call->abandon();
-    m_call = nullptr;
+    releaseAttempt(outcome);
+}
+
+// Cancels the current attempt.
+void GatewayExchange::releaseAttempt(AttemptOutcome outcome)
+{
+    m_attempt.running = false;
+    m_attempt.handler->detach();
+    if (m_attempt.call)
+        m_attempt.call->abandon();
+    m_attempt.call = nullptr;
     m_services.attemptEnded(*this, report(outcome));
 }
 
@@ -641,18 +748,18 @@
 
 Headers GatewayExchange::responseHeaders() const
 {
-    return endToEndHeaders(m_responseHeaders);
+    return endToEndHeaders(m_attempt.responseHeaders);
 }
 
 void GatewayExchange::deliver()
 {
-    if (m_eventSplitter) {
+    if (m_attempt.eventSplitter) {
         beginResponse();
         m_channel->endStream();
     } else {
-        m_channel->respond(*m_status, responseHeaders(), takeBody());
+        m_channel->respond(*m_attempt.status, responseHeaders(), takeBody());
     }
-    finish(*m_status);
+    finish(*m_attempt.status);
 }
 
 Duration GatewayExchange::retryAfterDelay(Duration expected) const
@@ -679,11 +786,11 @@
 
 void GatewayExchange::handleRefusal(const RefuseAction &refusal)
 {
-    if (m_attemptRunning || mayResumeLater()) {
+    if (m_attempt.running || mayResumeLater()) {
         // Servers that refused the request before may have a place by now.
         m_excludedBackends.clear();
-        if (m_attemptRunning)
-            m_excludedBackends.insert(m_backendId);
+        if (m_attempt.running)
+            m_excludedBackends.insert(m_attempt.backendId);
         armSearchTimer(monotonicNow() + searchPause);
         return;
     }
@@ -709,8 +816,9 @@
 
 OpenRequest GatewayExchange::openRequest() const
 {
-    return {m_admitted.id, m_queuedId, m_attemptRunning ? std::optional(m_attemptId) : std::nullopt,
-            m_searchTimerSet};
+    return {m_admitted.id, m_queuedId,
+            m_attempt.running ? std::optional(m_attempt.id) : std::nullopt, m_searchTimerSet,
+            m_silentAttempt ? std::optional(m_silentAttempt->id) : std::nullopt};
 }
 
 void GatewayExchange::recover(RequestState state)
@@ -719,7 +827,7 @@
     if (m_finished || state == RequestState::NotStarted)
         return;
     m_queuedId.reset();
-    if (m_attemptRunning)
+    if (m_attempt.running)
         armSearchTimer(monotonicNow() + searchPause);
     else if (m_history.ran == 0 && hasTimeForRetry())
         m_services.requeue(*this);
@@ -732,7 +840,7 @@
     if (m_finished)
         return;
     m_problem = "caller_left";
-    if (m_attemptRunning)
+    if (m_attempt.running)
         abandonAttempt();
     finish(0);
 }
@@ -742,7 +850,7 @@
     if (m_finished)
         return;
     m_problem = "prompt_quarantined";
-    if (m_attemptRunning) {
+    if (m_attempt.running) {
         ++m_history.ran;
         abandonAttempt();
     }
@@ -759,7 +867,7 @@
     if (m_finished)
         return;
     m_problem = "shutdown";
-    if (m_attemptRunning) {
+    if (m_attempt.running) {
         ++m_history.ran;
         abandonAttempt();
     }
@@ -779,10 +887,11 @@
     if (m_queuedId)
         m_services.withdraw(*this);
     takeBody();
+    dropSilentAttempt(AttemptOutcome::Abandoned);
     m_deadlineTimer.cancel();
     cancelSearchTimer();
-    if (m_responseHandler)
-        m_responseHandler->detach(); // breaks the reference cycle with the handler
+    if (m_attempt.handler)
+        m_attempt.handler->detach(); // breaks the reference cycle with the handler
     m_services.exchangeEnded(*this, status);
 }
 
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -120,7 +120,8 @@
     bool takeRetry();
 
     // Sends the request to the backend server that the scheduler chose. A silent attempt that is
-    // still running is cancelled. id: that of the place in the queue.
+    // still running is cancelled, or, if it may be at the end of its stream, set aside until the
+    // new one goes on with the stream. id: that of the place in the queue.
     void startAttempt(const RequestId &id, const BackendRecord &backend, BackendClient &client);
 
     // The scheduler refused the queued request. Ends the exchange unless an attempt is running, or
@@ -132,7 +133,11 @@
 
     // What the running attempt has reserved by tryBuffer(), and a way to end that attempt because
     // all responses together need too much.
-    std::size_t incompleteBytes() const { return m_attemptRunning ? m_reservedBytes : 0; }
+    std::size_t incompleteBytes() const
+    {
+        return (m_attempt.running ? m_attempt.reservedBytes : 0)
+                + (m_silentAttempt ? m_silentAttempt->reservedBytes : 0);
+    }
     void endLargeResponse();
 
     // Ends the exchange or queues it again after an audit has found it in this state.
@@ -161,18 +166,18 @@
     // or the scheduler might choose them for ever.
     const std::set<std::string> &missingBackends() const { return m_missingBackends; }
     // Id under which the scheduler started the current attempt or the last one.
-    const RequestId &attemptId() const { return m_attemptId; }
-    bool isRunning() const { return m_attemptRunning; }
+    const RequestId &attemptId() const { return m_attempt.id; }
+    bool isRunning() const { return m_attempt.running; }
     // Whether an attempt is in progress, has run or may have run.
-    bool everSent() const { return m_history.ran > 0 || m_attemptRunning; }
-    const std::string &lastBackend() const { return m_backendId; }
+    bool everSent() const { return m_history.ran > 0 || m_attempt.running; }
+    const std::string &lastBackend() const { return m_attempt.backendId; }
     Duration attemptAge() const; // since the current attempt was sent
     // How far the answer of the current attempt, or of the last one, has come.
     AnswerPhase answerPhase() const;
     // Whether the backend server broke the connection of the current attempt, or of the last one.
-    bool wasCut() const { return m_cut; }
+    bool wasCut() const { return m_attempt.cut; }
     // Whether nothing listened at its address instead.
-    bool wasRefusedConnection() const { return m_connectionRefused; }
+    bool wasRefusedConnection() const { return m_attempt.connectionRefused; }
     // Whether the caller or this gateway has enough of an answer to know that it went on.
     bool answerWentOn() const;
     bool answerStarted() const { return m_history.answerStarted; }
@@ -187,6 +192,32 @@
 private:
     class ResponseHandler;
 
+    // The request at one backend server, and what has arrived of the answer.
+    struct Attempt
+    {
+        bool running = false;
+        RequestId id;
+        bool cut = false;               // see wasCut()
+        bool connectionRefused = false; // see wasRefusedConnection()
+        std::string backendId;
+        std::shared_ptr<BackendExchange> call;
+        std::shared_ptr<ResponseHandler> handler;
+        Instant start {};
+        // When the attempt was sent, or its response got further by a head, a complete event or
+        // enough of a body. Fewer bytes are no progress: a stalled server may still send one now
+        // and then.
+        Instant lastProgressAt {};
+        std::optional<std::uint32_t> status; // set once the response head was received
+        Headers responseHeaders;
+        BackendReply reply;
+        std::string responseBody; // of a response that is not streamed
+        // Reserved by tryBuffer() for responseBody or the incomplete event of a stream.
+        std::size_t reservedBytes = 0;
+        std::size_t bodyBytesAtProgress = 0; // size of responseBody at lastProgressAt
+        std::optional<EventSplitter> eventSplitter;
+        Instant firstEventAt {};
+    };
+
     void armDeadline();
     void deadlineExpired();
     void armSearchTimer(Instant at);
@@ -194,7 +225,15 @@
     void searchTimerExpired();
     Duration silenceLimit() const;
     void recordProgress();
+    void logSilence(const char *event, const Attempt &attempt) const;
     void cancelSilentAttempt();
+    bool mayBeAtEnd() const;
+    void setAsideSilentAttempt();
+    void dropSilentAttempt(AttemptOutcome outcome);
+    void returnToSilentAttempt();
+    bool isSilentAttempt(const ResponseHandler &handler) const;
+    void handleSilentBody(const std::string &data);
+    void handleSilentFailed(BackendError error);
     bool hasTimeForRetry() const;
     bool mayRunAgain() const;
     bool mayResumeLater() const;
@@ -206,10 +245,10 @@
     void handleFailed(BackendError error);
     void recordCut();
     bool isStreamedResponse() const;
-    void forwardEvents(std::string_view data);
+    void forwardEvents(const std::string &completeEvents);
     void bufferBody(const std::string &data);
     std::string takeBody();
-    bool tryReserve(std::size_t bytes);
+    bool tryReserve(Attempt &attempt, std::size_t bytes);
     void failAttempt(const char *problem);
     void beginResponse();
 
@@ -217,6 +256,7 @@
     void takeStep(NextStep step);
     void abandonAttempt();
     void stopAttempt(AttemptOutcome outcome);
+    void releaseAttempt(AttemptOutcome outcome);
     void deliver();
     Duration retryAfterDelay(Duration expected) const; // for a refused caller
     void fail(std::uint32_t status, const char *reason, std::optional<Duration> retryAfter);
@@ -238,36 +278,20 @@
     std::set<std::string> m_missingBackends;
 
     // Id of the place in the scheduler's queue; empty: none. While an attempt is running, it is
-    // silent, and only it works on the request: it is cancelled before the queued one starts.
+    // silent, and it is cancelled or set aside before the queued one starts.
     std::optional<RequestId> m_queuedId;
     bool m_searchTimerSet = false;
     bool m_cancelledSilent = false; // an attempt that might have answered
     bool m_retryTaken = false;      // from the budget, for the next attempt
 
-    // --- current attempt ---
-    bool m_attemptRunning = false;
-    RequestId m_attemptId;
-    bool m_cut = false;               // see wasCut()
-    bool m_connectionRefused = false; // see wasRefusedConnection()
-    std::string m_backendId;
-    std::shared_ptr<BackendExchange> m_call;
-    std::shared_ptr<ResponseHandler> m_responseHandler;
-    Instant m_attemptStart {};
-    // When the attempt was sent, or its response got further by a head, a complete event or enough
-    // of a body. Fewer bytes are no progress: a stalled server may still send one now and then.
-    Instant m_lastProgressAt {};
-    std::optional<std::uint32_t> m_status; // set once the response head was received
-    Headers m_responseHeaders;
-    BackendReply m_reply;
-    std::string m_responseBody; // of a response that is not streamed
-    // Reserved by tryBuffer() for m_responseBody or the incomplete event of a stream.
-    std::size_t m_reservedBytes = 0;
+    Attempt m_attempt; // the current one, or the last one
+    // An attempt that has fallen silent, perhaps at the end of its stream, while m_attempt, which
+    // runs, is to resume the stream. Whichever sends the next event, or the end, goes on, and the
+    // other one is cancelled.
+    std::optional<Attempt> m_silentAttempt;
     // The last attempt ended with an error of the backend server, which is delivered unless another
     // attempt starts.
     bool m_hasErrorAnswer = false;
-    std::size_t m_bodyBytesAtProgress = 0; // size of m_responseBody at m_lastProgressAt
-    std::optional<EventSplitter> m_eventSplitter;
-    Instant m_firstEventAt {};
 
     std::optional<std::uint64_t> m_lastEventId; // of the last event that the caller has
     Duration m_timeInQueue {};                  // from the arrival to the first attempt
--- a/src/requestaudit.cpp
+++ b/src/requestaudit.cpp
@@ -25,6 +25,8 @@
 {
     const bool isQueued = request.queuedId && queued.erase(*request.queuedId) > 0;
     const bool isStarted = request.attemptId && started.erase(*request.attemptId) > 0;
+    if (request.silentAttemptId)
+        started.erase(*request.silentAttemptId);
     if (request.attemptId && !isStarted)
         return RequestState::NotStarted;
     if (request.queuedId && !isQueued)
--- a/src/requestaudit.h
+++ b/src/requestaudit.h
@@ -23,6 +23,7 @@
     std::optional<RequestId> queuedId {};  // of its place in the scheduler's queue
     std::optional<RequestId> attemptId {}; // under which the scheduler started its running attempt
     bool isWaiting = false;                // will be queued again at a set time
+    std::optional<RequestId> silentAttemptId {}; // like attemptId, of one that was set aside
 
     bool operator==(const OpenRequest &) const = default;
 };
