Refuse TRACE requests with a body, and keep an exception from ending the process

Cause: BackendClient called prepare_payload(), which throws for TRACE with a body, and nothing between the handler and io_context::run() catches. Evidence: error.unexpectederror aborts with SIGABRT in its first case on the code before.

Change: such a request gets 400 with the other malformed ones. BackendClient sets the length itself, which does not throw. All threads of the daemons run their handlers by runHandlers(), which logs an exception that leaves one (handler_failed) and goes on with the next. So neither this request nor another unexpected error ends what other callers wait for.

--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -7,6 +7,7 @@
 #include "configurationsections.h"
 #include "daemonsignals.h"
 #include "eventlog.h"
+#include "handlerloop.h"
 #include "metrics.h"
 #include "monotonicclock.h"
 #include "settingsvalues.h"
@@ -178,7 +179,7 @@
 
 DaemonExitStatus AdmissionAgent::run()
 {
-    d->context.run();
+    runHandlers(d->context, "main");
     d->socket->close();
     EventLog("stopped").field("agent", d->settings.name);
     return DaemonExitStatus::Success;
--- a/src/agentdaemon.cpp
+++ b/src/agentdaemon.cpp
@@ -12,6 +12,7 @@
 #include "configurationfile.h"
 #include "daemonsignals.h"
 #include "eventlog.h"
+#include "handlerloop.h"
 #include "httpheaders.h"
 #include "metrics.h"
 #include "monotonicclock.h"
@@ -438,7 +439,7 @@
 DaemonExitStatus AgentDaemon::run()
 {
     d->start();
-    d->m_context.run();
+    runHandlers(d->m_context, "main");
     return d->m_status;
 }
 
--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -340,7 +340,20 @@
         if (m_request.find(http::field::host) == m_request.end())
             m_request.set(http::field::host, m_pool->endpoint().address().to_string());
         m_request.body() = std::move(request.body);
-        m_request.prepare_payload();
+        setLength();
+    }
+
+    // Unlike prepare_payload(), this does not throw if the method has no use for a body.
+    void setLength()
+    {
+        const std::size_t n = m_request.body().size();
+        const http::verb method = m_request.method();
+        const bool mayHaveBody = method == http::verb::put || method == http::verb::post
+                || method == http::verb::options;
+        if (n > 0 || mayHaveBody)
+            m_request.content_length(n);
+        else
+            m_request.content_length(boost::none);
     }
 
     void writeRequest()
--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -83,6 +83,14 @@
             || !beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
+// The head's framing is not ambiguous.
+bool hasBody(const http::request_header<> &head)
+{
+    const auto length = head.find(http::field::content_length);
+    return head.count(http::field::transfer_encoding) > 0
+            || (length != head.end() && length->value() != "0");
+}
+
 struct HttpError
 {
     std::uint32_t status;
@@ -99,6 +107,8 @@
         return HttpError {400, "one Host header is needed"};
     if (!head.target().starts_with('/'))
         return HttpError {400, "the target must be a path"};
+    if (head.method() == http::verb::trace && hasBody(head))
+        return HttpError {400, "a TRACE request has no body"}; // RFC 9110, section 9.3.8
     return std::nullopt;
 }
 
--- a/src/controlthread.cpp
+++ b/src/controlthread.cpp
@@ -3,6 +3,7 @@
 #include "controlthread.h"
 
 #include "controlloop.h"
+#include "handlerloop.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -62,7 +63,7 @@
             return;
         }
         started.set_value();
-        m_context.run();
+        runHandlers(m_context, "control");
         m_loop.reset();
         m_context.restart();
         m_context.poll(); // runs the calls that are still queued; they receive a null loop
--- a/src/entrydaemon.cpp
+++ b/src/entrydaemon.cpp
@@ -8,6 +8,7 @@
 #include "daemonsignals.h"
 #include "entryservice.h"
 #include "eventlog.h"
+#include "handlerloop.h"
 #include "monotonicclock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -142,7 +143,7 @@
 
 DaemonExitStatus EntryDaemon::run()
 {
-    d->m_context.run();
+    runHandlers(d->m_context, "main");
     return d->m_status;
 }
 
--- a/src/entryservice.cpp
+++ b/src/entryservice.cpp
@@ -7,6 +7,7 @@
 #include "callercontext.h"
 #include "entrydispatcher.h"
 #include "eventlog.h"
+#include "handlerloop.h"
 #include "listener.h"
 #include "metrics.h"
 
@@ -157,7 +158,7 @@
     for (const auto &it : d->m_contexts)
         d->m_threads.emplace_back([&context = *it] {
             const auto work = asio::make_work_guard(context);
-            context.run();
+            runHandlers(context, "traffic");
         });
     EventLog("entry_started")
             .field("name", d->m_settings.name)
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -7,6 +7,7 @@
 #include "deploymentwatcher.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "handlerloop.h"
 #include "logwriter.h"
 #include "metrics.h"
 #include "peergossip.h"
@@ -247,8 +248,8 @@
     DaemonExitStatus run()
     {
         auto workGuard = asio::make_work_guard(controlContext);
-        std::thread controlThread([this] { controlContext.run(); });
-        trafficContext.run();
+        std::thread controlThread([this] { runHandlers(controlContext, "control"); });
+        runHandlers(trafficContext, "traffic");
         controlContext.stop();
         controlThread.join();
         watcher = nullptr;
