Limit the memory of all request bodies together

Cause: nothing bounded the bodies of all requests, and each was held twice, for the request and for its attempt.

Change: the bodies share a limit (request_bodies_limit_kb, 48 MiB). A request that does not fit is refused with 503 and Retry-After before it is read, or when what was received does not fit. All attempts share one copy of the body.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -339,7 +340,8 @@
             m_request.insert(name, value);
         if (m_request.find(http::field::host) == m_request.end())
             m_request.set(http::field::host, m_pool->endpoint().address().to_string());
-        m_request.body() = std::move(request.body);
+        m_body = std::move(request.body);
+        m_request.body() = {m_body.text().data(), m_body.text().size()};
         setLength();
     }
 
@@ -536,7 +538,8 @@
     asio::steady_timer m_connectTimer;
     asio::steady_timer m_windowTimer;
     bool m_windowClosed = false; // see watchWindow()
-    http::request<http::string_body> m_request;
+    SharedBody m_body;
+    http::request<http::span_body<const char>> m_request; // its body is that of m_body
     std::string m_echoHeaderName;
     std::string m_echoHeaderValue;
     bool m_echoOptional = false;
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -11,6 +11,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace boost::asio {
 class io_context;
@@ -18,12 +20,30 @@
 
 namespace cornelshed {
 
+// The body of a request, which all attempts at it share.
+class SharedBody
+{
+public:
+    SharedBody() = default;
+    SharedBody(std::string text) : m_text(std::make_shared<const std::string>(std::move(text))) { }
+    SharedBody(const char *text) : SharedBody(std::string(text)) { }
+
+    std::string_view text() const
+    {
+        return m_text ? std::string_view(*m_text) : std::string_view();
+    }
+    bool operator==(const SharedBody &other) const { return text() == other.text(); }
+
+private:
+    std::shared_ptr<const std::string> m_text; // null: empty
+};
+
 struct BackendRequest
 {
     std::string method;
     std::string path;
     Headers headers;
-    std::string body;
+    SharedBody body;
     Duration timeLimit {}; // for the whole exchange, including connecting
     // Header by which the server echoes the request's id. A response without this header and value
     // belongs to another request and is skipped. With an empty name every response is accepted.
--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -30,6 +30,8 @@
 
 namespace {
 
+// For callers whose body finds no room: bodies of other requests are released as these end.
+constexpr const char *bodyRetryAfterSeconds = "1";
 constexpr std::size_t readChunkBytes = std::size_t {16} << 10U;
 // After the last response, incoming data is read and discarded for this long. Closing a socket with
 // unread data sends a reset, which may reach the caller before it has read the response.
@@ -116,12 +118,17 @@
 {
 public:
     Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
-            std::shared_ptr<PendingWrites> pendingWrites)
+            std::shared_ptr<PendingWrites> pendingWrites,
+            std::shared_ptr<RequestBodies> requestBodies)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
           m_handler(std::move(handler)), m_limits(std::move(limits)),
-          m_allPendingWrites(std::move(pendingWrites))
+          m_allPendingWrites(std::move(pendingWrites)), m_requestBodies(std::move(requestBodies))
     { }
-    ~Channel() override { forgetWrites(); }
+    ~Channel() override
+    {
+        forgetWrites();
+        forgetBody();
+    }
     Channel(const Channel &) = delete;
     Channel &operator=(const Channel &) = delete;
 
@@ -374,6 +381,8 @@
             rejectRequest(413, "the body is too large");
         else if (ec)
             rejectRequest(400, "the body is not proper HTTP");
+        else if (!takeBody(m_parser->get().body().size()))
+            rejectBody();
         else if (m_parser->is_done())
             dispatchRequest();
     }
@@ -426,6 +435,11 @@
             rejectRequest(error->status, error->reason);
             return false;
         }
+        // Refused before it is sent, if its length is known.
+        if (m_requestBodies && !m_requestBodies->hasRoom(m_parser->content_length().value_or(0))) {
+            rejectBody();
+            return false;
+        }
         m_headParsed = true;
         setTimer(limits.idleTimeout);
         if (beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
@@ -479,11 +493,39 @@
     }
 
     // Sends an error response without calling the handler, then closes the connection.
-    void rejectRequest(std::uint32_t status, const char *reason)
+    void rejectRequest(std::uint32_t status, const char *reason, Headers headers = {})
     {
         m_requestInProgress = true;
         m_closeAfterResponse = true;
-        respond(status, {{"Content-Type", "text/plain"}}, std::string(reason) + "\n");
+        headers.emplace_back("Content-Type", "text/plain");
+        respond(status, std::move(headers), std::string(reason) + "\n");
+    }
+
+    void rejectBody()
+    {
+        EventLog("request_body_refused", EventLevel::Warning)
+                .field("bytes", m_parser->content_length().value_or(0))
+                .field("received", m_bodyBytes)
+                .field("all_bodies", m_requestBodies->heldBytes());
+        rejectRequest(503, "no memory is free for the body",
+                      {{"Retry-After", bodyRetryAfterSeconds}});
+    }
+
+    // Counts this much of the current request's body toward the limit for all.
+    bool takeBody(std::size_t bytes)
+    {
+        if (!m_requestBodies || bytes <= m_bodyBytes)
+            return true;
+        if (!m_requestBodies->tryTake(bytes - m_bodyBytes))
+            return false;
+        m_bodyBytes = bytes;
+        return true;
+    }
+
+    void forgetBody()
+    {
+        if (m_requestBodies)
+            m_requestBodies->release(std::exchange(m_bodyBytes, 0));
     }
 
     void write(std::string text)
@@ -534,8 +576,10 @@
         m_requestInProgress = false;
         m_streaming = false;
         m_receivedAt.reset();
+        forgetBody();
         if (m_closeAnnounced) {
             m_lingering = true;
+            m_parser.emplace(); // frees a body that was refused
             if (m_writes.empty())
                 linger();
             return;
@@ -602,6 +646,8 @@
     Handler m_handler;
     LimitsProvider m_limits;
     std::shared_ptr<PendingWrites> m_allPendingWrites; // shared by all channels
+    std::shared_ptr<RequestBodies> m_requestBodies;    // null: no limit
+    std::size_t m_bodyBytes = 0;                       // taken from m_requestBodies
     // Where the socket is read to. Not m_buffer: a request that waited there is parsed while a read
     // is in progress, which moves the place at which the buffer adds data.
     std::array<char, readChunkBytes> m_received;
@@ -645,12 +691,21 @@
         m_writing.begin()->second->closeForPendingWrites(); // ends the write
 }
 
+bool RequestBodies::tryTake(std::size_t bytes)
+{
+    if (!hasRoom(bytes))
+        return false;
+    m_bytes += bytes;
+    return true;
+}
+
 std::shared_ptr<CallerChannel> CallerChannel::create(asio::ip::tcp::socket socket, Handler handler,
                                                      LimitsProvider limits,
-                                                     std::shared_ptr<PendingWrites> pendingWrites)
+                                                     std::shared_ptr<PendingWrites> pendingWrites,
+                                                     std::shared_ptr<RequestBodies> requestBodies)
 {
     return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits),
-                                     std::move(pendingWrites));
+                                     std::move(pendingWrites), std::move(requestBodies));
 }
 
 } // namespace cornelshed::detail
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -67,6 +67,28 @@
     std::map<std::uint64_t, CallerChannel *> m_writing; // in the order in which the writes began
 };
 
+// The bodies of all callers' requests that are being received or are in progress. A body may take
+// what is left of the limit; a single one above the limit is let through.
+class RequestBodies
+{
+public:
+    explicit RequestBodies(std::size_t limitBytes) : m_limitBytes(limitBytes) { }
+
+    bool hasRoom(std::size_t bytes) const
+    {
+        return m_bytes == 0 || m_bytes + bytes <= m_limitBytes;
+    }
+    // Returns false, and takes nothing, if there is no room.
+    bool tryTake(std::size_t bytes);
+    void release(std::size_t bytes) { m_bytes -= bytes; }
+
+    std::size_t heldBytes() const { return m_bytes; }
+
+private:
+    std::size_t m_limitBytes;
+    std::size_t m_bytes = 0;
+};
+
 class CallerChannel : public std::enable_shared_from_this<CallerChannel>
 {
 public:
@@ -76,9 +98,11 @@
                                                                    std::shared_ptr<CallerChannel>)>;
     using LimitsProvider = std::function<CallerLimits()>;
 
-    static std::shared_ptr<CallerChannel> create(boost::asio::ip::tcp::socket socket,
-                                                 Handler handler, LimitsProvider limits,
-                                                 std::shared_ptr<PendingWrites> pendingWrites);
+    // requestBodies: null: no limit for the bodies of all requests.
+    static std::shared_ptr<CallerChannel>
+    create(boost::asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
+           std::shared_ptr<PendingWrites> pendingWrites,
+           std::shared_ptr<RequestBodies> requestBodies = nullptr);
     virtual ~CallerChannel() = default;
 
     virtual void start() = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -111,6 +111,9 @@
                           return static_cast<double>(
                                   auditRequests(openRequests(), scheduler).faults());
                       });
+        metrics.gauge("cornelshed_gateway_request_body_bytes",
+                      "Bodies of requests that are received or in progress",
+                      [this] { return static_cast<double>(requestBodies->heldBytes()); });
         metrics.gauge("cornelshed_gateway_buffered_bytes",
                       "Bytes of responses that are not complete yet",
                       [this] { return static_cast<double>(bufferedBytes); });
@@ -930,7 +933,7 @@
                     const auto self = weak.lock();
                     return self ? self->limits() : CallerLimits {};
                 },
-                pendingWrites);
+                pendingWrites, requestBodies);
         if (draining)
             channel->announceClose();
         std::erase_if(channels, [](const auto &it) { return it.expired(); });
@@ -976,6 +979,8 @@
     std::vector<std::weak_ptr<CallerChannel>> channels;
     std::shared_ptr<detail::PendingWrites> pendingWrites = std::make_shared<detail::PendingWrites>(
             settings.pendingWritesLimitBytes); // of the channels
+    std::shared_ptr<detail::RequestBodies> requestBodies =
+            std::make_shared<detail::RequestBodies>(settings.requestBodiesLimitBytes);
     GossipView view;
     FreshnessTracker freshness;
     // Copy of the proof times in freshness for other threads: microseconds since boot; 0: never.
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -56,6 +56,8 @@
     std::size_t bufferedAnswersLimitBytes = std::size_t {32} << 20U;
     // Limit of the response data that is kept for all callers until they read it.
     std::size_t pendingWritesLimitBytes = std::size_t {64} << 20U;
+    // Limit of the bodies of all requests that are being received or are in progress.
+    std::size_t requestBodiesLimitBytes = std::size_t {48} << 20U;
 
     bool operator==(const GatewayTrafficSettings &) const = default;
 };
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -77,6 +77,7 @@
     result.answeredLogInterval = settings.answeredLogInterval;
     result.answerLimitBytes = std::size_t {settings.answerLimitKb} * bytesPerKb;
     result.bufferedAnswersLimitBytes = std::size_t {settings.bufferedAnswersLimitKb} * bytesPerKb;
+    result.requestBodiesLimitBytes = std::size_t {settings.requestBodiesLimitKb} * bytesPerKb;
     return result;
 }
 
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -149,8 +149,8 @@
 GatewayExchange::GatewayExchange(ExchangeServices &services, AdmittedRequest admitted,
                                  std::shared_ptr<CallerChannel> channel)
     : m_services(services), m_admitted(std::move(admitted)), m_channel(std::move(channel)),
-      m_deadlineTimer(services.context()), m_searchTimer(services.context()),
-      m_lastEventId(m_admitted.metadata.resumeAfter)
+      m_body(std::move(m_admitted.request.body)), m_deadlineTimer(services.context()),
+      m_searchTimer(services.context()), m_lastEventId(m_admitted.metadata.resumeAfter)
 {
     m_history.retryable = m_admitted.route.retryable();
     m_history.attemptLimit = m_admitted.route.attemptLimit;
@@ -226,7 +226,7 @@
     BackendRequest forwarded {request.method,
                               request.target,
                               m_services.protocol().forwardHeaders(request.headers, metadata),
-                              request.body,
+                              m_body,
                               remaining + 1s,
                               m_services.protocol().echoHeader(),
                               m_admitted.metadata.requestId};
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -268,6 +268,7 @@
     ExchangeServices &m_services;
     AdmittedRequest m_admitted;
     std::shared_ptr<CallerChannel> m_channel;
+    SharedBody m_body; // of the request, moved from m_admitted
     boost::asio::steady_timer m_deadlineTimer;
     // Expires when a running attempt may have been silent for too long, or when a stream without
     // one may be queued again.
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -58,6 +58,8 @@
                                                 maxBufferKb, settings.bufferedAnswersLimitKb);
     if (settings.bufferedAnswersLimitKb < settings.answerLimitKb)
         section.reject("buffered_answers_limit_kb", "at least answer_limit_kb");
+    settings.requestBodiesLimitKb = readCount(section, "request_bodies_limit_kb", 1, maxBufferKb,
+                                              settings.requestBodiesLimitKb);
 }
 
 void readBounds(TomlSection section, GatewaySettings &settings)
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -57,6 +57,8 @@
     // Memory for responses that are buffered until they are complete, in KiB: of one, and of all.
     std::uint32_t answerLimitKb = 4096;
     std::uint32_t bufferedAnswersLimitKb = 32768;
+    // Memory for the bodies of all requests that are received or in progress, in KiB.
+    std::uint32_t requestBodiesLimitKb = 49152;
 
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -530,3 +531,73 @@
         CHECK(fixture.caller->receive().body == "/last");
     }
 }
+
+// Guards against request bodies that together take more memory than the process may use, and
+// against room that is not given back.
+TEST_CASE("bodies of all requests share one limit; a request beyond it is refused as not run")
+{
+    constexpr std::size_t bodyBytes = 100000;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const auto bodies = std::make_shared<RequestBodies>(2 * bodyBytes);
+    std::vector<std::shared_ptr<CallerChannel>> unanswered;
+    std::mutex mutex; // guards unanswered
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<std::shared_ptr<CallerChannel>> channels;
+    const auto connect = [&]() -> Caller & {
+        callers.push_back(std::make_unique<Caller>(acceptor.local_endpoint().port()));
+        channels.push_back(CallerChannel::create(
+                acceptor.accept(),
+                [&](const IngressRequest &, const std::shared_ptr<CallerChannel> &channel) {
+                    const std::lock_guard lock(mutex);
+                    unanswered.push_back(channel);
+                    return nullptr;
+                },
+                [] { return CallerLimits {}; },
+                std::make_shared<PendingWrites>(std::size_t {64} << 20U), bodies));
+        channels.back()->start();
+        return *callers.back();
+    };
+    const auto answerAll = [&] {
+        asio::post(context, [&] {
+            const std::lock_guard lock(mutex);
+            for (const auto &it : unanswered)
+                it->respond(200, {}, "done");
+            unanswered.clear();
+        });
+    };
+    const auto waitUntilHeld = [&](std::size_t bytes) {
+        for (int n = 0; n < 400 && bodies->heldBytes() != bytes; ++n)
+            std::this_thread::sleep_for(5ms);
+        return bodies->heldBytes() == bytes;
+    };
+    const std::string body(bodyBytes, 'm');
+    const std::string chunked = "POST /c HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: c\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"
+            + body + "\r\n0\r\n\r\n";
+    std::vector<Caller *> holding;
+    for (int n = 0; n < 5; ++n)
+        holding.push_back(&connect());
+    const auto work = asio::make_work_guard(context);
+    std::thread thread([&] { context.run(); });
+    for (int round = 0; round < 3; ++round) {
+        holding[0]->send(requestText("/a", body));
+        holding[1]->send(chunked);
+        CHECK(waitUntilHeld(2 * bodyBytes));
+        // One more with a length, and one in chunks, of a single caller each.
+        Caller &refused = *holding[static_cast<std::size_t>(2 + round)];
+        refused.send(round == 1 ? chunked : requestText("/b", body));
+        const CallerAnswer answer = refused.receive();
+        CHECK(answer.status == 503);
+        answerAll();
+        CHECK(holding[0]->receive().status == 200);
+        CHECK(holding[1]->receive().status == 200);
+        CHECK(waitUntilHeld(0));
+    }
+    asio::post(context, [&] {
+        for (const auto &it : channels)
+            it->abort();
+        context.stop();
+    });
+    thread.join();
+}
