Send no bytes of a body after a response that has none

Cause: beginStream() and endStream() of the caller's channel did not look at the method, and neither they nor respond() at the status: 204 and 304 have no body either. The exchange also took such a head without a length for a stream that was cut.

Change: hasBody() decides for both ways of writing a response.

--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -149,8 +149,10 @@
         if (m_closed)
             return;
         std::string text = formatHead(status, headers);
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-        if (!m_isHeadRequest)
+        if (mayHaveLength(status))
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        text += "\r\n";
+        if (hasBody(status))
             text += body;
         write(std::move(text));
         finishRequest();
@@ -163,12 +165,16 @@
         if (m_closed)
             return;
         m_streaming = true;
-        write(formatHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+        m_streamHasBody = hasBody(status);
+        std::string text = formatHead(status, headers);
+        if (mayHaveLength(status))
+            text += "Transfer-Encoding: chunked\r\n";
+        write(text + "\r\n");
     }
 
     void writeStreamChunk(std::string data) override
     {
-        if (m_closed || data.empty())
+        if (m_closed || data.empty() || !m_streamHasBody)
             return;
         std::array<char, 24> size {};
         const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
@@ -179,7 +185,8 @@
     {
         if (m_closed)
             return;
-        write("0\r\n\r\n");
+        if (m_streamHasBody)
+            write("0\r\n\r\n");
         finishRequest();
     }
 
@@ -218,6 +225,7 @@
         m_headParsed = false;
         m_receivedAt.reset();
         m_closeAnnounced = false;
+        m_isHeadRequest = false;
         m_waitingSince = monotonicNow();
         setTimer(m_closeAfterResponse ? unannouncedCloseDelay : limits.idleTimeout);
     }
@@ -431,6 +439,7 @@
             rejectRequest(400, "the head is not proper HTTP");
             return false;
         }
+        m_isHeadRequest = m_parser->get().method() == http::verb::head;
         if (const auto error = findHeadError(m_parser->get())) {
             rejectRequest(error->status, error->reason);
             return false;
@@ -457,7 +466,6 @@
             request.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
         request.body = std::move(message.body());
         request.receivedAt = *m_receivedAt;
-        m_isHeadRequest = message.method() == http::verb::head;
         m_closeAfterResponse = m_closeAfterResponse || !m_parser->keep_alive();
         m_requestInProgress = true;
         m_requestId.clear();
@@ -480,6 +488,15 @@
 
     // --- writing ---
 
+    // Whether a body may follow the head of a response (RFC 9110, section 6.4.1).
+    bool hasBody(std::uint32_t status) const
+    {
+        return !m_isHeadRequest && status != 204 && status != 304;
+    }
+
+    // A response to HEAD may tell the length that the one to GET would have.
+    static bool mayHaveLength(std::uint32_t status) { return status != 204; }
+
     std::string formatHead(std::uint32_t status, const Headers &headers)
     {
         std::string text = "HTTP/1.1 " + std::to_string(status) + ' '
@@ -665,6 +682,7 @@
     bool m_reading = false;
     bool m_requestInProgress = false; // a request awaits the end of its response
     bool m_streaming = false;
+    bool m_streamHasBody = true; // the response that is streamed
     bool m_isHeadRequest = false;
     bool m_announceClose = false;
     bool m_closeAfterResponse = false;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -565,8 +565,9 @@
     if (m_attempt.eventSplitter) {
         // Without a length, the end of the answer is only that of the connection.
         const bool hasNoEvent = m_attempt.eventSplitter->count() == 0;
+        const bool hasBody = m_admitted.request.method != "HEAD" && *m_attempt.status != 204;
         if (m_attempt.eventSplitter->pending()
-            || (hasNoEvent && isCloseDelimited(m_attempt.responseHeaders))) {
+            || (hasNoEvent && hasBody && isCloseDelimited(m_attempt.responseHeaders))) {
             m_problem = "event_cut";
             recordCut();
             endAttempt(AttemptEnd::MayHaveRun, AttemptOutcome::Broken);
