Do not take a gateway's own cut for an outage of the store

Cause: a gateway whose peers read the store for it has often made no call for many seconds, so its first failed call counted as the loss of the store. After the next answer the registry kept rows that were gone for the grace time of an outage. Ruled out: a late read.

Change: a failed call counts as the loss of the store only if no peer's proof shows that the store has answered within the same 1.5 s. In an outage the proofs of all gateways age alike.

--- a/src/deploymentwatcher.cpp
+++ b/src/deploymentwatcher.cpp
@@ -446,7 +446,7 @@
             EventLog("store_history_lost", EventLevel::Warning).field("table", table);
             return;
         }
-        if (storeLost || sinceLastAnswer < storeLostTimeout)
+        if (storeLost || sinceLastAnswer < storeLostTimeout || peersReachStore())
             return;
         storeLost = true;
         registry.storeLost();
@@ -456,6 +456,16 @@
                 .field("silent_ms", sinceLastAnswer / 1ms);
     }
 
+    // Whether a peer's proof shows that the store has answered within the same time. This gateway
+    // alone is cut off then: rows that disappear have not lapsed because of an outage.
+    bool peersReachStore() const
+    {
+        const Duration proven =
+                std::max({events.provenAt(RowTable::Orders), events.provenAt(RowTable::Backends),
+                          events.provenAt(RowTable::Gateways)});
+        return timeSinceBoot() - proven < storeLostTimeout;
+    }
+
     // Publishes nothing until all required tables have been read: without the list of the other
     // gateways, this one would claim their shares for itself.
     void publish()
--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -576,6 +576,7 @@
                                 "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"
             + body + "\r\n0\r\n\r\n";
     std::vector<Caller *> holding;
+    holding.reserve(5);
     for (int n = 0; n < 5; ++n)
         holding.push_back(&connect());
     const auto work = asio::make_work_guard(context);
@@ -585,7 +586,7 @@
         holding[1]->send(chunked);
         CHECK(waitUntilHeld(2 * bodyBytes));
         // One more with a length, and one in chunks, of a single caller each.
-        Caller &refused = *holding[static_cast<std::size_t>(2 + round)];
+        Caller &refused = *holding[2U + static_cast<std::size_t>(round)];
         refused.send(round == 1 ? chunked : requestText("/b", body));
         const CallerAnswer answer = refused.receive();
         CHECK(answer.status == 503);
--- a/test/error/deploymentwatcher.cpp
+++ b/test/error/deploymentwatcher.cpp
@@ -177,6 +177,29 @@
     CHECK(fixture.proofs[RowTable::Backends].lastChange.version == fixture.rows.version());
 }
 
+// Guards against a server that left and is still used because this gateway, whose peers read the
+// store for it, took its first failed call for an outage.
+TEST_CASE("rows that disappear while this gateway alone is cut off from the store are dropped at "
+          "once")
+{
+    const auto allTables = {RowTable::Orders, RowTable::Backends, RowTable::Gateways};
+    Fixture fixture;
+    fixture.watcher.start({"g", "10.0.0.1", 7600});
+    fixture.run(60ms);
+    REQUIRE(fixture.state->backends.size() == 1);
+    for (int i = 0; i < 200; ++i) {
+        for (const RowTable it : allTables)
+            fixture.proofs[it].sentAt = timeSinceBoot(); // as if reported by peers
+        fixture.run(8ms);
+    }
+    fixture.rows.failingTables = allTables;
+    fixture.run(100ms); // calls fail
+    fixture.rows.erase(RowTable::Backends, "i-1");
+    fixture.rows.failingTables.clear();
+    fixture.run(60ms);
+    CHECK(fixture.state->backends.empty());
+}
+
 TEST_CASE("gateways that a snapshot no longer lists are dropped after the change history was lost")
 {
     Fixture fixture;
