--- a/test/correctness/promptquarantine.cpp
+++ b/test/correctness/promptquarantine.cpp
@@ -528,7 +528,7 @@
     CHECK(rc::check([] {
         const auto gatewayCount = *rc::gen::inRange<std::uint32_t>(1, 60);
         const auto loss = *rc::gen::inRange<std::uint32_t>(0, 50);
-        const auto deadlyPercent = *rc::gen::inRange<std::uint32_t>(1, 40);
+        const auto deadlyPercent = *rc::gen::inRange<std::uint32_t>(1, 60);
         const auto restarts = *rc::gen::arbitrary<bool>();
         const auto ownMilliseconds = *rc::gen::inRange<std::uint32_t>(1000, 8000);
         const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000);
