Wait for a new server's agent, and stop grants of servers that refuse connections

Each gateway took a returned server for one without an agent until its first answer, and started up to its slots there: the gateways together ran 640 requests on servers for 345. A crashed server's agent went on granting slots, as each request ended at once; about 1,300 requests in 5 s ended with connection_refused.

A listed server of a service with agents gets no request without a grant for 150 ms. A gateway tells the agent with the release of the slot that the address refuses connections; the agent then grants one slot at a time, after a delay that grows, until a request has run.

--- a/schema/admission.capnp
+++ b/schema/admission.capnp
@@ -32,6 +32,7 @@
     present @6 :Void;              # from the agent: reply to any running list: the agent is alive
   }
   unused @7 :Bool;         # of release: the request was not sent to the backend server
+  serverDown @8 :Bool;     # of release: because nothing listens at its address
 }
 
 struct AdmissionQueued {
--- a/schema/admission.capnp.h
+++ b/schema/admission.capnp.h
@@ -240,6 +240,8 @@
 
   inline bool getUnused() const;
 
+  inline bool getServerDown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -312,6 +314,9 @@
   inline bool getUnused();
   inline void setUnused(bool value);
 
+  inline bool getServerDown();
+  inline void setServerDown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -830,6 +835,20 @@
       ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AdmissionMessage::Reader::getServerDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdmissionMessage::Builder::getServerDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionMessage::Builder::setServerDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AdmissionQueued::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -97,6 +97,10 @@
         }
         if (const auto *release = std::get_if<SlotRelease>(&message)) {
             allocator.release(release->key, release->unused);
+            if (release->serverDown)
+                allocator.serverRefused(now);
+            else if (!release->unused)
+                allocator.serverResponded();
         } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
             trackGateway(renewal->gateway, sender, now);
             allocator.renew(renewal->gateway, renewal->sequences, now);
--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -210,7 +210,7 @@
 
 void AdmissionClient::release(const ReleaseSlotAction &action)
 {
-    d->send(action.backend, SlotRelease {{d->incarnation, action.request.sequence}, action.unused});
+    d->send(action.backend, SlotRelease {{d->incarnation, action.request.sequence}, action.unused, action.serverDown});
 }
 
 } // namespace cornelshed
--- a/src/admissionmessages.cpp
+++ b/src/admissionmessages.cpp
@@ -34,6 +34,7 @@
     root.setGateway(release.key.gateway);
     root.setRelease(release.key.sequence);
     root.setUnused(release.unused);
+    root.setServerDown(release.serverDown);
 }
 
 void write(const SlotRenewal &renewal, Builder root)
@@ -83,7 +84,8 @@
     case wire::AdmissionMessage::ASK:
         return readSlotRequest(gateway, root.getAsk());
     case wire::AdmissionMessage::RELEASE:
-        return SlotRelease {{gateway, root.getRelease()}, root.getUnused()};
+        return SlotRelease {{gateway, root.getRelease()}, root.getUnused(),
+                            root.getServerDown()};
     case wire::AdmissionMessage::RUNNING: {
         const auto list = root.getRunning();
         SlotRenewal renewal {gateway, {}};
--- a/src/backendavailability.cpp
+++ b/src/backendavailability.cpp
@@ -64,6 +64,8 @@
         return "unresponsive";
     case AvailabilityReason::Full:
         return "full";
+    case AvailabilityReason::Down:
+        return "down";
     case AvailabilityReason::NoFreeSlot:
         return "no_free_slot";
     case AvailabilityReason::Ejected:
@@ -166,7 +168,10 @@
         return reason;
     if (backend.pausedUntil > now)
         return AvailabilityReason::Paused;
-    if (backend.liveness.hasAgent(now))
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
+    const bool agentUnknown = !backend.liveness.hadAgent() && backend.agentDiscoveryUntil > now;
+    if (backend.liveness.hasAgent(now) || agentUnknown)
         return AvailabilityReason::AgentDecides;
     if (backend.liveness.mayBeUnresponsive(probeDelay(backend), backend.unresponsiveReports, now))
         return AvailabilityReason::Unresponsive;
@@ -192,6 +197,8 @@
         return reason;
     if (backend.pausedUntil > now)
         return AvailabilityReason::Paused;
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
     if (!backend.liveness.hasAgent(now))
         return AvailabilityReason::NoAgent;
     if (backend.fullUntil > now)
@@ -202,8 +209,11 @@
 AvailabilityReason BackendAvailability::forGrant(const BackendState &backend, Instant now) const
 {
     const auto reason = standing(backend);
-    const bool paused = reason == AvailabilityReason::Available && backend.pausedUntil > now;
-    return paused ? AvailabilityReason::Paused : reason;
+    if (reason != AvailabilityReason::Available)
+        return reason;
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
+    return backend.pausedUntil > now ? AvailabilityReason::Paused : reason;
 }
 
 bool BackendAvailability::isEjected(const BackendState &backend) const
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -23,6 +23,12 @@
 constexpr Duration restartHoldTime = 3s;
 // A backend server that refused a request because it was full gets the next one after this time.
 constexpr Duration fullBackoff = 40ms;
+// A backend server whose address refuses connections gets the next request after this time; its
+// agent tells earlier when it is back.
+constexpr Duration refusedBackoff = 200ms;
+// The agent of a server that has just been listed answers within a few milliseconds. Until then all
+// gateways would start requests there at once, each up to the number of its slots.
+constexpr Duration agentDiscoveryTime = 150ms;
 // Share of the prompt that needs prefill even on the backend server that ran the session's previous
 // request.
 constexpr double uncachedPromptShare = 0.25;
@@ -514,8 +520,12 @@
                                   const std::map<std::string, double> &coldRateOfService,
                                   Instant now)
 {
-    for (auto &[name, service] : d->services)
+    std::set<std::string> servicesWithAgents;
+    for (auto &[name, service] : d->services) {
+        if (Private::anyAgent(service, now))
+            servicesWithAgents.insert(name);
         service.backends.clear();
+    }
     for (const auto &[name, rate] : coldRateOfService)
         d->serviceOf(name).coldRate = rate;
     for (auto &[id, backend] : d->backends) {
@@ -544,6 +554,8 @@
             backend.slowness = 1;
             backend.namedLimit = {};
         }
+        if (added && d->settings.agents && servicesWithAgents.contains(record.service))
+            backend.agentDiscoveryUntil = now + agentDiscoveryTime;
         if (added || restarted || backend.record != record) {
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
             backend.misdirected = false;
@@ -829,7 +841,11 @@
     }
     if (backend.liveness.hadAgent())
         d->pendingActions.emplace_back(ReleaseSlotAction {
-                id, started.backend, report.outcome == AttemptOutcome::NeverSent});
+                id, started.backend,
+                report.outcome == AttemptOutcome::NeverSent || report.connectionRefused,
+                report.connectionRefused});
+    if (report.connectionRefused)
+        backend.refusedUntil = now + refusedBackoff;
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullBackoff;
     if (report.outcome == AttemptOutcome::Misdirected)
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -635,7 +635,7 @@
 AttemptReport GatewayExchange::report(AttemptOutcome outcome) const
 {
     const Instant now = monotonicNow();
-    AttemptReport report {outcome, now - m_attempt.start, {}};
+    AttemptReport report {outcome, now - m_attempt.start, {}, m_attempt.connectionRefused};
     if (m_attempt.eventSplitter && m_attempt.eventSplitter->count() > 2)
         report.eventInterval = (now - m_attempt.firstEventAt)
                 / static_cast<std::int64_t>(m_attempt.eventSplitter->count() - 1);
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -23,6 +23,11 @@
 constexpr std::uint32_t minColdRestartLimit = 2;
 // Grants that may follow each other at once while a limit is named, after a pause.
 constexpr double limitedGrantsLimit = 2;
+// Delays between the requests that find out whether a server that refused connections is back.
+constexpr Duration firstProbeDelay = 50ms;
+constexpr Duration longestProbeDelay = 400ms;
+// A request that has held its slot for this time has been connected.
+constexpr Duration connectedAfter = 60ms;
 
 } // namespace
 
@@ -56,6 +61,16 @@
     m_queueKeys.erase(it);
 }
 
+void SlotAllocator::serverRefused(Instant now)
+{
+    // Requests that were granted together are refused together.
+    if (m_probeAt > now)
+        return;
+    m_probeAt = now + std::min<Duration>(firstProbeDelay * (1U << std::min(m_refusals, 3U)),
+                                         longestProbeDelay);
+    ++m_refusals;
+}
+
 void SlotAllocator::renew(std::uint64_t gateway, const std::vector<std::uint64_t> &sequences,
                           Instant now)
 {
@@ -77,7 +92,10 @@
     expire(now);
     std::vector<SlotKey> granted;
     std::swap(granted, m_regrants);
-    if (now < m_recoveryEndsAt)
+    const auto probe = m_leases.find(m_probe);
+    if (probe != m_leases.end() && probe->second.grantedAt + connectedAfter <= now)
+        m_refusals = 0;
+    if (now < m_recoveryEndsAt || (m_refusals > 0 && now < m_probeAt))
         return granted;
     // Requests that leave at least this many slots free wait behind one that was not granted.
     std::uint32_t blockedReserve = UINT32_MAX;
@@ -104,6 +122,11 @@
         granted.push_back(request.key);
         m_queueKeys.erase(request.key);
         it = m_queue.erase(it);
+        if (m_refusals > 0) {
+            m_probeAt = now + longestProbeDelay;
+            m_probe = granted.back();
+            break;
+        }
     }
     return granted;
 }
--- a/src/slotallocator.h
+++ b/src/slotallocator.h
@@ -58,6 +58,14 @@
     // unused: the request was not sent, so that a grant does not count against a named limit.
     void release(const SlotKey &key, bool unused = false);
 
+    // The backend server's address refused a connection. Until a request has run on it, it gets one
+    // at a time, after a delay that grows: each gateway would otherwise find out by itself that the
+    // server is down, and a server that fails at once always has free slots.
+    void serverRefused(Instant now);
+    // A request ran on the backend server.
+    void serverResponded() { m_refusals = 0; }
+    bool isServerDown() const { return m_refusals > 0; }
+
     // Renews the leases of the listed requests, which are all that the gateway runs here, and frees
     // its other slots, except those granted too recently to be in the list.
     void renew(std::uint64_t gateway, const std::vector<std::uint64_t> &sequences, Instant now);
@@ -97,6 +105,9 @@
     std::deque<Instant> m_recentGrants;      // of the last second
     std::vector<SlotKey> m_regrants; // requested again while holding a slot; the grant is resent
     std::uint64_t m_arrivalCount = 0;
+    std::uint32_t m_refusals = 0; // delays since the last request that ran
+    Instant m_probeAt {};         // the next slot of a server that is down is granted
+    SlotKey m_probe;              // the last request that got one
     NamedLimit m_namedLimit;
     double m_limitedGrants = 0; // that a named limit allows now
     Instant m_limitedGrantsAt;  // when m_limitedGrants was brought up to date
