Pass the queue without looking at servers that only agents can grant

Each event passed the whole queue and tested all servers for each request, with a digest for each pair. A peer's report no longer starts a pass; the next poll does.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -222,12 +222,18 @@
         return sessionBackend;
     }
 
-    Backend *chooseBackend(Service &service, const DirectRequest &request, Instant now)
+    // startable: the backend servers that may get requests without a grant, as far as this does not
+    // depend on the request. Where agents respond there are none, which keeps the cost of a long
+    // queue low: it is passed many times a second.
+    Backend *chooseBackend(Service &service, const std::vector<Backend *> &startable,
+                           const DirectRequest &request, Instant now)
     {
+        if (startable.empty())
+            return nullptr;
         const Backend *sessionBackend = sessionBackendOf(service, request);
         Backend *chosen = nullptr;
         double least = 0;
-        for (Backend *it : service.backends) {
+        for (Backend *it : startable) {
             if (!canStart(*it, request, now))
                 continue;
             const double seconds = cost(*it, request, sessionBackend, now);
@@ -272,6 +278,11 @@
 
     void advanceService(Service &service, Instant now, std::vector<DirectAction> &actions)
     {
+        std::vector<Backend *> startable;
+        for (Backend *it : service.backends) {
+            if (availability.forStart(*it, 0, now) == AvailabilityReason::Available)
+                startable.push_back(it);
+        }
         std::size_t ahead = 0;
         // Requests that leave at least this many slots free wait behind one that was not started.
         std::uint32_t blockedReserve = UINT32_MAX;
@@ -280,7 +291,8 @@
             const DirectRequest &request = queued.request;
             // A thread that was held up may only now learn of a free slot.
             const bool mayStart = request.deadline > now && request.reservedSlots < blockedReserve;
-            Backend *backend = mayStart ? chooseBackend(service, request, now) : nullptr;
+            Backend *backend =
+                    mayStart ? chooseBackend(service, startable, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1132,8 +1132,7 @@
     for (const auto &[organisationDigest, consumed] : report.consumedTokens)
         d->admission.allowances().recordPeerTotal(report.incarnation, report.uptime,
                                                   organisationDigest, consumed, now);
-    if (d->scheduler.waiting() > 0)
-        d->advance(now);
+    // What the report changes for requests that wait is applied at the next poll (armDueTimer()).
     return tablesBehind;
 }
 
