--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -43,8 +43,8 @@
 constexpr Duration slotRequestTimeout = 25ms;
 // Slot requests for one queued request: how many are sent at once and in total, and the time after
 // which one more is sent.
-constexpr std::size_t initialSlotRequests = 3;
-constexpr std::size_t slotRequestLimit = 8;
+constexpr std::size_t initialSlotRequests = 2;
+constexpr std::size_t slotRequestLimit = 5;
 constexpr Duration slotRequestInterval = 20ms;
 constexpr double initialServiceSeconds = 0.3;
 double secondsOf(Duration duration)
