Let less urgent requests leave slots to one that waits

A request asks a few of the agents. At the others, long streams of a lower rank were granted slots although more urgent requests waited. Once a request has waited for 25 ms, less urgent ones of its gateway and of organisations of the same rank ask for none.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -46,6 +46,9 @@
 constexpr std::size_t initialSlotRequests = 2;
 constexpr std::size_t slotRequestLimit = 5;
 constexpr Duration slotRequestInterval = 20ms;
+// Once a request has waited for this time, less urgent ones of this gateway leave the slots to it:
+// at an agent that it has not asked, they would get one before it.
+constexpr Duration urgentWait = 25ms;
 constexpr double initialServiceSeconds = 0.3;
 double secondsOf(Duration duration)
 {
@@ -286,6 +289,9 @@
         std::size_t ahead = 0;
         // Requests that leave at least this many slots free wait behind one that was not started.
         std::uint32_t blockedReserve = UINT32_MAX;
+        // Order of the first request that has waited for urgentWait; later orders request no slots.
+        std::uint64_t waitingOrder = UINT64_MAX;
+        std::uint64_t waitingGroup = UINT64_MAX;
         for (auto it = service.queue.begin(); it != service.queue.end();) {
             QueuedRequest &queued = it->second;
             const DirectRequest &request = queued.request;
@@ -306,7 +312,14 @@
                 continue;
             }
             resendSlotRequests(queued, now, actions);
-            requestMoreSlots(service, queued, now, actions);
+            const std::uint64_t group = request.order >> 32U;
+            if (group != waitingGroup || request.order <= waitingOrder)
+                requestMoreSlots(service, queued, now, actions);
+            if (now >= request.arrivedAt + urgentWait && request.excluded.empty()
+                && group != waitingGroup) {
+                waitingGroup = group;
+                waitingOrder = request.order;
+            }
             // A request that may not use all backend servers does not block the others.
             if (request.excluded.empty() && request.version.version.empty())
                 blockedReserve = std::min(blockedReserve, request.reservedSlots);
