Refuse at once what waits behind more urgent requests for too long

A request that asks for no slot, because a more urgent one waits, is refused on arrival if its expected wait exceeds its limit, instead of after that limit.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -305,15 +305,16 @@
                 it = erase(service, it, {});
                 continue;
             }
-            if (auto refusal = refuse(service, queued, ahead, now)) {
+            const std::uint64_t group = request.order >> 32U;
+            const bool behindUrgent = group == waitingGroup && request.order > waitingOrder;
+            if (auto refusal = refuse(service, queued, ahead, behindUrgent, now)) {
                 refusal->causes = causesFor(service, request, now);
                 actions.emplace_back(std::move(*refusal));
                 it = erase(service, it, {});
                 continue;
             }
             resendSlotRequests(queued, now, actions);
-            const std::uint64_t group = request.order >> 32U;
-            if (group != waitingGroup || request.order <= waitingOrder)
+            if (!behindUrgent)
                 requestMoreSlots(service, queued, now, actions);
             if (now >= request.arrivedAt + urgentWait && request.excluded.empty()
                 && group != waitingGroup) {
@@ -390,7 +391,7 @@
     }
 
     std::optional<RefuseAction> refuse(const Service &service, const QueuedRequest &queued,
-                                       std::size_t ahead, Instant now) const
+                                       std::size_t ahead, bool behindUrgent, Instant now) const
     {
         const DirectRequest &request = queued.request;
         // The expected wait is checked only when a request arrives, and not again while it waits.
@@ -418,7 +419,7 @@
         // It is not checked where agents respond, which know their queues better, unless all
         // backend servers pause.
         if (arrived && ahead > 0 && now + wait > request.waitUntil
-            && (paused || !anyAgent(service, now))) {
+            && (paused || behindUrgent || !anyAgent(service, now))) {
             action.reason = RefusalReason::QueueTooLong;
             return action;
         }
