Let requests queue at plain servers for a part of their time, and count own starts

A request of a plain service runs for less time than a report of the peers takes, so the number of requests on its servers is known by chance only, and requests were refused beside free slots. A short queue at the server itself uses them. The expected wait assumed equal shares of all gateways; a gateway that starts more than that counts its own starts.

--- a/src/backendavailability.cpp
+++ b/src/backendavailability.cpp
@@ -162,7 +162,8 @@
 }
 
 AvailabilityReason BackendAvailability::forStart(const BackendState &backend,
-                                                 std::uint32_t reservedSlots, Instant now) const
+                                                 std::uint32_t reservedSlots, Instant now,
+                                                 std::uint32_t queueAllowance) const
 {
     if (const auto reason = standing(backend); reason != AvailabilityReason::Available)
         return reason;
@@ -179,7 +180,7 @@
         return AvailabilityReason::Full;
     const std::uint32_t slots = backend.record.slots;
     const std::uint32_t reserve = std::min(reservedSlots, slots / reservedSlotsDivisor);
-    if (backend.running + backend.peerRunning + reserve >= slots)
+    if (backend.running + backend.peerRunning + reserve >= slots + queueAllowance)
         return AvailabilityReason::NoFreeSlot;
     if (isEjected(backend))
         return AvailabilityReason::Ejected;
--- a/src/backendavailability.h
+++ b/src/backendavailability.h
@@ -123,8 +123,9 @@
     }
 
     // Whether a request may be started without a grant. reservedSlots: see DirectRequest.
+    // queueAllowance: requests that may wait at the backend server itself.
     AvailabilityReason forStart(const BackendState &backend, std::uint32_t reservedSlots,
-                                Instant now) const;
+                                Instant now, std::uint32_t queueAllowance = 0) const;
     // Whether a slot may be requested from its agent.
     AvailabilityReason forSlotRequest(const BackendState &backend, Instant now) const;
     // Whether a slot that its agent granted may be used.
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -50,6 +50,10 @@
 // at an agent that it has not asked, they would get one before it.
 constexpr Duration urgentWait = 25ms;
 constexpr double initialServiceSeconds = 0.3;
+// Time over which the requests that this gateway starts are averaged.
+constexpr double startsAveragingSeconds = 1;
+// Share of the time that a request may still wait which it may spend in a backend server's queue.
+constexpr double serverQueueWaitShare = 1.0 / 3;
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -101,6 +105,9 @@
         std::vector<Backend *> backends;                                        // only listed ones
         double coldRate = 0;
         Instant pausedUntil {};                        // no backend server pauses longer
+        bool hadAgents = false;                        // an agent of a backend server has responded
+        double recentStarts = 0; // of this gateway; each counts less as time passes
+        Instant startsAt {};     // when recentStarts was brought up to date
         double serviceSeconds = initialServiceSeconds; // mean time that a request runs
         double eventSeconds = 0;                       // mean time between events; 0: unknown
     };
@@ -171,10 +178,11 @@
                 && request.version.allows(backend.record.version);
     }
 
-    bool canStart(const Backend &backend, const DirectRequest &request, Instant now) const
+    bool canStart(const Backend &backend, const DirectRequest &request,
+                  std::uint32_t queueAllowance, Instant now) const
     {
         return allowsBackend(backend, request)
-                && availability.forStart(backend, request.reservedSlots, now)
+                && availability.forStart(backend, request.reservedSlots, now, queueAllowance)
                 == AvailabilityReason::Available;
     }
 
@@ -225,6 +233,20 @@
         return sessionBackend;
     }
 
+    // The requests that may wait at a backend server without an agent. Where requests run for less
+    // time than a report of the peers takes, the number that run there is known by chance only; a
+    // short queue at the server keeps its slots in use, at a cost that is a part of the time that
+    // the request may wait.
+    std::uint32_t queueAllowance(const Service &service, const Backend &backend,
+                                 const DirectRequest &request, Instant now) const
+    {
+        if (service.hadAgents || request.waitUntil <= now)
+            return 0;
+        const double wait = secondsOf(request.waitUntil - now) * serverQueueWaitShare;
+        const double batches = std::min(wait / std::max(service.serviceSeconds, 0.001), 1.0);
+        return static_cast<std::uint32_t>(batches * backend.record.slots);
+    }
+
     // startable: the backend servers that may get requests without a grant, as far as this does not
     // depend on the request. Where agents respond there are none, which keeps the cost of a long
     // queue low: it is passed many times a second.
@@ -237,7 +259,7 @@
         Backend *chosen = nullptr;
         double least = 0;
         for (Backend *it : startable) {
-            if (!canStart(*it, request, now))
+            if (!canStart(*it, request, queueAllowance(service, *it, request, now), now))
                 continue;
             const double seconds = cost(*it, request, sessionBackend, now);
             if (chosen == nullptr || seconds < least) {
@@ -251,6 +273,9 @@
     void start(Backend &backend, const DirectRequest &request, Instant now)
     {
         ++backend.running;
+        Service &service = serviceOf(request.service);
+        decayStarts(service, now);
+        service.recentStarts += 1;
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
         backend.recordStart(now);
@@ -261,10 +286,24 @@
         startedRequests.emplace(request.id, std::move(started));
     }
 
+    static double decayedStarts(const Service &service, Instant now)
+    {
+        return service.recentStarts
+                * std::exp(-secondsOf(std::max<Duration>(now - service.startsAt, 0s))
+                           / startsAveragingSeconds);
+    }
+
+    static void decayStarts(Service &service, Instant now)
+    {
+        service.recentStarts = decayedStarts(service, now);
+        service.startsAt = std::max(service.startsAt, now);
+    }
+
     // Expected wait of a request behind this many others, by this gateway's share of what the
-    // backend servers do.
-    Duration expectedWait(const Service &service, const DirectRequest &request,
-                          std::size_t ahead) const
+    // backend servers do. Traffic is uneven: a gateway that starts more than an equal share has
+    // that.
+    Duration expectedWait(const Service &service, const DirectRequest &request, std::size_t ahead,
+                          Instant now) const
     {
         double perSecond = 0;
         for (const Backend *it : service.backends) {
@@ -273,7 +312,9 @@
             const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
             perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
         }
-        perSecond /= availability.gatewayCount();
+        perSecond = perSecond <= 0 ? 0
+                                   : std::max(perSecond / availability.gatewayCount(),
+                                              decayedStarts(service, now) / startsAveragingSeconds);
         if (perSecond <= 0)
             return 1s;
         return durationOf(static_cast<double>(ahead + 1) / perSecond);
@@ -283,7 +324,8 @@
     {
         std::vector<Backend *> startable;
         for (Backend *it : service.backends) {
-            if (availability.forStart(*it, 0, now) == AvailabilityReason::Available)
+            const std::uint32_t allowance = service.hadAgents ? 0 : it->record.slots;
+            if (availability.forStart(*it, 0, now, allowance) == AvailabilityReason::Available)
                 startable.push_back(it);
         }
         std::size_t ahead = 0;
@@ -404,7 +446,7 @@
         const bool paused = pause > Duration::zero();
         // Those ahead that start when the pause ends are no queue any more.
         const std::size_t started = paused ? std::min<std::size_t>(ahead, common.freeSlots) : 0;
-        const Duration wait = pause + expectedWait(service, request, ahead - started);
+        const Duration wait = pause + expectedWait(service, request, ahead - started, now);
         RefuseAction action {request.id, RefusalReason::WaitedTooLong, wait,
                              static_cast<std::uint32_t>(ahead)};
         if (paused && *common.endsAt >= request.waitUntil) {
@@ -691,6 +733,7 @@
     if (it == d->backends.end())
         return;
     it->second.liveness.agentResponded(now);
+    d->serviceOf(it->second.record.service).hadAgents = true;
 }
 
 void DirectScheduler::answered(const std::string &backend, std::optional<double> requestsPerSecond,
