--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -210,7 +210,9 @@
 
 void AdmissionClient::release(const ReleaseSlotAction &action)
 {
-    d->send(action.backend, SlotRelease {{d->incarnation, action.request.sequence}, action.unused, action.serverDown});
+    d->send(action.backend,
+            SlotRelease {
+                    {d->incarnation, action.request.sequence}, action.unused, action.serverDown});
 }
 
 } // namespace cornelshed
--- a/src/admissionmessages.cpp
+++ b/src/admissionmessages.cpp
@@ -84,8 +84,7 @@
     case wire::AdmissionMessage::ASK:
         return readSlotRequest(gateway, root.getAsk());
     case wire::AdmissionMessage::RELEASE:
-        return SlotRelease {{gateway, root.getRelease()}, root.getUnused(),
-                            root.getServerDown()};
+        return SlotRelease {{gateway, root.getRelease()}, root.getUnused(), root.getServerDown()};
     case wire::AdmissionMessage::RUNNING: {
         const auto list = root.getRunning();
         SlotRenewal renewal {gateway, {}};
--- a/src/admissionmessages.h
+++ b/src/admissionmessages.h
@@ -22,7 +22,7 @@
 struct SlotRelease
 {
     SlotKey key;
-    bool unused = false; // it was not sent to the backend server
+    bool unused = false;     // it was not sent to the backend server
     bool serverDown = false; // because nothing listens at the address of the backend server
 
     auto operator<=>(const SlotRelease &) const = default;
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -3,7 +3,9 @@
 #include "directscheduler.h"
 
 #include "outlierdetector.h"
+#include "recentrate.h"
 #include "stabledigest.h"
+#include "urgencygate.h"
 
 #include <algorithm>
 #include <cmath>
@@ -41,19 +43,9 @@
 // An unanswered slot request is resent once after this time. If that is not answered either, the
 // agent counts as unresponsive and its backend server is used without it.
 constexpr Duration slotRequestTimeout = 25ms;
-// Slot requests for one queued request: how many are sent at once and in total, and the time after
-// which one more is sent.
-constexpr std::size_t initialSlotRequests = 2;
-constexpr std::size_t slotRequestLimit = 5;
+// Time after which a request without a grant asks one more agent.
 constexpr Duration slotRequestInterval = 20ms;
-// Once a request has waited for this time, less urgent ones of this gateway leave the slots to it:
-// at an agent that it has not asked, they would get one before it.
-constexpr Duration urgentWait = 25ms;
 constexpr double initialServiceSeconds = 0.3;
-// Time over which the requests that this gateway starts are averaged.
-constexpr double startsAveragingSeconds = 1;
-// Share of the time that a request may still wait which it may spend in a backend server's queue.
-constexpr double serverQueueWaitShare = 1.0 / 3;
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -106,8 +98,7 @@
         double coldRate = 0;
         Instant pausedUntil {};                        // no backend server pauses longer
         bool hadAgents = false;                        // an agent of a backend server has responded
-        double recentStarts = 0; // of this gateway; each counts less as time passes
-        Instant startsAt {};     // when recentStarts was brought up to date
+        RecentRate starts;                             // of requests of this gateway
         double serviceSeconds = initialServiceSeconds; // mean time that a request runs
         double eventSeconds = 0;                       // mean time between events; 0: unknown
     };
@@ -240,9 +231,9 @@
     std::uint32_t queueAllowance(const Service &service, const Backend &backend,
                                  const DirectRequest &request, Instant now) const
     {
-        if (service.hadAgents || request.waitUntil <= now)
+        if (service.hadAgents || settings.serverQueueShare <= 0 || request.waitUntil <= now)
             return 0;
-        const double wait = secondsOf(request.waitUntil - now) * serverQueueWaitShare;
+        const double wait = secondsOf(request.waitUntil - now) * settings.serverQueueShare;
         const double batches = std::min(wait / std::max(service.serviceSeconds, 0.001), 1.0);
         return static_cast<std::uint32_t>(batches * backend.record.slots);
     }
@@ -273,9 +264,7 @@
     void start(Backend &backend, const DirectRequest &request, Instant now)
     {
         ++backend.running;
-        Service &service = serviceOf(request.service);
-        decayStarts(service, now);
-        service.recentStarts += 1;
+        serviceOf(request.service).starts.record(now);
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
         backend.recordStart(now);
@@ -286,19 +275,6 @@
         startedRequests.emplace(request.id, std::move(started));
     }
 
-    static double decayedStarts(const Service &service, Instant now)
-    {
-        return service.recentStarts
-                * std::exp(-secondsOf(std::max<Duration>(now - service.startsAt, 0s))
-                           / startsAveragingSeconds);
-    }
-
-    static void decayStarts(Service &service, Instant now)
-    {
-        service.recentStarts = decayedStarts(service, now);
-        service.startsAt = std::max(service.startsAt, now);
-    }
-
     // Expected wait of a request behind this many others, by this gateway's share of what the
     // backend servers do. Traffic is uneven: a gateway that starts more than an equal share has
     // that.
@@ -312,9 +288,9 @@
             const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
             perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
         }
-        perSecond = perSecond <= 0 ? 0
-                                   : std::max(perSecond / availability.gatewayCount(),
-                                              decayedStarts(service, now) / startsAveragingSeconds);
+        perSecond = perSecond <= 0
+                ? 0
+                : std::max(perSecond / availability.gatewayCount(), service.starts.perSecond(now));
         if (perSecond <= 0)
             return 1s;
         return durationOf(static_cast<double>(ahead + 1) / perSecond);
@@ -324,31 +300,28 @@
     {
         std::vector<Backend *> startable;
         for (Backend *it : service.backends) {
-            const std::uint32_t allowance = service.hadAgents ? 0 : it->record.slots;
+            const bool mayQueue = !service.hadAgents && settings.serverQueueShare > 0;
+            const std::uint32_t allowance = mayQueue ? it->record.slots : 0;
             if (availability.forStart(*it, 0, now, allowance) == AvailabilityReason::Available)
                 startable.push_back(it);
         }
         std::size_t ahead = 0;
         // Requests that leave at least this many slots free wait behind one that was not started.
         std::uint32_t blockedReserve = UINT32_MAX;
-        // Order of the first request that has waited for urgentWait; later orders request no slots.
-        std::uint64_t waitingOrder = UINT64_MAX;
-        std::uint64_t waitingGroup = UINT64_MAX;
+        UrgencyGate urgency(settings.yieldAfter);
         for (auto it = service.queue.begin(); it != service.queue.end();) {
             QueuedRequest &queued = it->second;
             const DirectRequest &request = queued.request;
             // A thread that was held up may only now learn of a free slot.
             const bool mayStart = request.deadline > now && request.reservedSlots < blockedReserve;
-            Backend *backend =
-                    mayStart ? chooseBackend(service, startable, request, now) : nullptr;
+            Backend *backend = mayStart ? chooseBackend(service, startable, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
                 it = erase(service, it, {});
                 continue;
             }
-            const std::uint64_t group = request.order >> 32U;
-            const bool behindUrgent = group == waitingGroup && request.order > waitingOrder;
+            const bool behindUrgent = urgency.mustYield(request.order);
             if (auto refusal = refuse(service, queued, ahead, behindUrgent, now)) {
                 refusal->causes = causesFor(service, request, now);
                 actions.emplace_back(std::move(*refusal));
@@ -358,11 +331,9 @@
             resendSlotRequests(queued, now, actions);
             if (!behindUrgent)
                 requestMoreSlots(service, queued, now, actions);
-            if (now >= request.arrivedAt + urgentWait && request.excluded.empty()
-                && group != waitingGroup) {
-                waitingGroup = group;
-                waitingOrder = request.order;
-            }
+            // One that may not use all backend servers holds nobody up.
+            if (request.excluded.empty())
+                urgency.passWaiting(request.order, now - request.arrivedAt);
             // A request that may not use all backend servers does not block the others.
             if (request.excluded.empty() && request.version.version.empty())
                 blockedReserve = std::min(blockedReserve, request.reservedSlots);
@@ -410,9 +381,10 @@
     void requestMoreSlots(Service &service, QueuedRequest &queued, Instant now,
                           std::vector<DirectAction> &actions)
     {
-        const std::size_t newRequests = queued.slotRequests.empty() ? initialSlotRequests : 1;
+        const std::size_t newRequests =
+                queued.slotRequests.empty() ? settings.initialSlotRequests : 1;
         if (!queued.slotRequests.empty()
-            && (queued.slotRequests.size() >= slotRequestLimit
+            && (queued.slotRequests.size() >= settings.slotRequestLimit
                 || now < queued.lastSlotRequestAt + slotRequestInterval))
             return;
         const Backend *sessionBackend = sessionBackendOf(service, queued.request);
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -92,7 +92,7 @@
 {
     AttemptOutcome outcome = AttemptOutcome::Answered;
     Duration total {};
-    Duration eventInterval {}; // mean time between events of a stream; 0: unknown
+    Duration eventInterval {};      // mean time between events of a stream; 0: unknown
     bool connectionRefused = false; // nothing listens at the address of the backend server
 
     bool operator==(const AttemptReport &) const = default;
@@ -141,8 +141,8 @@
 struct ReleaseSlotAction
 {
     RequestId request;
-    std::string backend; // id
-    bool unused = false; // the request was not sent to the backend server
+    std::string backend;     // id
+    bool unused = false;     // the request was not sent to the backend server
     bool serverDown = false; // because nothing listens at its address
 
     bool operator==(const ReleaseSlotAction &) const = default;
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -74,6 +74,10 @@
     result.exposureConstant = settings.exposureConstant;
     result.agentPort = settings.agentPort;
     result.scheduling.agents = settings.agentPort != 0;
+    result.scheduling.initialSlotRequests = settings.initialSlotRequests;
+    result.scheduling.slotRequestLimit = settings.slotRequestLimit;
+    result.scheduling.yieldAfter = std::chrono::milliseconds(settings.yieldAfterMs);
+    result.scheduling.serverQueueShare = settings.serverQueueShare;
     result.answeredLogInterval = settings.answeredLogInterval;
     result.answerLimitBytes = std::size_t {settings.answerLimitKb} * bytesPerKb;
     result.bufferedAnswersLimitBytes = std::size_t {settings.bufferedAnswersLimitKb} * bytesPerKb;
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::int64_t maxDurationMs = 3600000;
 constexpr std::int64_t maxBufferKb = 4194304;
+constexpr std::int64_t maxSlotRequests = 64;
 
 SocketAddress readSocketAddress(TomlSection &section, std::string_view key)
 {
@@ -84,6 +85,20 @@
     settings.coldConstant = section.number("cold_constant", 0, 1e6, settings.coldConstant);
 }
 
+void readScheduling(TomlSection section, GatewaySettings &settings)
+{
+    settings.initialSlotRequests = readCount(section, "initial_slot_requests", 1, maxSlotRequests,
+                                             settings.initialSlotRequests);
+    settings.slotRequestLimit =
+            readCount(section, "slot_request_limit", 1, maxSlotRequests, settings.slotRequestLimit);
+    if (settings.slotRequestLimit < settings.initialSlotRequests)
+        section.reject("slot_request_limit", "at least initial_slot_requests");
+    settings.yieldAfterMs =
+            readCount(section, "yield_after_ms", 0, maxDurationMs, settings.yieldAfterMs);
+    settings.serverQueueShare =
+            section.number("server_queue_share", 0, 1, settings.serverQueueShare);
+}
+
 } // namespace
 
 Result<GatewaySettings, TomlProblems> parseGatewaySettings(std::string_view text,
@@ -99,6 +114,7 @@
     TomlSection platform = root.table("platform");
     settings.platform = readSocketAddress(platform, "address");
     readBounds(root.table("bounds"), settings);
+    readScheduling(root.table("scheduling"), settings);
     document.reportUnknownKeys();
     if (!problems.empty())
         return problems;
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -60,6 +60,12 @@
     // Memory for the bodies of all requests that are received or in progress, in KiB.
     std::uint32_t requestBodiesLimitKb = 49152;
 
+    // Scheduling under load; see DirectSettings.
+    std::uint32_t initialSlotRequests = 3;
+    std::uint32_t slotRequestLimit = 8;
+    std::uint32_t yieldAfterMs = 0;
+    double serverQueueShare = 0;
+
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
     bool operator==(const GatewaySettings &) const = default;
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -66,8 +66,9 @@
     // Requests that were granted together are refused together.
     if (m_probeAt > now)
         return;
-    m_probeAt = now + std::min<Duration>(firstProbeDelay * (1U << std::min(m_refusals, 3U)),
-                                         longestProbeDelay);
+    m_probeAt = now
+            + std::min<Duration>(firstProbeDelay * (1U << std::min(m_refusals, 3U)),
+                                 longestProbeDelay);
     ++m_refusals;
 }
 
