--- a/src/backendavailability.cpp
+++ b/src/backendavailability.cpp
@@ -64,6 +64,8 @@
         return "unresponsive";
     case AvailabilityReason::Full:
         return "full";
+    case AvailabilityReason::Down:
+        return "down";
     case AvailabilityReason::NoFreeSlot:
         return "no_free_slot";
     case AvailabilityReason::Ejected:
@@ -160,13 +162,17 @@
 }
 
 AvailabilityReason BackendAvailability::forStart(const BackendState &backend,
-                                                 std::uint32_t reservedSlots, Instant now) const
+                                                 std::uint32_t reservedSlots, Instant now,
+                                                 std::uint32_t queueAllowance) const
 {
     if (const auto reason = standing(backend); reason != AvailabilityReason::Available)
         return reason;
     if (backend.pausedUntil > now)
         return AvailabilityReason::Paused;
-    if (backend.liveness.hasAgent(now))
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
+    const bool agentUnknown = !backend.liveness.hadAgent() && backend.agentDiscoveryUntil > now;
+    if (backend.liveness.hasAgent(now) || agentUnknown)
         return AvailabilityReason::AgentDecides;
     if (backend.liveness.mayBeUnresponsive(probeDelay(backend), backend.unresponsiveReports, now))
         return AvailabilityReason::Unresponsive;
@@ -174,7 +180,7 @@
         return AvailabilityReason::Full;
     const std::uint32_t slots = backend.record.slots;
     const std::uint32_t reserve = std::min(reservedSlots, slots / reservedSlotsDivisor);
-    if (backend.running + backend.peerRunning + reserve >= slots)
+    if (backend.running + backend.peerRunning + reserve >= slots + queueAllowance)
         return AvailabilityReason::NoFreeSlot;
     if (isEjected(backend))
         return AvailabilityReason::Ejected;
@@ -192,6 +198,8 @@
         return reason;
     if (backend.pausedUntil > now)
         return AvailabilityReason::Paused;
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
     if (!backend.liveness.hasAgent(now))
         return AvailabilityReason::NoAgent;
     if (backend.fullUntil > now)
@@ -202,8 +210,11 @@
 AvailabilityReason BackendAvailability::forGrant(const BackendState &backend, Instant now) const
 {
     const auto reason = standing(backend);
-    const bool paused = reason == AvailabilityReason::Available && backend.pausedUntil > now;
-    return paused ? AvailabilityReason::Paused : reason;
+    if (reason != AvailabilityReason::Available)
+        return reason;
+    if (backend.refusedUntil > now)
+        return AvailabilityReason::Down;
+    return backend.pausedUntil > now ? AvailabilityReason::Paused : reason;
 }
 
 bool BackendAvailability::isEjected(const BackendState &backend) const
--- a/src/backendavailability.h
+++ b/src/backendavailability.h
@@ -32,6 +32,7 @@
     NoAgent,       // a slot cannot be requested, as its agent does not respond
     Unresponsive,  // neither its agent nor the server responds, and this gateway must not probe it
     Full,          // it refused a request a moment ago
+    Down,          // its address refused a connection a moment ago
     NoFreeSlot,    // as many requests run on it as it has slots for
     Ejected,       // it fails or is slow compared with the others of its service
     ColdLimit,     // it warms up, and this gateway has used its share of what it sustains
@@ -70,6 +71,8 @@
     std::uint32_t unresponsiveReports = 0; // peers that report it as unresponsive
     Instant coldUntil {};
     Instant fullUntil {};
+    Instant refusedUntil {};        // its address refused a connection
+    Instant agentDiscoveryUntil {}; // whether it has an agent is not known before
     // The latest startedAtMs of its records. A store that was restored from a copy lists an earlier
     // one for a while, but the answers come from the latest.
     std::int64_t latestStart = 0;
@@ -120,8 +123,9 @@
     }
 
     // Whether a request may be started without a grant. reservedSlots: see DirectRequest.
+    // queueAllowance: requests that may wait at the backend server itself.
     AvailabilityReason forStart(const BackendState &backend, std::uint32_t reservedSlots,
-                                Instant now) const;
+                                Instant now, std::uint32_t queueAllowance = 0) const;
     // Whether a slot may be requested from its agent.
     AvailabilityReason forSlotRequest(const BackendState &backend, Instant now) const;
     // Whether a slot that its agent granted may be used.
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -3,7 +3,9 @@
 #include "directscheduler.h"
 
 #include "outlierdetector.h"
+#include "recentrate.h"
 #include "stabledigest.h"
+#include "urgencygate.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,6 +25,12 @@
 constexpr Duration restartHoldTime = 3s;
 // A backend server that refused a request because it was full gets the next one after this time.
 constexpr Duration fullBackoff = 40ms;
+// A backend server whose address refuses connections gets the next request after this time; its
+// agent tells earlier when it is back.
+constexpr Duration refusedBackoff = 200ms;
+// The agent of a server that has just been listed answers within a few milliseconds. Until then all
+// gateways would start requests there at once, each up to the number of its slots.
+constexpr Duration agentDiscoveryTime = 150ms;
 // Share of the prompt that needs prefill even on the backend server that ran the session's previous
 // request.
 constexpr double uncachedPromptShare = 0.25;
@@ -35,10 +43,7 @@
 // An unanswered slot request is resent once after this time. If that is not answered either, the
 // agent counts as unresponsive and its backend server is used without it.
 constexpr Duration slotRequestTimeout = 25ms;
-// Slot requests for one queued request: how many are sent at once and in total, and the time after
-// which one more is sent.
-constexpr std::size_t initialSlotRequests = 3;
-constexpr std::size_t slotRequestLimit = 8;
+// Time after which a request without a grant asks one more agent.
 constexpr Duration slotRequestInterval = 20ms;
 constexpr double initialServiceSeconds = 0.3;
 double secondsOf(Duration duration)
@@ -92,6 +97,8 @@
         std::vector<Backend *> backends;                                        // only listed ones
         double coldRate = 0;
         Instant pausedUntil {};                        // no backend server pauses longer
+        bool hadAgents = false;                        // an agent of a backend server has responded
+        RecentRate starts;                             // of requests of this gateway
         double serviceSeconds = initialServiceSeconds; // mean time that a request runs
         double eventSeconds = 0;                       // mean time between events; 0: unknown
     };
@@ -162,10 +169,11 @@
                 && request.version.allows(backend.record.version);
     }
 
-    bool canStart(const Backend &backend, const DirectRequest &request, Instant now) const
+    bool canStart(const Backend &backend, const DirectRequest &request,
+                  std::uint32_t queueAllowance, Instant now) const
     {
         return allowsBackend(backend, request)
-                && availability.forStart(backend, request.reservedSlots, now)
+                && availability.forStart(backend, request.reservedSlots, now, queueAllowance)
                 == AvailabilityReason::Available;
     }
 
@@ -216,13 +224,33 @@
         return sessionBackend;
     }
 
-    Backend *chooseBackend(Service &service, const DirectRequest &request, Instant now)
+    // The requests that may wait at a backend server without an agent. Where requests run for less
+    // time than a report of the peers takes, the number that run there is known by chance only; a
+    // short queue at the server keeps its slots in use, at a cost that is a part of the time that
+    // the request may wait.
+    std::uint32_t queueAllowance(const Service &service, const Backend &backend,
+                                 const DirectRequest &request, Instant now) const
     {
+        if (service.hadAgents || settings.serverQueueShare <= 0 || request.waitUntil <= now)
+            return 0;
+        const double wait = secondsOf(request.waitUntil - now) * settings.serverQueueShare;
+        const double batches = std::min(wait / std::max(service.serviceSeconds, 0.001), 1.0);
+        return static_cast<std::uint32_t>(batches * backend.record.slots);
+    }
+
+    // startable: the backend servers that may get requests without a grant, as far as this does not
+    // depend on the request. Where agents respond there are none, which keeps the cost of a long
+    // queue low: it is passed many times a second.
+    Backend *chooseBackend(Service &service, const std::vector<Backend *> &startable,
+                           const DirectRequest &request, Instant now)
+    {
+        if (startable.empty())
+            return nullptr;
         const Backend *sessionBackend = sessionBackendOf(service, request);
         Backend *chosen = nullptr;
         double least = 0;
-        for (Backend *it : service.backends) {
-            if (!canStart(*it, request, now))
+        for (Backend *it : startable) {
+            if (!canStart(*it, request, queueAllowance(service, *it, request, now), now))
                 continue;
             const double seconds = cost(*it, request, sessionBackend, now);
             if (chosen == nullptr || seconds < least) {
@@ -236,6 +264,7 @@
     void start(Backend &backend, const DirectRequest &request, Instant now)
     {
         ++backend.running;
+        serviceOf(request.service).starts.record(now);
         backend.liveness.requestStarted();
         backend.pendingPrefillTokens += request.promptTokens;
         backend.recordStart(now);
@@ -247,9 +276,10 @@
     }
 
     // Expected wait of a request behind this many others, by this gateway's share of what the
-    // backend servers do.
-    Duration expectedWait(const Service &service, const DirectRequest &request,
-                          std::size_t ahead) const
+    // backend servers do. Traffic is uneven: a gateway that starts more than an equal share has
+    // that.
+    Duration expectedWait(const Service &service, const DirectRequest &request, std::size_t ahead,
+                          Instant now) const
     {
         double perSecond = 0;
         for (const Backend *it : service.backends) {
@@ -258,7 +288,9 @@
             const double bySlots = it->record.slots / std::max(service.serviceSeconds, 0.001);
             perSecond += std::min(bySlots, it->namedLimit.perSecond().value_or(bySlots));
         }
-        perSecond /= availability.gatewayCount();
+        perSecond = perSecond <= 0
+                ? 0
+                : std::max(perSecond / availability.gatewayCount(), service.starts.perSecond(now));
         if (perSecond <= 0)
             return 1s;
         return durationOf(static_cast<double>(ahead + 1) / perSecond);
@@ -266,29 +298,42 @@
 
     void advanceService(Service &service, Instant now, std::vector<DirectAction> &actions)
     {
+        std::vector<Backend *> startable;
+        for (Backend *it : service.backends) {
+            const bool mayQueue = !service.hadAgents && settings.serverQueueShare > 0;
+            const std::uint32_t allowance = mayQueue ? it->record.slots : 0;
+            if (availability.forStart(*it, 0, now, allowance) == AvailabilityReason::Available)
+                startable.push_back(it);
+        }
         std::size_t ahead = 0;
         // Requests that leave at least this many slots free wait behind one that was not started.
         std::uint32_t blockedReserve = UINT32_MAX;
+        UrgencyGate urgency(settings.yieldAfter);
         for (auto it = service.queue.begin(); it != service.queue.end();) {
             QueuedRequest &queued = it->second;
             const DirectRequest &request = queued.request;
             // A thread that was held up may only now learn of a free slot.
             const bool mayStart = request.deadline > now && request.reservedSlots < blockedReserve;
-            Backend *backend = mayStart ? chooseBackend(service, request, now) : nullptr;
+            Backend *backend = mayStart ? chooseBackend(service, startable, request, now) : nullptr;
             if (backend != nullptr) {
                 start(*backend, request, now);
                 actions.emplace_back(StartAction {request.id, backend->record.id});
                 it = erase(service, it, {});
                 continue;
             }
-            if (auto refusal = refuse(service, queued, ahead, now)) {
+            const bool behindUrgent = urgency.mustYield(request.order);
+            if (auto refusal = refuse(service, queued, ahead, behindUrgent, now)) {
                 refusal->causes = causesFor(service, request, now);
                 actions.emplace_back(std::move(*refusal));
                 it = erase(service, it, {});
                 continue;
             }
             resendSlotRequests(queued, now, actions);
-            requestMoreSlots(service, queued, now, actions);
+            if (!behindUrgent)
+                requestMoreSlots(service, queued, now, actions);
+            // One that may not use all backend servers holds nobody up.
+            if (request.excluded.empty())
+                urgency.passWaiting(request.order, now - request.arrivedAt);
             // A request that may not use all backend servers does not block the others.
             if (request.excluded.empty() && request.version.version.empty())
                 blockedReserve = std::min(blockedReserve, request.reservedSlots);
@@ -336,9 +381,10 @@
     void requestMoreSlots(Service &service, QueuedRequest &queued, Instant now,
                           std::vector<DirectAction> &actions)
     {
-        const std::size_t newRequests = queued.slotRequests.empty() ? initialSlotRequests : 1;
+        const std::size_t newRequests =
+                queued.slotRequests.empty() ? settings.initialSlotRequests : 1;
         if (!queued.slotRequests.empty()
-            && (queued.slotRequests.size() >= slotRequestLimit
+            && (queued.slotRequests.size() >= settings.slotRequestLimit
                 || now < queued.lastSlotRequestAt + slotRequestInterval))
             return;
         const Backend *sessionBackend = sessionBackendOf(service, queued.request);
@@ -359,7 +405,7 @@
     }
 
     std::optional<RefuseAction> refuse(const Service &service, const QueuedRequest &queued,
-                                       std::size_t ahead, Instant now) const
+                                       std::size_t ahead, bool behindUrgent, Instant now) const
     {
         const DirectRequest &request = queued.request;
         // The expected wait is checked only when a request arrives, and not again while it waits.
@@ -372,7 +418,7 @@
         const bool paused = pause > Duration::zero();
         // Those ahead that start when the pause ends are no queue any more.
         const std::size_t started = paused ? std::min<std::size_t>(ahead, common.freeSlots) : 0;
-        const Duration wait = pause + expectedWait(service, request, ahead - started);
+        const Duration wait = pause + expectedWait(service, request, ahead - started, now);
         RefuseAction action {request.id, RefusalReason::WaitedTooLong, wait,
                              static_cast<std::uint32_t>(ahead)};
         if (paused && *common.endsAt >= request.waitUntil) {
@@ -387,7 +433,7 @@
         // It is not checked where agents respond, which know their queues better, unless all
         // backend servers pause.
         if (arrived && ahead > 0 && now + wait > request.waitUntil
-            && (paused || !anyAgent(service, now))) {
+            && (paused || behindUrgent || !anyAgent(service, now))) {
             action.reason = RefusalReason::QueueTooLong;
             return action;
         }
@@ -514,8 +560,12 @@
                                   const std::map<std::string, double> &coldRateOfService,
                                   Instant now)
 {
-    for (auto &[name, service] : d->services)
+    std::set<std::string> servicesWithAgents;
+    for (auto &[name, service] : d->services) {
+        if (Private::anyAgent(service, now))
+            servicesWithAgents.insert(name);
         service.backends.clear();
+    }
     for (const auto &[name, rate] : coldRateOfService)
         d->serviceOf(name).coldRate = rate;
     for (auto &[id, backend] : d->backends) {
@@ -544,6 +594,8 @@
             backend.slowness = 1;
             backend.namedLimit = {};
         }
+        if (added && d->settings.agents && servicesWithAgents.contains(record.service))
+            backend.agentDiscoveryUntil = now + agentDiscoveryTime;
         if (added || restarted || backend.record != record) {
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
             backend.misdirected = false;
@@ -653,6 +705,7 @@
     if (it == d->backends.end())
         return;
     it->second.liveness.agentResponded(now);
+    d->serviceOf(it->second.record.service).hadAgents = true;
 }
 
 void DirectScheduler::answered(const std::string &backend, std::optional<double> requestsPerSecond,
@@ -829,7 +882,11 @@
     }
     if (backend.liveness.hadAgent())
         d->pendingActions.emplace_back(ReleaseSlotAction {
-                id, started.backend, report.outcome == AttemptOutcome::NeverSent});
+                id, started.backend,
+                report.outcome == AttemptOutcome::NeverSent || report.connectionRefused,
+                report.connectionRefused});
+    if (report.connectionRefused)
+        backend.refusedUntil = now + refusedBackoff;
     if (report.outcome == AttemptOutcome::NotRun)
         backend.fullUntil = now + fullBackoff;
     if (report.outcome == AttemptOutcome::Misdirected)
