--- a/src/routetable.h
+++ b/src/routetable.h
@@ -50,10 +50,21 @@
     }
 };
 
+// Bounds for the number of a service's backend servers in each availability zone.
+struct ServiceScale
+{
+    std::uint32_t minServers = 0;
+    std::uint32_t maxServers = 0; // at least 1 and at least minServers
+    Duration bootTime {};         // from the order of a server until it serves
+
+    bool operator==(const ServiceScale &) const = default;
+};
+
 struct ServiceDefinition
 {
     std::string name;
     double coldRequestsPerSecond = 0; // capacity of a cold backend server; 0: it has no cold phase
+    std::optional<ServiceScale> scale {}; // nullopt: the number of its servers is not changed
 
     bool operator==(const ServiceDefinition &) const = default;
 };
--- a/test/correctness/platformrows.cpp
+++ b/test/correctness/platformrows.cpp
@@ -113,6 +113,35 @@
     CHECK(content.limits.idleTimeout == 15s);
 }
 
+// Guards against a configuration that is not read because of an odd scale, and against servers that
+// are ordered by bounds that nobody stated.
+TEST_CASE("the scale of a service is decoded, and odd values do not make the row unreadable")
+{
+    const auto decode = [](const std::string &members) {
+        const auto decoded = PlatformRows().decodeOrder(
+                "config", R"({"version":1,"services":[{"name":"w")" + members + "}]}");
+        CAPTURE(members);
+        REQUIRE(std::holds_alternative<RouteTableContent>(decoded));
+        return std::get<RouteTableContent>(decoded).services.at(0).scale;
+    };
+    const ServiceScale full {2, 8, 5s};
+    CHECK(decode(R"(,"scale":{"min":2,"max":8,"boot_s":5})") == full);
+    CHECK(decode(R"(,"scale":{"min":2.0,"max":8.0,"boot_s":5.0,"more":[]})") == full);
+    CHECK(decode(R"(,"boot_s":5,"scale":{"min":1.5,"max":8.5})") == full);
+    CHECK(decode(R"(,"scale":{"min":8,"max":8,"boot_s":0.25})") == ServiceScale {8, 8, 250ms});
+    CHECK(decode(R"(,"scale":{"max":3})") == ServiceScale {0, 3, 10s});
+    CHECK(decode(R"(,"scale":{"min":"2","max":3,"boot_s":"5"})") == ServiceScale {0, 3, 10s});
+    CHECK(decode(R"(,"scale":{"min":-2,"max":1e300,"boot_s":1e300})")
+          == ServiceScale {0, 100000, 3600s});
+    CHECK(decode(R"(,"scale":{"min":0.5,"max":1,"boot_s":-1})") == ServiceScale {1, 1, 10s});
+    for (const char *odd :
+         {"", R"(,"scale":null)", R"(,"scale":7)", R"(,"scale":[])", R"(,"scale":"2..8")",
+          R"(,"scale":{})", R"(,"scale":{"min":2})", R"(,"scale":{"min":9,"max":8})",
+          R"(,"scale":{"max":0})", R"(,"scale":{"max":"8"})", R"(,"scale":{"max":-8})",
+          R"(,"scale":{"min":1e300,"max":8})"})
+        CHECK_FALSE(decode(odd).has_value());
+}
+
 TEST_CASE("orders are decoded, and a gateway's row survives a round trip")
 {
     const PlatformRows rows;
