--- a/src/operatorcommands.h
+++ b/src/operatorcommands.h
@@ -25,7 +25,8 @@
     Unavailable = 4,  // the platform cannot be reached or refused the call; nothing was changed
     Unknown = 5,      // the change may have been accepted; the printed command determines it
     NotInForce = 6,   // accepted, but not in force in every entry daemon before the timeout
-    Different = 7     // diff: the configurations differ
+    Different = 7,    // diff: the configurations differ
+    Warnings = 8      // check: valid, with warnings but without errors
 };
 
 struct PlatformEndpoint
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -46,8 +46,19 @@
     }
 };
 
+// Time from the start of one of the last so many ramp steps to the last one.
+Duration minRampTime(const RolloutPolicy &policy, int rampSteps)
+{
+    return policy.minStageTime * std::max(rampSteps - 1, 0) + policy.propagationTime;
+}
+
 } // namespace
 
+Duration minRolloutTime(const RolloutPolicy &policy)
+{
+    return minRampTime(policy, static_cast<int>(policy.rampShares.size())) + policy.minProvingTime;
+}
+
 bool RolloutProgress::merge(const RolloutProgress &other)
 {
     const RolloutProgress before = *this;
@@ -208,10 +219,8 @@
     Duration minRemainingTime(const Rollout &rollout) const
     {
         const std::uint32_t stage = rollout.progress.stage;
-        const int rampSteps = static_cast<int>(lastStage() - std::max<std::uint32_t>(stage, 1));
-        const Duration rampTime =
-                m_policy.minStageTime * std::max(rampSteps - 1, 0) + m_policy.propagationTime;
-        return stage == 0 ? rampTime + m_policy.minProvingTime : rampTime;
+        return stage == 0 ? minRolloutTime(m_policy)
+                          : minRampTime(m_policy, static_cast<int>(lastStage() - stage));
     }
 
     // Returns the progress that the lease holder should write now, if any.
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -63,6 +63,10 @@
     bool operator==(const RolloutPolicy &) const = default;
 };
 
+// Least time from the start of a rollout until all traffic has moved. With a deadline that is
+// nearer it is not started.
+Duration minRolloutTime(const RolloutPolicy &policy);
+
 enum class RolloutEnd { Open, Done, RolledBack, Infeasible };
 
 // Replicated state of a rollout. All daemons converge to the same value, since merging is
--- a/src/routetable.cpp
+++ b/src/routetable.cpp
@@ -7,8 +7,6 @@
 
 namespace cornelshed {
 
-namespace {
-
 std::string normalisedHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -18,8 +16,6 @@
     return name;
 }
 
-} // namespace
-
 class RouteTable::Private
 {
 public:
--- a/src/routetable.h
+++ b/src/routetable.h
@@ -18,6 +18,9 @@
 
 enum class RequestKind : std::uint8_t { Idempotent, NonIdempotent, Stream };
 
+// The form in which hosts are compared: without a port, in lower case.
+std::string normalisedHost(std::string_view host);
+
 struct WeightedService
 {
     std::string service;
--- a/src/tomlreader.cpp
+++ b/src/tomlreader.cpp
@@ -25,15 +25,24 @@
         : m_file(std::move(file)), m_problems(problems)
     { }
 
+    // A problem states the whole value, so a file with long wrong arrays would otherwise take
+    // memory by the square of its size.
     void addProblem(const toml::node *node, const std::string &path, std::string allowed)
     {
+        constexpr std::size_t maxProblems = 1000;
+        constexpr std::size_t maxFoundBytes = 400;
+        if (m_problems.size() >= maxProblems)
+            return;
         std::ostringstream found;
         if (node == nullptr)
             found << "nothing";
         else
             node->visit([&](const auto &it) { found << it; });
         const std::uint32_t line = node == nullptr ? 0 : node->source().begin.line;
-        m_problems.push_back({m_file, line, path, found.str(), std::move(allowed)});
+        std::string value = found.str();
+        if (value.size() > maxFoundBytes)
+            value = value.substr(0, maxFoundBytes) + "..."; // does not keep the memory of the rest
+        m_problems.push_back({m_file, line, path, std::move(value), std::move(allowed)});
     }
 
     void addUnknownKeys(const toml::table &table, const std::string &prefix)
--- a/test/correctness/tomlreader.cpp
+++ b/test/correctness/tomlreader.cpp
@@ -79,3 +79,20 @@
     REQUIRE(problems.size() == 1);
     CHECK(problems[0].line == 2);
 }
+
+// Guards against memory by the square of a file's size: each wrong element is reported with the
+// whole array.
+TEST_CASE("the number of problems and the length of a value in them are bounded")
+{
+    std::string list;
+    for (int i = 0; i < 3000; ++i)
+        list += "\"-\", ";
+    const auto problems = problemsAfterReading("list = [" + list + "]\n", [](TomlSection &root) {
+        const std::size_t n = root.texts("list").size();
+        for (std::size_t i = 0; i < n; ++i)
+            root.reject("list", "names");
+    });
+    CHECK(problems.size() == 1000);
+    CHECK(problems.front().found.size() <= 403);
+    CHECK(problems.front().found.capacity() <= 1000);
+}
