Refuse TOML whose keys could overflow the stack

Cause: toml++ nests dotted keys without a limit and destroys the tables by recursion. A file of 60 KB ended cornelshed check and cornelshed generate with a segmentation fault (found by a trial of the check without its own screening); the daemons read their settings and configurations with the same reader.

Change: TomlDocument::parse reports a line with more than 100 dots outside of strings and comments as a problem. The configuration check uses the same function.

Measured: the new case of correctness.tomlreader crashes (SIGSEGV) without the check and passes with it. Without the check, a key of 25,000 levels was read, one of 30,000 crashed. correctness.configurationcheck, configurationfile, operationspage, error.checkcommand and error.operatorcommands pass.

--- a/src/configurationtext.cpp
+++ b/src/configurationtext.cpp
@@ -2,6 +2,8 @@
 
 #include "configurationtext.h"
 
+#include "tomlreader.h"
+
 #include <boost/json.hpp>
 #include <toml++/toml.h>
 
@@ -18,8 +20,6 @@
 
 namespace {
 
-// toml++ nests keys with dots without a limit, and destroys the result by recursion.
-constexpr std::size_t maxDotsPerLine = 256;
 // Rollouts are compared with each other, and each wrong element of an array is reported with the
 // whole array.
 constexpr std::size_t maxRollouts = 1000;
@@ -37,29 +37,6 @@
     return (byte < 0x20 && c != '\n' && c != '\r' && c != '\t') || byte == 0x7f;
 }
 
-// Number of dots outside of strings.
-std::size_t countDots(std::string_view line)
-{
-    std::size_t dots = 0;
-    char quote = 0;
-    for (std::size_t i = 0; i < line.size(); ++i) {
-        const char c = line[i];
-        if (quote != 0) {
-            if (c == '\\' && quote == '"')
-                ++i;
-            else if (c == quote)
-                quote = 0;
-        } else if (c == '"' || c == '\'') {
-            quote = c;
-        } else if (c == '#') {
-            break;
-        } else if (c == '.') {
-            ++dots;
-        }
-    }
-    return dots;
-}
-
 std::optional<TextProblem> screenLines(std::string_view text)
 {
     std::uint32_t number = 1;
@@ -71,8 +48,6 @@
                                 "a line of " + std::to_string(line.size()) + " bytes; at most "
                                         + std::to_string(tomlLineLimit)
                                         + " are read, so this is hardly a configuration"};
-        if (countDots(line) > maxDotsPerLine)
-            return TextProblem {number, "keys that are nested too deep"};
         text.remove_prefix(std::min(end + 1, text.size()));
         ++number;
     }
@@ -111,6 +86,8 @@
 {
     if (auto problem = screenLines(text))
         return problem;
+    if (const auto line = findTooDeepLine(text))
+        return TextProblem {*line, "keys that are nested too deep"};
     try {
         return screenArrays(toml::parse(text));
     } catch (const toml::parse_error &) {
--- a/src/tomlreader.cpp
+++ b/src/tomlreader.cpp
@@ -12,6 +12,97 @@
 
 namespace cornelshed {
 
+namespace {
+
+// With 128 inline tables in each other, which need at least one line each, this gives 12,800
+// levels. A stack of 8 MB overflowed between 25,000 and 30,000.
+constexpr std::size_t maxDotsPerLine = 100;
+
+// Counts the dots of each line outside of strings and comments.
+class DotScanner
+{
+public:
+    explicit DotScanner(std::string_view text) : m_text(text) { }
+
+    std::optional<std::uint32_t> findLineWithMoreThan(std::size_t limit)
+    {
+        for (m_at = 0; m_at < m_text.size(); ++m_at) {
+            const char c = m_text[m_at];
+            if (c == '\n') {
+                endLine();
+            } else if (c == '"' || c == '\'') {
+                skipString(c);
+            } else if (c == '#') {
+                m_at = std::min(m_text.find('\n', m_at), m_text.size()) - 1;
+            } else if (c == '.' && ++m_dots > limit) {
+                return m_line;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    void endLine()
+    {
+        ++m_line;
+        m_dots = 0;
+    }
+
+    bool isTripleQuote(char quote) const { return m_text.substr(m_at, 3) == std::string(3, quote); }
+
+    bool isEscape(char quote) const
+    {
+        return quote == '"' && m_text[m_at] == '\\' && m_at + 1 < m_text.size()
+                && m_text[m_at + 1] != '\n';
+    }
+
+    // Leaves m_at at the last character of the string.
+    void skipString(char quote)
+    {
+        if (isTripleQuote(quote))
+            skipMultiLineString(quote);
+        else
+            skipLineString(quote);
+    }
+
+    // A string without an end, which the library reports, ends with its line.
+    void skipLineString(char quote)
+    {
+        for (++m_at; m_at < m_text.size() && m_text[m_at] != quote; ++m_at) {
+            if (m_text[m_at] == '\n') {
+                --m_at;
+                return;
+            }
+            m_at += isEscape(quote) ? 1 : 0;
+        }
+    }
+
+    void skipMultiLineString(char quote)
+    {
+        for (m_at += 3; m_at < m_text.size() && !isTripleQuote(quote); ++m_at) {
+            if (m_text[m_at] == '\n')
+                endLine();
+            m_at += isEscape(quote) ? 1 : 0;
+        }
+        m_at += 2;
+        // Up to two quotes before the closing ones belong to the string.
+        for (int i = 0; i < 2 && m_at + 1 < m_text.size() && m_text[m_at + 1] == quote; ++i)
+            ++m_at;
+    }
+
+    std::string_view m_text;
+    std::size_t m_at = 0;
+    std::uint32_t m_line = 1;
+    std::size_t m_dots = 0; // on this line
+};
+
+} // namespace
+
+std::optional<std::uint32_t> findTooDeepLine(std::string_view text)
+{
+    return DotScanner(text).findLineWithMoreThan(maxDotsPerLine);
+}
+
 std::string TomlProblem::toString() const
 {
     return file + ":" + std::to_string(line) + ": " + key + ": found " + found
@@ -240,6 +331,11 @@
                                  TomlProblems &problems)
 {
     auto document = std::make_shared<Private>(file, problems);
+    if (const auto line = findTooDeepLine(text)) {
+        problems.push_back({file, *line, "(syntax)", "keys that are nested too deep",
+                            "at most " + std::to_string(maxDotsPerLine) + " dots on a line"});
+        return TomlDocument(std::move(document));
+    }
     try {
         document->m_table = toml::parse(text, file);
     } catch (const toml::parse_error &error) {
--- a/src/tomlreader.h
+++ b/src/tomlreader.h
@@ -37,6 +37,10 @@
 
 using TomlProblems = std::vector<TomlProblem>;
 
+// Returns the first line with keys of so many parts that the TOML library, which nests them without
+// a limit and destroys them by recursion, could overflow the stack.
+std::optional<std::uint32_t> findTooDeepLine(std::string_view text);
+
 class TomlDocument;
 
 // Handle to a table of the document. Reading a key marks it as known. A value that has the wrong
@@ -74,8 +78,8 @@
 class TomlDocument
 {
 public:
-    // A syntax error is added to problems and leaves the document empty. problems must outlive the
-    // document and its sections.
+    // A syntax error, or a key that is nested too deep, is added to problems and leaves the
+    // document empty. problems must outlive the document and its sections.
     static TomlDocument parse(std::string_view text, const std::string &file,
                               TomlProblems &problems);
 
--- a/test/correctness/tomlreader.cpp
+++ b/test/correctness/tomlreader.cpp
@@ -96,3 +96,31 @@
     CHECK(problems.front().found.size() <= 403);
     CHECK(problems.front().found.capacity() <= 1000);
 }
+
+// Guards against a stack overflow: a file of 60 KB ended the process that read it.
+TEST_CASE("keys that are nested too deep are one problem with its line")
+{
+    std::string deepKey;
+    for (int i = 0; i < 100000; ++i)
+        deepKey += "a.";
+    deepKey += "a";
+    for (const std::string &text :
+         {"\n" + deepKey + " = 1", "\n[" + deepKey + "]", "\nx = {" + deepKey + " = 1}",
+          // Strings that end in a way that could hide what follows them.
+          "x = {s = \"\"\"\n\"\"\", " + deepKey + " = 1}",
+          "x = {s = \"\"\"\n\"\"\"\", " + deepKey + " = 1}",
+          "x = {s = '''\n''''', " + deepKey + " = 1}", "\nx = {s = \"\\\\\", " + deepKey + " = 1}",
+          "# \"\n" + deepKey + " = 1", "x = 'it''\n" + deepKey + " = 1"}) {
+        CAPTURE(text.substr(0, 20));
+        const auto problems = problemsAfterReading(text, [](TomlSection &) {});
+        REQUIRE(problems.size() == 1);
+        CHECK(problems[0].line == 2);
+        CHECK(problems[0].found == "keys that are nested too deep");
+    }
+    // Dots in strings and comments nest nothing.
+    const std::string dots(1000, '.');
+    CHECK(problemsAfterReading("x = [\"" + dots + "\", '" + dots + "', \"\"\"\\\"" + dots
+                                       + "\n\"\"\"] # " + dots,
+                               [](TomlSection &root) { CHECK(root.texts("x").size() == 3); })
+                  .empty());
+}
