--- a/src/routetable.h
+++ b/src/routetable.h
@@ -18,6 +18,9 @@
 
 enum class RequestKind : std::uint8_t { Idempotent, NonIdempotent, Stream };
 
+// The form in which hosts are compared: without a port, in lower case.
+std::string normalisedHost(std::string_view host);
+
 struct WeightedService
 {
     std::string service;
@@ -50,10 +53,21 @@
     }
 };
 
+// Bounds for the number of a service's backend servers in each availability zone.
+struct ServiceScale
+{
+    std::uint32_t minServers = 0;
+    std::uint32_t maxServers = 0; // at least 1 and at least minServers
+    Duration bootTime {};         // from the order of a server until it serves
+
+    bool operator==(const ServiceScale &) const = default;
+};
+
 struct ServiceDefinition
 {
     std::string name;
     double coldRequestsPerSecond = 0; // capacity of a cold backend server; 0: it has no cold phase
+    std::optional<ServiceScale> scale {}; // nullopt: the number of its servers is not changed
 
     bool operator==(const ServiceDefinition &) const = default;
 };
