Setting for the cost of another availability zone

The cost of a server in another zone was fixed at 4 ms, which is less than the differences of the servers' load, so two of three requests crossed zones.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -34,8 +34,6 @@
 // Share of the prompt that needs prefill even on the backend server that ran the session's previous
 // request.
 constexpr double uncachedPromptShare = 0.25;
-// Cost of another availability zone, expressed as time: a round trip and the charged traffic.
-constexpr double crossZoneSeconds = 0.004;
 // Cost of a full batch: the next token of every stream waits for the same batch step.
 constexpr double fullBatchSeconds = 0.030;
 constexpr double slownessSmoothing = 0.2;
@@ -199,7 +197,7 @@
         double seconds = backend.slowness
                 * (prefillTokens / settings.promptTokensPerSecond + occupancy * fullBatchSeconds);
         if (backend.record.availabilityZone != settings.availabilityZone)
-            seconds += crossZoneSeconds;
+            seconds += secondsOf(settings.crossZoneCost);
         return seconds + availability.namedLimitWait(backend, now);
     }
 
--- a/src/directsettings.h
+++ b/src/directsettings.h
@@ -28,6 +28,8 @@
     // Share of the time that a request may still wait which it may spend in the queue of a backend
     // server without an agent. 0: no request waits there.
     double serverQueueShare = 0;
+    // Cost of another availability zone, expressed as time: a round trip and the charged traffic.
+    Duration crossZoneCost = std::chrono::milliseconds(4);
 
     bool operator==(const DirectSettings &) const = default;
 };
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -95,6 +95,8 @@
         section.reject("slot_request_limit", "at least initial_slot_requests");
     settings.yieldAfterMs =
             readCount(section, "yield_after_ms", 0, maxDurationMs, settings.yieldAfterMs);
+    settings.crossZoneCostMs =
+            readCount(section, "cross_zone_cost_ms", 0, maxDurationMs, settings.crossZoneCostMs);
     settings.serverQueueShare =
             section.number("server_queue_share", 0, 1, settings.serverQueueShare);
 }
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -65,6 +65,7 @@
     std::uint32_t slotRequestLimit = 8;
     std::uint32_t yieldAfterMs = 0;
     double serverQueueShare = 0;
+    std::uint32_t crossZoneCostMs = 4;
 
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
