Add the duties of one gateway at a time: lease, usage windows, runner

Some calls to the platform may be made by one gateway at a time. The decision parts say who holds the duties (one row of the store for all of them, written on condition of its version), which usage windows are fixed and sent, and what true time is while wall clocks step. The runtime part carries them out on the control thread. Counts travel between gateways as a second message of the same datagram, which gateways without the section cloud do not send.

--- a/cmake/runtime.cmake
+++ b/cmake/runtime.cmake
@@ -35,7 +35,8 @@
 
 # Adapter to the users' platform; the only library that depends on the platform's names.
 add_library(cornelshed_platform STATIC ${CMAKE_SOURCE_DIR}/platform/platformheaders.cpp
-  ${CMAKE_SOURCE_DIR}/platform/platformrows.cpp ${CMAKE_SOURCE_DIR}/platform/platformstore.cpp)
+  ${CMAKE_SOURCE_DIR}/platform/platformrows.cpp ${CMAKE_SOURCE_DIR}/platform/platformstore.cpp
+  ${CMAKE_SOURCE_DIR}/platform/platformduties.cpp)
 target_include_directories(cornelshed_platform PUBLIC ${CMAKE_SOURCE_DIR}/platform)
 target_link_libraries(cornelshed_platform PUBLIC cornelshed_runtime)
 cornelshed_program(cornelshed-gatewayd platform/gatewayd_main.cpp cornelshed_platform)
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -89,3 +89,26 @@
   storeReturnEra @12 :UInt64;            # that began with the last return of the store
   storeReturnAgeMicros @13 :Int64 = -1;  # since that return; -1: none known
 }
+
+struct GossipUsage {         # requests of an organisation that began to run
+  organisation @0 :UInt64;  # digest of the organisation's name
+  count @1 :UInt64;
+}
+
+struct GossipWindow {
+  window @0 :Int64;         # number of the usage window since 1970
+  usage @1 :List(GossipUsage);
+}
+
+# For the duties of one gateway at a time. Follows the GossipReport in the same datagram, as a message
+# of its own that gateways without duties do not send.
+struct GossipDuties {
+  wallMicros @0 :Int64;     # the sender's wall clock, since 1970
+  openWindow @1 :Int64;     # the sender's counts of earlier windows are final
+  windows @2 :List(GossipWindow);  # counted by the sender and not fixed yet
+  number @3 :UInt64;        # fencing token of the sender; 0: it does not hold the duties
+  rowEra @4 :UInt64;        # position of the row of the duties in the store's history
+  rowVersion @5 :UInt64;
+  nextWindow @6 :Int64;     # first window that the holder has not fixed
+  fixed @7 :List(GossipWindow);    # latest windows that the sender has fixed
+}
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -25,6 +25,9 @@
 CAPNP_DECLARE_SCHEMA(96e71f9883948849);
 CAPNP_DECLARE_SCHEMA(91b16c37abd45b15);
 CAPNP_DECLARE_SCHEMA(c14a0518ea04717e);
+CAPNP_DECLARE_SCHEMA(e80db362d4fb0805);
+CAPNP_DECLARE_SCHEMA(d21a0a401b6c9b59);
+CAPNP_DECLARE_SCHEMA(ced0f09a7d24f675);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -167,6 +170,51 @@
   };
 };
 
+struct GossipUsage {
+  GossipUsage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e80db362d4fb0805, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GossipWindow {
+  GossipWindow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d21a0a401b6c9b59, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GossipDuties {
+  GossipDuties() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ced0f09a7d24f675, 6, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class GossipLoad::Reader {
@@ -1144,6 +1192,294 @@
 };
 #endif  // !CAPNP_LITE
 
+class GossipUsage::Reader {
+public:
+  typedef GossipUsage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrganisation() const;
+
+  inline  ::uint64_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipUsage::Builder {
+public:
+  typedef GossipUsage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrganisation();
+  inline void setOrganisation( ::uint64_t value);
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipUsage::Pipeline {
+public:
+  typedef GossipUsage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GossipWindow::Reader {
+public:
+  typedef GossipWindow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow() const;
+
+  inline bool hasUsage() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipWindow::Builder {
+public:
+  typedef GossipWindow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
+
+  inline bool hasUsage();
+  inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Builder getUsage();
+  inline void setUsage( ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>> disownUsage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipWindow::Pipeline {
+public:
+  typedef GossipWindow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GossipDuties::Reader {
+public:
+  typedef GossipDuties Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallMicros() const;
+
+  inline  ::int64_t getOpenWindow() const;
+
+  inline bool hasWindows() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader getWindows() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getRowEra() const;
+
+  inline  ::uint64_t getRowVersion() const;
+
+  inline  ::int64_t getNextWindow() const;
+
+  inline bool hasFixed() const;
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader getFixed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipDuties::Builder {
+public:
+  typedef GossipDuties Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallMicros();
+  inline void setWallMicros( ::int64_t value);
+
+  inline  ::int64_t getOpenWindow();
+  inline void setOpenWindow( ::int64_t value);
+
+  inline bool hasWindows();
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder getWindows();
+  inline void setWindows( ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder initWindows(unsigned int size);
+  inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>> disownWindows();
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getRowEra();
+  inline void setRowEra( ::uint64_t value);
+
+  inline  ::uint64_t getRowVersion();
+  inline void setRowVersion( ::uint64_t value);
+
+  inline  ::int64_t getNextWindow();
+  inline void setNextWindow( ::int64_t value);
+
+  inline bool hasFixed();
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder getFixed();
+  inline void setFixed( ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder initFixed(unsigned int size);
+  inline void adoptFixed(::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>> disownFixed();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipDuties::Pipeline {
+public:
+  typedef GossipDuties Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t GossipLoad::Reader::getBackend() const {
@@ -2166,6 +2502,234 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t GossipUsage::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipUsage::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipUsage::Builder::setOrganisation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipUsage::Reader::getCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipUsage::Builder::getCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipUsage::Builder::setCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GossipWindow::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipWindow::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipWindow::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipWindow::Reader::hasUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipWindow::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Reader GossipWindow::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Builder GossipWindow::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipWindow::Builder::setUsage( ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>::Builder GossipWindow::Builder::initUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GossipWindow::Builder::adoptUsage(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>> GossipWindow::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipUsage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t GossipDuties::Reader::getWallMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipDuties::Builder::getWallMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setWallMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GossipDuties::Reader::getOpenWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipDuties::Builder::getOpenWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setOpenWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipDuties::Reader::hasWindows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipDuties::Builder::hasWindows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader GossipDuties::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder GossipDuties::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipDuties::Builder::setWindows( ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder GossipDuties::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GossipDuties::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>> GossipDuties::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GossipDuties::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipDuties::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipDuties::Reader::getRowEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipDuties::Builder::getRowEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setRowEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipDuties::Reader::getRowVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipDuties::Builder::getRowVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setRowVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GossipDuties::Reader::getNextWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GossipDuties::Builder::getNextWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GossipDuties::Builder::setNextWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipDuties::Reader::hasFixed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipDuties::Builder::hasFixed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader GossipDuties::Reader::getFixed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder GossipDuties::Builder::getFixed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipDuties::Builder::setFixed( ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>::Builder GossipDuties::Builder::initFixed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipDuties::Builder::adoptFixed(
+    ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>> GossipDuties::Builder::disownFixed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelshed::wire::GossipWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/datagramcodec.h
+++ b/src/datagramcodec.h
@@ -21,15 +21,23 @@
 }
 
 // Calls onMessage with the message. Returns false if the datagram is malformed, also if that
-// becomes apparent only while onMessage reads it.
+// becomes apparent only while onMessage reads it. rest, unless null: gets the bytes that follow the
+// message.
 template<typename MessageCallback>
-bool unpackDatagram(const std::string &datagram, MessageCallback onMessage)
+bool unpackDatagram(const std::string &datagram, MessageCallback onMessage,
+                    std::string *rest = nullptr)
 {
     const auto exception = kj::runCatchingExceptions([&] {
         kj::ArrayInputStream in(
                 kj::arrayPtr(reinterpret_cast<const kj::byte *>(datagram.data()), datagram.size()));
-        capnp::PackedMessageReader message(in);
-        onMessage(message);
+        {
+            capnp::PackedMessageReader message(in);
+            onMessage(message);
+        }
+        if (rest == nullptr)
+            return;
+        const auto bytes = in.tryGetReadBuffer();
+        rest->assign(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
     });
     return exception == nullptr;
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -476,8 +476,17 @@
         advance(monotonicNow());
     }
 
+    void requestBegan(const GatewayExchange &exchange) override
+    {
+        const AdmittedRequest &admitted = exchange.admitted();
+        if (countUsage && !admitted.organisation.empty()
+            && begunRequests.insert(admitted.id).second)
+            countUsage(admitted.organisation);
+    }
+
     void firstEvent(const GatewayExchange &exchange) override
     {
+        requestBegan(exchange);
         scheduler.firstEvent(exchange.attemptId(), monotonicNow());
         if (rollouts.active())
             recordOutcome(exchange, {AttemptOutcome::Answered, exchange.attemptAge(), {}}, false);
@@ -701,6 +710,7 @@
         if (!exchange.everSent())
             refundAllowance(admitted);
         recordCompletion(exchange, status, now);
+        begunRequests.erase(admitted.id);
         exchanges.erase(admitted.id);
         advance(now);
         if (draining && exchanges.empty())
@@ -966,6 +976,8 @@
     PromptGuard prompts;
     std::function<void(const RolloutStatus &)> writeRolloutStatus;
     std::function<void(const std::vector<QuarantineAge> &)> writeQuarantine;
+    std::function<void(const std::string &)> countUsage;
+    std::unordered_set<RequestId> begunRequests; // ids of exchanges, if usage is counted
     // What was read at the start; null before that.
     std::shared_ptr<const std::vector<QuarantineAge>> restoredQuarantine;
     std::unordered_map<std::string, WindowedRetryBudget> retryBudgets; // by service
@@ -1153,6 +1165,11 @@
     d->admission.allowances().setReportLag(view.interval * 3 / 2);
 }
 
+void Gateway::setUsageCounter(std::function<void(const std::string &organisation)> count)
+{
+    d->countUsage = std::move(count);
+}
+
 void Gateway::setRolloutStatusWriter(std::function<void(const RolloutStatus &)> write)
 {
     d->writeRolloutStatus = std::move(write);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -110,6 +110,10 @@
     // called on the traffic thread, of the first one of the gateways that are heard.
     void setQuarantineWriter(std::function<void(const std::vector<QuarantineAge> &)> write);
 
+    // Sets the function that is called once for each request that begins to run, with the name of
+    // its organisation. It is called on the traffic thread.
+    void setUsageCounter(std::function<void(const std::string &organisation)> count);
+
     // Takes the rollout steps that are due. Returns false if there is no rollout. To be called
     // several times a second.
     bool tickRollouts();
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -5,6 +5,8 @@
 #include "adminserver.h"
 #include "daemonsignals.h"
 #include "deploymentwatcher.h"
+#include "dutyrunner.h"
+#include "dutystate.h"
 #include "eventlog.h"
 #include "gateway.h"
 #include "handlerloop.h"
@@ -81,6 +83,36 @@
     return result;
 }
 
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+DutyRunnerSettings dutySettings(const GatewaySettings &settings, std::uint64_t incarnation)
+{
+    DutyRunnerSettings result;
+    result.holder = settings.name;
+    result.incarnation = incarnation;
+    result.address = settings.cloud->address.address;
+    result.port = settings.cloud->address.port;
+    result.reportsUsage = settings.cloud->reportsUsage;
+    result.scales = settings.cloud->scales;
+    result.callsPerSecond = settings.cloud->callsPerSecond;
+    result.lease = std::chrono::milliseconds(settings.leaseMs);
+    result.thaw = std::chrono::milliseconds(settings.thawMs);
+    result.window = fromSeconds(settings.windowS);
+    result.usageLate = fromSeconds(settings.usageLateS);
+    return result;
+}
+
+std::unique_ptr<DutyState> makeDutyState(const GatewaySettings &settings,
+                                         const GatewayPlatform &platform)
+{
+    if (!settings.cloud || platform.duties == nullptr)
+        return nullptr;
+    return std::make_unique<DutyState>(fromSeconds(settings.windowS), DutyClocks::ofHost());
+}
+
 } // namespace
 
 class GatewayDaemon::Private
@@ -89,13 +121,12 @@
     Private(const GatewaySettings &gatewaySettings, std::string settingsPath,
             StateChart rolloutChart, const GatewayPlatform &adapter, const LogWriter &log)
         : settings(gatewaySettings), settingsFile(std::move(settingsPath)), platform(adapter),
+          dutyState(makeDutyState(settings, platform)),
           gateway(trafficContext, platform.protocol, trafficSettings(settings, incarnation),
                   std::move(rolloutChart), metrics),
           gossip(
-                  trafficContext, ownRecord(), [this] { return gateway.composeReport(); },
-                  [this](const GossipReport &report) {
-                      readChangedTables(gateway.applyPeerReport(report));
-                  }),
+                  trafficContext, ownRecord(), [this] { return composeReport(); },
+                  [this](const GossipReport &report) { applyReport(report); }),
           admin(trafficContext, adminHandlers("/ready")),
           readiness(trafficContext, adminHandlers(settings.readinessPath)),
           signals(trafficContext, [this] { shutDown(); }), viewTimer(trafficContext),
@@ -120,6 +151,43 @@
         return {[this] { return metrics.text(); }, [this] { return gateway.ready(); }, readyPath};
     }
 
+    GossipReport composeReport()
+    {
+        GossipReport report = gateway.composeReport();
+        if (dutyState)
+            report.duties = dutyState->composeReport();
+        return report;
+    }
+
+    void applyReport(const GossipReport &report)
+    {
+        readChangedTables(gateway.applyPeerReport(report));
+        if (dutyState && report.duties)
+            dutyState->applyReport(report.incarnation, *report.duties);
+    }
+
+    // Called before the control thread runs.
+    void startDuties()
+    {
+        if (!dutyState)
+            return;
+        duties = std::make_unique<DutyRunner>(controlContext, *store, *platform.duties, *dutyState,
+                                              dutySettings(settings, incarnation), metrics);
+        gateway.setUsageCounter(
+                [this](const std::string &organisation) { dutyState->countRequest(organisation); });
+        duties->start();
+    }
+
+    void addOrganisations(const DeploymentState &state)
+    {
+        if (!dutyState || !state.routes)
+            return;
+        std::vector<std::string> names;
+        for (const Organisation &it : state.routes->content().organisations)
+            names.push_back(it.name);
+        dutyState->addOrganisations(names);
+    }
+
     std::optional<std::string> start()
     {
         settingsText = readTextFile(settingsFile).value_or(std::string());
@@ -153,6 +221,7 @@
             asio::post(controlContext, [this, prompts] { watcher->writeQuarantine(prompts); });
         });
         watcher->start(ownRecord());
+        startDuties();
         updateView();
         reloadIfChanged();
         return std::nullopt;
@@ -163,6 +232,7 @@
         // Events are posted in order, so that a freshness proof never arrives before the state
         // whose freshness it proves.
         return {[this](std::shared_ptr<const DeploymentState> state) {
+                    addOrganisations(*state);
                     asio::post(trafficContext, [this, state = std::move(state)] {
                         gossip.setRegisteredGateways(state->gateways);
                         gateway.applyState(state, gossip.view());
@@ -179,7 +249,11 @@
                                     "Calls of the store by their outcome")
                             .add();
                 },
-                [this](std::uint64_t era) { storeEra = era; }};
+                [this](std::uint64_t era) {
+                    storeEra = era;
+                    if (duties)
+                        duties->storeEraRead(era);
+                }};
     }
 
     // Reads the tables in which a peer has reported changes that are not applied here.
@@ -193,6 +267,8 @@
     {
         const GossipView view = gossip.view();
         gateway.setView(view);
+        if (dutyState)
+            dutyState->setView(view.heardCount, view.rankAmongHeard);
         const bool rollouts = gateway.tickRollouts();
         const Duration delay =
                 storeReadDelayStep * std::min(view.rankAmongHeard, maxStoreReadDelaySteps);
@@ -241,8 +317,12 @@
     {
         EventLog("shutdown_started").field("limit_ms", settings.shutdownTimeoutMs);
         const Duration limit = std::chrono::milliseconds(settings.shutdownTimeoutMs);
-        gateway.drain(std::min<Duration>(drainAnnounceTime, limit / 3), limit,
-                      [this] { trafficContext.stop(); });
+        gateway.drain(std::min<Duration>(drainAnnounceTime, limit / 3), limit, [this] {
+            gossip.sendNow(); // with the last counts of usage
+            trafficContext.stop();
+        });
+        if (duties)
+            asio::post(controlContext, [this] { duties->stop(); });
         gossip.sendNow();
     }
 
@@ -253,6 +333,7 @@
         runHandlers(trafficContext, "traffic");
         controlContext.stop();
         controlThread.join();
+        duties = nullptr;
         watcher = nullptr;
         EventLog("stopped").field("gateway", settings.name);
         return DaemonExitStatus::Success;
@@ -267,6 +348,7 @@
     std::atomic<std::uint64_t> storeEra {0}; // latest one stated by the store
     asio::io_context controlContext;
     asio::io_context trafficContext;
+    std::unique_ptr<DutyState> dutyState; // null: no duties
     Gateway gateway;
     PeerGossip gossip;
     AdminServer admin;
@@ -276,6 +358,7 @@
     asio::steady_timer settingsTimer;
     std::unique_ptr<RowStore> store;
     std::unique_ptr<DeploymentWatcher> watcher;
+    std::unique_ptr<DutyRunner> duties; // null: none
 };
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const std::string &settingsFile,
--- a/src/gatewaydaemon.h
+++ b/src/gatewaydaemon.h
@@ -6,6 +6,7 @@
 #define CORNELSHED_GATEWAYDAEMON_H
 
 #include "daemonoptions.h"
+#include "dutycalls.h"
 #include "gatewaysettings.h"
 #include "ingressprotocol.h"
 #include "rowstore.h"
@@ -30,6 +31,8 @@
     // Called once. The store runs its callbacks on the given context.
     std::function<std::unique_ptr<RowStore>(boost::asio::io_context &, const GatewaySettings &)>
             openStore;
+    // Null: the platform has no calls for duties of one gateway at a time.
+    const DutyCodec *duties = nullptr;
 };
 
 class LogWriter;
--- a/src/gatewayexchange.cpp
+++ b/src/gatewayexchange.cpp
@@ -429,9 +429,15 @@
     m_attempt.reply = m_services.protocol().decodeReply(status, headers);
     m_attempt.responseHeaders = std::move(headers);
     m_services.replyReceived(m_attempt.id, m_attempt.backendId, m_attempt.reply);
-    if (isStreamedResponse())
+    if (isStreamedResponse()) {
         m_attempt.eventSplitter.emplace(m_lastEventId);
-    else if (m_history.answerStarted && !m_attempt.reply.notRun && !m_attempt.reply.misdirected)
+        return;
+    }
+    if (m_attempt.reply.notRun || m_attempt.reply.misdirected)
+        return;
+    if (m_attempt.reply.authenticated)
+        m_services.requestBegan(*this);
+    if (m_history.answerStarted)
         failAttempt("stream_not_resumed"); // only further events may follow those already sent
 }
 
--- a/src/gatewayexchange.h
+++ b/src/gatewayexchange.h
@@ -65,6 +65,9 @@
     virtual void requeue(GatewayExchange &exchange) = 0;
     virtual void withdraw(GatewayExchange &exchange) = 0;
 
+    // The request began to run: the first event of a stream arrived, or the head of another answer.
+    // Called for each attempt.
+    virtual void requestBegan(const GatewayExchange &exchange) = 0;
     // The current attempt received its first event of a stream.
     virtual void firstEvent(const GatewayExchange &exchange) = 0;
     virtual void attemptEnded(const GatewayExchange &exchange, const AttemptReport &report) = 0;
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -82,6 +82,28 @@
             section.number("exposure_constant", 0, 1e6, settings.exposureConstant);
     settings.coldOver = section.number("cold_over", 1, 100, settings.coldOver);
     settings.coldConstant = section.number("cold_constant", 0, 1e6, settings.coldConstant);
+    settings.leaseMs = readCount(section, "lease_ms", 500, maxDurationMs, settings.leaseMs);
+    settings.thawMs = readCount(section, "thaw_ms", 0, maxDurationMs, settings.thawMs);
+    settings.windowS = section.number("window_s", 0.1, 3600, settings.windowS);
+    settings.usageLateS = section.number("usage_late_s", 0.1, 3600, settings.usageLateS);
+    settings.usageTolerance = section.number("usage_tolerance", 0, 1, settings.usageTolerance);
+    settings.fencingRequired = section.boolean("fencing_required", settings.fencingRequired);
+}
+
+std::optional<CloudSettings> readCloud(TomlSection root)
+{
+    if (!root.has("cloud"))
+        return std::nullopt;
+    TomlSection section = root.table("cloud");
+    CloudSettings cloud;
+    cloud.address = readSocketAddress(section, "address");
+    cloud.callsPerSecond = section.number("duty_per_s", 0.1, 1e6, cloud.callsPerSecond);
+    // Duties that only a later release knows are left to it.
+    for (const std::string &it : section.texts("duties")) {
+        cloud.reportsUsage = cloud.reportsUsage || it == "usage_report";
+        cloud.scales = cloud.scales || it == "autoscale";
+    }
+    return cloud;
 }
 
 } // namespace
@@ -99,6 +121,7 @@
     TomlSection platform = root.table("platform");
     settings.platform = readSocketAddress(platform, "address");
     readBounds(root.table("bounds"), settings);
+    settings.cloud = readCloud(root);
     document.reportUnknownKeys();
     if (!problems.empty())
         return problems;
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -7,6 +7,7 @@
 #include "types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,17 @@
     auto operator<=>(const SocketAddress &) const = default;
 };
 
+// Duties of one gateway at a time: calls to the platform that only one gateway may make.
+struct CloudSettings
+{
+    SocketAddress address; // of the platform's endpoints for these calls
+    bool reportsUsage = false;
+    bool scales = false;
+    double callsPerSecond = 50; // that the platform takes from all gateways together
+
+    bool operator==(const CloudSettings &) const = default;
+};
+
 struct GatewaySettings
 {
     std::string name;
@@ -62,6 +74,15 @@
 
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
+    std::optional<CloudSettings> cloud; // empty: no duties
+    // Bounds of the duties.
+    std::uint32_t leaseMs = 3000; // two holders never take turns within this time
+    std::uint32_t thawMs = 300;   // calls of a resumed host are excused for this time
+    double windowS = 5;           // length of a usage window
+    double usageLateS = 10;       // the usage of a window is due this long after its end
+    double usageTolerance = 0.05; // error of an organisation's usage that is no violation
+    bool fencingRequired = false; // the platform checks the fencing token of each call
+
     bool operator==(const GatewaySettings &) const = default;
 };
 
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -31,6 +31,8 @@
 constexpr Duration mayBeAliveTimeout = 30s;
 // Minimum interval between two reports to the same peer that include rollout evidence.
 constexpr Duration rolloutReportInterval = 200ms;
+// The same for reports that include duties. A gateway that is killed loses the counts of this time.
+constexpr Duration dutyReportInterval = 150ms;
 // Ages in a peer's report are cut to this.
 constexpr Duration longestReportedTime = 24h;
 
@@ -184,13 +186,13 @@
         root.setStoreReturnEra(report.storeReturn->era);
         root.setStoreReturnAgeMicros(report.storeReturn->age.count());
     }
-    return detail::packDatagram(message);
+    return detail::packDatagram(message) + (report.duties ? encodeDutyReport(*report.duties) : "");
 }
 
 std::optional<GossipReport> decodeGossip(const std::string &datagram)
 {
     GossipReport report;
-    const bool valid = detail::unpackDatagram(datagram, [&](capnp::MessageReader &message) {
+    const auto readReport = [&](capnp::MessageReader &message) {
         const auto root = message.getRoot<wire::GossipReport>();
         report.name = root.getName().cStr();
         report.incarnation = root.getIncarnation();
@@ -221,9 +223,12 @@
                 report.proofs[i] = SharedProof {{proofs[i].getEra(), proofs[i].getLastChange()},
                                                 Duration(proofs[i].getStoreTimeMicros())};
         }
-    });
-    if (!valid || report.name.empty())
+    };
+    std::string rest;
+    if (!detail::unpackDatagram(datagram, readReport, &rest) || report.name.empty())
         return std::nullopt;
+    if (!rest.empty())
+        report.duties = decodeDutyReport(rest);
     return report;
 }
 
@@ -242,6 +247,7 @@
         Instant registeredAt = Instant::min();
         bool registered = false; // has a row in the store
         Instant rolloutsSentAt = Instant::min();
+        Instant dutiesSentAt = Instant::min();
     };
 
     Private(asio::io_context &context, GatewayRecord gateway, ReportComposer reportComposer,
@@ -322,10 +328,13 @@
         }
     }
 
-    void send(const std::vector<std::string> &recipients)
+    // isLast: the report is sent with all it has, as another one may not follow.
+    void send(const std::vector<std::string> &recipients, bool isLast = false)
     {
         const Instant now = monotonicNow();
         GossipReport report = composeReport();
+        const std::string duties = report.duties ? encodeDutyReport(*report.duties) : "";
+        report.duties.reset();
         const std::string complete = encodeGossip(report);
         const bool hasRollouts = !report.rollouts.empty();
         report.rollouts.clear();
@@ -335,7 +344,11 @@
             const bool due = hasRollouts && now >= peer.rolloutsSentAt + rolloutReportInterval;
             if (due)
                 peer.rolloutsSentAt = now;
-            const std::string &datagram = due ? complete : withoutRollouts;
+            std::string datagram = due ? complete : withoutRollouts;
+            if (isLast || (!duties.empty() && now >= peer.dutiesSentAt + dutyReportInterval)) {
+                peer.dutiesSentAt = now;
+                datagram += duties;
+            }
             if (datagram.size() > maxDatagramBytes)
                 continue;
             boost::system::error_code ignored; // the next report replaces a lost one
@@ -424,7 +437,7 @@
 
 void PeerGossip::sendNow()
 {
-    d->send(d->scheduledNames);
+    d->send(d->scheduledNames, true);
 }
 
 GossipView PeerGossip::view() const
--- a/src/peergossip.h
+++ b/src/peergossip.h
@@ -1,13 +1,14 @@
 // Exchanges periodic UDP reports between gateways. A report carries the sender's load on every
 // backend server, the tokens consumed by organisations, the state of rollouts, prompt parts that
-// crash backend servers, and how fresh its copies of the store's tables are. Every report is
-// complete, so the next one replaces a lost one. Which peers get which report is decided in
-// reportschedule.h. Runs on the traffic thread.
+// crash backend servers, how fresh its copies of the store's tables are, and what the duties of one
+// gateway at a time need. Every report is complete, so the next one replaces a lost one. Which
+// peers get which report is decided in reportschedule.h. Runs on the traffic thread.
 
 #ifndef CORNELSHED_PEERGOSSIP_H
 #define CORNELSHED_PEERGOSSIP_H
 
 #include "directscheduler.h"
+#include "dutyreport.h"
 #include "freshness.h"
 #include "gatewayrollouts.h"
 #include "promptquarantine.h"
@@ -43,6 +44,7 @@
     std::vector<PromptPartReport> promptParts;
     std::uint64_t configurationVersion = 0; // in force; 0: none
     std::optional<StoreReturn> storeReturn; // the last one, if it was not long ago
+    std::optional<DutyReport> duties {};    // empty: the gateways have no duties, or left out
 
     bool operator==(const GossipReport &) const = default;
 };
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -23,7 +23,8 @@
     Backends, // registry of backend servers; read only
     Gateways, // registry of this system's gateway daemons
     Statuses, // results of operators' orders; written by this system
-    Prompts   // prompts that crash backend servers; written by this system
+    Prompts,  // prompts that crash backend servers; written by this system
+    Duties    // holder of the duties of one gateway at a time; written by this system
 };
 
 // A position in the store's history. Versions are comparable only within one era: when the store
--- a/test/support/storestub.cpp
+++ b/test/support/storestub.cpp
@@ -17,12 +17,13 @@
 
 namespace {
 
-constexpr std::array<std::pair<const char *, RowTable>, 5> tableNames {
+constexpr std::array<std::pair<const char *, RowTable>, 6> tableNames {
         {{"op", RowTable::Orders},
          {"servers", RowTable::Backends},
          {"gateways", RowTable::Gateways},
          {"status", RowTable::Statuses},
-         {"prompts", RowTable::Prompts}}};
+         {"prompts", RowTable::Prompts},
+         {"duties", RowTable::Duties}}};
 
 RowTable tableOf(const std::string &name)
 {
