--- a/src/usageduty.cpp
+++ b/src/usageduty.cpp
@@ -46,8 +46,9 @@
 }
 
 DutyProgress UsageDuty::atAcquisition(const std::optional<DutyProgress> &stored, bool sameEra,
-                                      std::int64_t seenIn) const
+                                      std::int64_t seenIn)
 {
+    m_replacedNextWindow = stored ? stored->nextWindow : 0;
     if (stored && sameEra)
         return *stored;
     // A window is fixed after its end, so the earlier holders have fixed none from seenIn on.
@@ -82,7 +83,7 @@
     return sinceEnd >= m_settings.late / patienceDivisor || windows.isComplete(window, now);
 }
 
-DutyProgress UsageDuty::atRenewal(const UsageWindows &windows, Duration time, Duration now)
+DutyProgress UsageDuty::atRenewal(const UsageWindows &windows, Duration time, Duration now) const
 {
     DutyProgress progress;
     progress.nextWindow = m_stored.nextWindow;
@@ -91,19 +92,12 @@
             progress.pending.push_back(it);
     }
     const std::int64_t openWindow = time / m_settings.window;
-    for (; progress.pending.size() < pendingLimit; ++progress.nextWindow) {
-        const std::int64_t window = progress.nextWindow;
-        auto proposed = m_proposed.find(window);
-        if (proposed == m_proposed.end()) {
-            if (!isFixable(window, windows, time, now))
-                break;
-            std::optional<UsageCounts> counts;
-            if (window >= openWindow - windowLimit && windows.isKnown(window))
-                counts = windows.total(window);
-            proposed = m_proposed.emplace(window, std::move(counts)).first;
-        }
-        if (proposed->second)
-            progress.pending.push_back({window, *proposed->second});
+    progress.nextWindow = std::max(progress.nextWindow, openWindow - windowLimit);
+    while (progress.pending.size() < pendingLimit
+           && isFixable(progress.nextWindow, windows, time, now)) {
+        const std::int64_t window = progress.nextWindow++;
+        if (windows.isKnown(window))
+            progress.pending.push_back({window, windows.total(window)});
     }
     return progress;
 }
@@ -118,11 +112,15 @@
 
 void UsageDuty::confirmed(const DutyProgress &progress)
 {
+    const std::int64_t before =
+            m_stored.nextWindow != 0 ? m_stored.nextWindow : m_replacedNextWindow;
+    if (before != 0 && progress.nextWindow > before) {
+        const auto fixed =
+                std::count_if(progress.pending.begin(), progress.pending.end(),
+                              [&](const FixedWindow &it) { return it.window >= before; });
+        m_skipped += static_cast<std::uint64_t>(progress.nextWindow - before - fixed);
+    }
     m_stored = progress;
-    const auto stored = m_proposed.lower_bound(progress.nextWindow);
-    m_skipped += static_cast<std::uint64_t>(std::count_if(
-            m_proposed.begin(), stored, [](const auto &it) { return !it.second.has_value(); }));
-    m_proposed.erase(m_proposed.begin(), stored);
     std::set<std::int64_t> pending;
     for (const FixedWindow &it : progress.pending) {
         pending.insert(it.window);
@@ -136,7 +134,6 @@
 {
     m_stored = {};
     m_done.clear();
-    m_proposed.clear();
     m_attempts.clear();
 }
 
--- a/src/usageduty.h
+++ b/src/usageduty.h
@@ -46,11 +46,12 @@
     // sameEra: whether its number was acquired in the present era. seenIn: the window in which the
     // present version of the row, or that there is none, was first seen here.
     DutyProgress atAcquisition(const std::optional<DutyProgress> &stored, bool sameEra,
-                               std::int64_t seenIn) const;
+                               std::int64_t seenIn);
 
     // Progress to store with a renewal: fixes the windows that are due. time: true time; now: since
-    // boot.
-    DutyProgress atRenewal(const UsageWindows &windows, Duration time, Duration now);
+    // boot. Counts may differ from those of an earlier write that failed: only one of the two can
+    // have been applied, and confirmed() tells which one.
+    DutyProgress atRenewal(const UsageWindows &windows, Duration time, Duration now) const;
     // Whether a window should be fixed without waiting for the next renewal.
     bool isPressed(const UsageWindows &windows, Duration time, Duration now) const;
 
@@ -93,10 +94,9 @@
     UsageDutySettings m_settings;
     DutyProgress m_stored;
     std::set<std::int64_t> m_done; // windows that are pending in m_stored, but need no further call
-    // Counts in writes that may have been applied. A window is never proposed with other ones.
-    std::map<std::int64_t, std::optional<UsageCounts>> m_proposed; // nullopt: not known
     std::map<std::int64_t, Attempts> m_attempts;
     std::map<std::int64_t, UsageCounts> m_known; // fixed in this or an earlier era
+    std::int64_t m_replacedNextWindow = 0;       // of the row that the last acquisition replaces
     std::uint64_t m_skipped = 0;
 };
 
--- a/test/support/dutyfleet.cpp
+++ b/test/support/dutyfleet.cpp
@@ -349,10 +349,12 @@
     }
     const bool isAnswered = !chance(faults.lostCallAnswers);
     const Duration delay = isAnswered ? latency() : Duration(m_random.below(callTimeout.count()));
-    after(delay, [this, number, sent, name = nameOfGateway(gateway.index),
-                  incarnation = gateway.incarnation] {
-        (sent ? m_arrived : m_othersArrived).push_back({m_now, name, incarnation, number, sent});
-    });
+    after(delay,
+          [this, number, sent, name = nameOfGateway(gateway.index),
+           incarnation = gateway.incarnation] {
+              (sent ? m_arrived : m_othersArrived)
+                      .push_back({m_now, name, incarnation, number, sent});
+          });
     deliver(gateway.index, isAnswered ? delay + latency() : callTimeout,
             end(isAnswered ? DutyCallOutcome::Accepted : DutyCallOutcome::Unanswered));
 }
@@ -401,8 +403,7 @@
     findViolations(m_othersArrived, found);
     std::map<std::int64_t, UsageCounts> counts;
     for (const ArrivedCall &it : m_arrived) {
-        if (counts.emplace(it.window->window, it.window->counts).first->second
-            != it.window->counts)
+        if (counts.emplace(it.window->window, it.window->counts).first->second != it.window->counts)
             found.push_back("different counts of window " + std::to_string(it.window->window));
     }
     return found;
