--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -39,6 +39,13 @@
              {}},
             {32, PromptPartKind::Last, 0, {}, {}, {}, Duration(7)},
             {33, PromptPartKind::Whole, 2, {{42, 0, 0, Duration(30), Duration(9)}}, {}, {}, {}}};
+    report.duties = DutyReport {Duration(1764000000000000),
+                                352800000,
+                                {{352799999, {{51, 3}, {52, 4}}}, {352800000, {}}},
+                                4294967301,
+                                {1, 4},
+                                352799998,
+                                {{352799997, {{51, 7}}}}};
     return report;
 }
 
@@ -61,6 +68,18 @@
         CHECK(decodeAdmission(encodeAdmission(it)) == std::optional(it));
 }
 
+TEST_CASE("a gateway without duties adds nothing to its reports")
+{
+    GossipReport report = sampleReport();
+    const std::string complete = encodeGossip(report);
+    const std::string duties = encodeDutyReport(*report.duties);
+    report.duties.reset();
+    CHECK(encodeGossip(report) + duties == complete);
+    CHECK(decodeGossip(encodeGossip(report)) == std::optional(report));
+    // What follows the report is not understood: the report itself still counts.
+    CHECK(decodeGossip(encodeGossip(report) + "later release") == std::optional(report));
+}
+
 TEST_CASE("corrupted datagrams are rejected or decode to a message that can be encoded")
 {
     std::vector<std::string> seeds {encodeGossip(sampleReport())};
