--- a/test/support/storestub.h
+++ b/test/support/storestub.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace cornelshed::testing {
 
@@ -19,6 +20,7 @@
     StoreStub();
 
     std::uint16_t port() const { return m_server.port(); }
+    std::vector<StubRequest> requests() const { return m_server.requests(); }
 
     void set(RowTable table, const std::string &key, const std::string &value);
     void keepCopy();
