Wait for organisations that a holder does not know yet

A peer with a newer configuration may report an organisation whose name the holder has not read; its counts were left out of the window. Gateways that have just started also take turns as candidates, and reports encode the duties' part only for recipients that are due.

error.dutyprocesses has a case in which the holder is suspended with SIGSTOP.

--- a/src/dutylease.cpp
+++ b/src/dutylease.cpp
@@ -20,7 +20,7 @@
 constexpr Duration retryPause = 200ms;
 // Candidates try one after the other, so that one write is enough after the end of a lease.
 constexpr Duration candidateStep = 100ms;
-constexpr std::uint32_t maxCandidateSteps = 10;
+constexpr std::uint32_t maxCandidateSteps = 20;
 
 // Larger than all numbers of earlier eras, and within an era larger than those of earlier versions
 // of the row: each acquisition is conditional on a version of its own.
--- a/src/dutystate.cpp
+++ b/src/dutystate.cpp
@@ -16,7 +16,7 @@
 // A gateway that has run for less may not know counts of gateways that have ended, so others come
 // first as holders.
 constexpr Duration newcomerTime = 20s;
-constexpr std::uint32_t newcomerRank = 10;
+constexpr std::uint32_t newcomerRank = 10; // and more
 constexpr std::size_t rememberedFixed = 64;
 
 } // namespace
@@ -105,7 +105,7 @@
     m_windows.setFirstWindow(windowAtLocked(m_startedAt));
     m_windows.prune(windowAtLocked(now), now);
     const bool isNewcomer = m_heardCount > 1 && now - m_startedAt < newcomerTime;
-    m_heard.rank = isNewcomer ? newcomerRank : m_rank;
+    m_heard.rank = isNewcomer ? newcomerRank + m_rank : m_rank;
     return std::exchange(m_heard, {});
 }
 
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace cornelshed {
 
@@ -333,8 +334,8 @@
     {
         const Instant now = monotonicNow();
         GossipReport report = composeReport();
-        const std::string duties = report.duties ? encodeDutyReport(*report.duties) : "";
-        report.duties.reset();
+        const auto duties = std::exchange(report.duties, std::nullopt);
+        std::string encodedDuties; // once a recipient is due
         const std::string complete = encodeGossip(report);
         const bool hasRollouts = !report.rollouts.empty();
         report.rollouts.clear();
@@ -345,9 +346,11 @@
             if (due)
                 peer.rolloutsSentAt = now;
             std::string datagram = due ? complete : withoutRollouts;
-            if (isLast || (!duties.empty() && now >= peer.dutiesSentAt + dutyReportInterval)) {
+            if (duties && (isLast || now >= peer.dutiesSentAt + dutyReportInterval)) {
                 peer.dutiesSentAt = now;
-                datagram += duties;
+                if (encodedDuties.empty())
+                    encodedDuties = encodeDutyReport(*duties);
+                datagram += encodedDuties;
             }
             if (datagram.size() > maxDatagramBytes)
                 continue;
--- a/src/usageduty.cpp
+++ b/src/usageduty.cpp
@@ -198,6 +198,7 @@
     for (std::size_t n = 0; n < reportedLatest && it != m_known.rend(); ++n, ++it)
         recent.emplace(it->first, it->second);
     std::vector<FixedWindow> windows;
+    windows.reserve(recent.size());
     for (auto &[window, counts] : recent)
         windows.push_back({window, std::move(counts)});
     return windows;
--- a/src/usagewindows.cpp
+++ b/src/usagewindows.cpp
@@ -78,10 +78,21 @@
 bool UsageWindows::isComplete(std::int64_t window, Duration now) const
 {
     return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
-        return it.second.openWindow > window || now - it.second.heardAt > rememberTime;
+        const Gateway &gateway = it.second;
+        const bool isClosed = gateway.openWindow > window || now - gateway.heardAt > rememberTime;
+        return isClosed && hasNames(gateway.windows, window);
     });
 }
 
+// Whether the organisations are known: a peer may have a newer configuration.
+bool UsageWindows::hasNames(const Windows &windows, std::int64_t window) const
+{
+    const auto found = windows.find(window);
+    return found == windows.end()
+            || std::all_of(found->second.begin(), found->second.end(),
+                           [&](const auto &it) { return m_names.contains(it.first); });
+}
+
 bool UsageWindows::isKnown(std::int64_t window) const
 {
     return window >= m_firstWindow || m_own.contains(window)
--- a/src/usagewindows.h
+++ b/src/usagewindows.h
@@ -50,7 +50,8 @@
     // The counts of windows before this one are fixed, or given up.
     void setNextWindow(std::int64_t window);
 
-    // Whether the counts of the window are final at all gateways that were heard lately.
+    // Whether the counts of the window are final at all gateways that were heard lately, and the
+    // organisations that they counted are known here.
     bool isComplete(std::int64_t window, Duration now) const;
     // Whether any gateway is known to have counted in the window.
     bool isKnown(std::int64_t window) const;
@@ -73,6 +74,8 @@
         Windows windows;
     };
 
+    bool hasNames(const Windows &windows, std::int64_t window) const;
+
     Windows m_own;
     std::map<std::uint64_t, Gateway> m_peers; // by incarnation
     std::map<std::uint64_t, std::string> m_names;
--- a/test/correctness/dutylease.cpp
+++ b/test/correctness/dutylease.cpp
@@ -54,7 +54,7 @@
     // Acquires the duties; the row then has this version.
     DutyRow acquire(std::uint64_t version)
     {
-        const DutyRow row = nextWrite(std::nullopt, 0).row;
+        DutyRow row = nextWrite(std::nullopt, 0).row;
         lease.writeEnded(std::nullopt, now);
         REQUIRE(lease.holds());
         REQUIRE(std::holds_alternative<ReadDutyRow>(*nextCall()));
--- a/test/correctness/usageduty.cpp
+++ b/test/correctness/usageduty.cpp
@@ -67,6 +67,16 @@
     CHECK(windows.isComplete(firstWindow, 3s));
 }
 
+TEST_CASE("a window with an organisation of a newer configuration waits until that is read")
+{
+    UsageWindows windows = ownCounts(1);
+    windows.merge(7, firstWindow + 1, {{firstWindow, {{stableDigest("later"), 2}}}}, 1s);
+    CHECK(!windows.isComplete(firstWindow, 1s));
+    windows.addOrganisation("later");
+    CHECK(windows.isComplete(firstWindow, 1s));
+    CHECK(windows.total(firstWindow) == UsageCounts {{"alpha", 1}, {"later", 2}});
+}
+
 TEST_CASE("counts are reported until they are fixed, older ones in turn")
 {
     UsageWindows windows;
--- a/test/error/duties.cpp
+++ b/test/error/duties.cpp
@@ -32,7 +32,7 @@
 public:
     using Answer = std::function<void(std::size_t call, StubReply &reply)>;
 
-    explicit Endpoint(Answer answer = accept)
+    explicit Endpoint(const Answer &answer = accept)
         : m_server([answer, this](const StubRequest & /*request*/, StubReply &reply) {
               answer(m_calls++, reply);
           })
@@ -79,6 +79,7 @@
            const Endpoint &endpoint)
         : m_store(m_context, "127.0.0.1", stub.port(), 400ms), state(500ms, DutyClocks::ofHost())
     {
+        state.addOrganisations({"acme", "other"});
         DutyRunnerSettings settings;
         settings.holder = name;
         settings.incarnation = incarnation;
@@ -134,9 +135,12 @@
 // Waits for 15 s at most.
 template<typename Condition> bool waitUntil(Condition condition)
 {
-    for (int n = 0; n < 1500 && !condition(); ++n)
+    for (int n = 0; n < 1500; ++n) {
+        if (condition())
+            return true;
         std::this_thread::sleep_for(10ms);
-    return condition();
+    }
+    return false;
 }
 
 // Sum over the windows; each window once.
@@ -207,8 +211,10 @@
     }
     first->reportTo(second, 1);
     first->kill();
-    REQUIRE(waitUntil(
-            [&] { return totalOf(endpoint, "acme") == 200 && totalOf(endpoint, "other") == 100; }));
+    waitUntil(
+            [&] { return totalOf(endpoint, "acme") == 200 && totalOf(endpoint, "other") == 100; });
+    CHECK(totalOf(endpoint, "acme") == 200);
+    CHECK(totalOf(endpoint, "other") == 100);
     std::map<std::string, std::uint64_t> numbers;
     std::map<std::int64_t, std::set<std::string>> bodies;
     for (const StubRequest &it : endpoint.calls()) {
--- a/test/error/dutyprocesses.cpp
+++ b/test/error/dutyprocesses.cpp
@@ -71,6 +71,8 @@
         m_child.sendSignal(SIGKILL);
         m_child.waitForExit(5s);
     }
+    // Suspends the process, or resumes it.
+    void suspend(bool suspended) { m_child.sendSignal(suspended ? SIGSTOP : SIGCONT); }
     std::optional<int> terminate()
     {
         m_child.sendSignal(SIGTERM);
@@ -87,7 +89,7 @@
         const auto address = [](std::uint16_t number) {
             return "\"127.0.0.1:" + std::to_string(number) + "\"\n";
         };
-        const std::string file = (folder.path / (name + ".toml")).string();
+        std::string file = (folder.path / (name + ".toml")).string();
         std::ofstream out(file);
         out << "[gateway]\nname = \"" << name
             << "\"\navailability_zone = \"a\"\nlisten = " << address(port)
@@ -108,9 +110,12 @@
 // Waits for 20 s at most.
 template<typename Condition> bool waitUntil(Condition condition)
 {
-    for (int n = 0; n < 1000 && !condition(); ++n)
+    for (int n = 0; n < 1000; ++n) {
+        if (condition())
+            return true;
         std::this_thread::sleep_for(20ms);
-    return condition();
+    }
+    return false;
 }
 
 // The store, a backend server and the platform's endpoint.
@@ -133,6 +138,22 @@
                           + R"("state":"ready"})");
     }
 
+    std::string holder() const
+    {
+        return headerValue(cloud.requests().back().headers, "X-Duty-Holder");
+    }
+
+    // Checks that no call has a lower number than one before it.
+    void checkNumbers() const
+    {
+        std::uint64_t highest = 0;
+        for (const StubRequest &it : cloud.requests()) {
+            const std::uint64_t number = std::stoull(headerValue(it.headers, "X-Fence-Token"));
+            CHECK(number >= highest);
+            highest = std::max(highest, number);
+        }
+    }
+
     // Requests that were reported, each window once; checks that no window has different counts.
     std::uint64_t reported() const
     {
@@ -179,7 +200,7 @@
         std::this_thread::sleep_for(20ms);
     }
     REQUIRE(waitUntil([&] { return site.reported() == begun; }));
-    const std::string holder = headerValue(site.cloud.requests().back().headers, "X-Duty-Holder");
+    const std::string holder = site.holder();
     Process &killed = holder == first.name ? first : second;
     Process &survivor = holder == first.name ? second : first;
     killed.kill();
@@ -188,16 +209,30 @@
         std::this_thread::sleep_for(20ms);
     }
     CHECK(waitUntil([&] { return site.reported() == begun; }));
-    CHECK(headerValue(site.cloud.requests().back().headers, "X-Duty-Holder") == survivor.name);
-    std::uint64_t highest = 0;
-    for (const StubRequest &it : site.cloud.requests()) {
-        const std::uint64_t number = std::stoull(headerValue(it.headers, "X-Fence-Token"));
-        CHECK(number >= highest);
-        highest = std::max(highest, number);
-    }
+    CHECK(site.holder() == survivor.name);
+    site.checkNumbers();
     CHECK(survivor.terminate() == 0);
 }
 
+TEST_CASE("a process that was suspended while it had the duties does not act on them afterwards")
+{
+    Site site;
+    Process first("gateway-1", site.folder, site.store.port(), site.cloud.port());
+    Process second("gateway-2", site.folder, site.store.port(), site.cloud.port());
+    REQUIRE(waitUntil([&] { return first.send("ready-1") == 200; }));
+    REQUIRE(waitUntil([&] { return second.send("ready-2") == 200; }));
+    REQUIRE(waitUntil([&] { return !site.cloud.requests().empty(); }));
+    const std::string holder = site.holder();
+    Process &suspended = holder == first.name ? first : second;
+    suspended.suspend(true);
+    CHECK(waitUntil([&] { return site.holder() != holder; }));
+    suspended.suspend(false);
+    std::this_thread::sleep_for(4s);
+    CHECK(site.holder() != holder);
+    site.checkNumbers();
+    CHECK(site.reported() == 2);
+}
+
 TEST_CASE("a gateway without settings for duties neither reads nor writes their row")
 {
     Site site;
--- a/test/support/dutyfleet.cpp
+++ b/test/support/dutyfleet.cpp
@@ -99,7 +99,8 @@
     m_events.insert({m_now + delay, ++m_eventCount, std::move(run)});
 }
 
-void DutyFleet::deliver(std::size_t index, Duration delay, std::function<void(Gateway &)> run)
+void DutyFleet::deliver(std::size_t index, Duration delay,
+                        const std::function<void(Gateway &)> &run)
 {
     after(delay, [this, index, incarnation = m_gateways[index]->incarnation, run] {
         Gateway &gateway = *m_gateways[index];
--- a/test/support/dutyfleet.h
+++ b/test/support/dutyfleet.h
@@ -123,7 +123,7 @@
     void report(Gateway &gateway);
     void after(Duration delay, std::function<void()> run);
     // Runs it once the gateway is not frozen, if it is still the same process.
-    void deliver(std::size_t gateway, Duration delay, std::function<void(Gateway &)> run);
+    void deliver(std::size_t gateway, Duration delay, const std::function<void(Gateway &)> &run);
     void start(std::size_t index);
     bool chance(double share) { return m_random.unit() < share; }
     Duration latency() { return Duration(m_random.below(100000)); }
