--- a/apps/demo/childprocess.h
+++ b/apps/demo/childprocess.h
@@ -23,6 +23,9 @@
     ChildProcess(ChildProcess &&) noexcept;
     ChildProcess &operator=(ChildProcess &&) noexcept;
 
+    // The id may be used again once running() has returned false.
+    [[nodiscard]] int id() const;
+
     // Does nothing if the process has ended.
     void sendSignal(int signal);
 
--- a/apps/demo/cluster.cpp
+++ b/apps/demo/cluster.cpp
@@ -373,6 +373,16 @@
     return {"127.0.0.1", d->member(name).adminPort};
 }
 
+int Cluster::processId(const std::string &name) const
+{
+    return d->m_children.at(name).id();
+}
+
+bool Cluster::isRunning(const std::string &name)
+{
+    return d->m_children.at(name).running();
+}
+
 void Cluster::kill(const std::string &name)
 {
     ChildProcess &child = d->m_children.at(name);
--- a/apps/demo/cluster.h
+++ b/apps/demo/cluster.h
@@ -26,6 +26,9 @@
     std::uint32_t hostLagMs = 300;           // age of the host list that the platform returns
     std::uint32_t serviceDelayMs = 20;       // time that the plain service takes for a request
     std::uint32_t shutdownTimeoutMs = 10000; // of agents and entry daemons
+    // Further lines of the section "limits" of their settings.
+    std::string entryLimitsText;
+    std::string agentLimitsText;
 };
 
 enum class MemberKind { Platform, Engine, Service, EngineAgent, ServiceAgent, Entry };
@@ -54,6 +57,10 @@
     [[nodiscard]] standins::HttpEndpoint endpointOf(const std::string &name) const;
     [[nodiscard]] standins::HttpEndpoint adminEndpointOf(const std::string &name) const;
 
+    // Process id; valid while the process runs.
+    [[nodiscard]] int processId(const std::string &name) const;
+    [[nodiscard]] bool isRunning(const std::string &name);
+
     // Sends SIGKILL and waits until the process has ended.
     void kill(const std::string &name);
 
--- a/apps/demo/clustersettings.cpp
+++ b/apps/demo/clustersettings.cpp
@@ -132,7 +132,8 @@
         << "\nversion = \"v1\"\nmodels = "
         << quotedList(engine ? std::vector<std::string> {modelName} : std::vector<std::string>())
         << "\nchecks_fencing = false\n\n[limits]\nshutdown_timeout_ms = "
-        << options.shutdownTimeoutMs << "\nmaximum_concurrency_count = 32\n";
+        << options.shutdownTimeoutMs << "\nmaximum_concurrency_count = 32\n"
+        << options.agentLimitsText;
     return out.str();
 }
 
@@ -145,7 +146,8 @@
         << "\"\nlisten_address = \"127.0.0.1\"\ncaller_port = " << entry.port
         << "\nadmin_port = " << entry.adminPort << "\npeer_port = " << entry.peerPort
         << "\ntraffic_threads = 2\n\n[platform]\naddress = \"127.0.0.1\"\nport = " << platform.port
-        << "\n\n[limits]\nshutdown_timeout_ms = " << options.shutdownTimeoutMs << '\n';
+        << "\n\n[limits]\nshutdown_timeout_ms = " << options.shutdownTimeoutMs << '\n'
+        << options.entryLimitsText;
     return out.str();
 }
 
