Entry daemon: one limit for the memory of all requests, and of connections

Cause: each body, head and connection had a limit, all together had none; chunk extensions and trailers had none at all; the kernel's receive buffers grew to megabytes; connections that never send kept ordinary callers out.

Change: RequestMemory (decision part) holds one limit for all requests with a reserved part for small ones; when room is short it drops stalled requests first, then the largest incomplete one, and never a complete one. Requests are refused with 503 and Retry-After before their body is read and instead of 100 Continue. Bodies that stop growing get 408. At the limit of connections the longest idle one is closed. RequestReader parses from what has arrived, bounds the framing and states the cost, so connections need no read buffer of their own.

--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -9,11 +9,11 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <utility>
@@ -35,6 +35,14 @@
 // request for this long after it was opened, or after its last response: the caller may have sent
 // that request already.
 constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
+// Refused connections that are told so at a time; others are closed at once, so that those who open
+// connections without end do not use up the descriptors.
+constexpr std::size_t maxRefusedCount = 16;
+// Refused callers are told to return after 0.5 s to 3 s, so that they do not return together.
+constexpr std::uint32_t minRetryAfterMs = 500;
+constexpr std::uint32_t retryAfterSpreadMs = 2500;
+// Read at a time, so that callers that send much do not keep others from their turn.
+constexpr std::size_t readBytes = std::size_t {16} << 10U;
 // A time limit that passes while received data is still unread is checked again after this time.
 constexpr std::chrono::milliseconds unreadDataCheckInterval {20};
 
@@ -56,6 +64,30 @@
     return callerId.empty() ? generatedId : callerId + '.' + generatedId;
 }
 
+// The input of the handler that is running on this thread. Connections that wait for input need no
+// buffer of their own.
+std::array<char, readBytes> &inputBuffer()
+{
+    thread_local std::array<char, readBytes> buf;
+    return buf;
+}
+
+struct Input
+{
+    std::string_view bytes; // valid until the next call on this thread
+    bool isClosed = false;
+};
+
+Input readInput(asio::ip::tcp::socket &socket)
+{
+    std::array<char, readBytes> &buf = inputBuffer();
+    const ssize_t n = ::recv(socket.native_handle(), buf.data(), buf.size(), MSG_DONTWAIT);
+    if (n > 0)
+        return {{buf.data(), static_cast<std::size_t>(n)}, false};
+    const bool isEmpty = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return {{}, !isEmpty};
+}
+
 ErrorResponse endingErrorResponse(const Ending &ending)
 {
     if (const auto *notRun = std::get_if<NotRun>(&ending))
@@ -81,16 +113,24 @@
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
                                    std::shared_ptr<CallerContext> context)
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-      m_callerContext(std::move(context)), m_writer(m_socket, *this),
-      m_share(m_callerContext->answerBudget)
+      m_callerContext(std::move(context)), m_reader({m_callerContext->settings.headerLimitBytes,
+                                                     m_callerContext->settings.bodyLimitBytes}),
+      m_writer(m_socket, *this), m_share(m_callerContext->answerBudget)
 {
     boost::system::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    // Without it, the kernel lets the buffer of a connection grow to several megabytes.
+    m_socket.set_option(asio::socket_base::receive_buffer_size(
+                                static_cast<int>(m_callerContext->settings.receiveBufferBytes)),
+                        ec);
     ++m_callerContext->connectionCount;
 }
 
 CallerConnection::~CallerConnection()
 {
+    m_callerContext->memory.close(m_holder);
+    if (m_isRefused)
+        --m_callerContext->refusedCount;
     --m_callerContext->connectionCount;
 }
 
@@ -115,15 +155,40 @@
 
 void CallerConnection::start()
 {
-    post([](CallerConnection &self) { self.readNext(); });
+    post([](CallerConnection &self) {
+        self.m_holder = self.m_callerContext->memory.open(self.weak_from_this());
+        if (self.m_holder == 0)
+            self.refuseConnection();
+        else
+            self.readNext();
+    });
+}
+
+void CallerConnection::refuseConnection()
+{
+    if (!countRefused()) {
+        close();
+        return;
+    }
+    setActive(true);
+    sendErrorResponse(notRunResponse(429, "connection_limit", "too many connections", 1000));
+}
+
+// Counts a connection that stays open for a short time although it is none of those that the limit
+// permits. Returns false if there are too many of them.
+bool CallerConnection::countRefused()
+{
+    return std::exchange(m_isRefused, true) || ++m_callerContext->refusedCount <= maxRefusedCount;
 }
 
-void CallerConnection::refuse()
+// Other connections need the room of this one.
+void CallerConnection::dropped()
 {
     post([](CallerConnection &self) {
-        self.setActive(true);
-        self.sendErrorResponse(
-                notRunResponse(429, "connection_limit", "too many connections", 1000));
+        if (self.m_phase == Phase::Receiving)
+            self.refuseForRoom();
+        else if (self.m_phase == Phase::Idle || self.m_phase == Phase::Lingering)
+            self.close();
     });
 }
 
@@ -151,11 +216,13 @@
     m_hasResponseHead = m_isStream = m_isOverLimit = false;
     m_headers.clear();
     dropBody();
-    m_parser.emplace();
-    m_parser->header_limit(m_callerContext->settings.headerLimitBytes);
-    m_parser->body_limit(m_callerContext->settings.bodyLimitBytes);
-    if (m_buffer.size() > 0) {
-        readHeader();
+    m_reader.endRequest();
+    if (!m_callerContext->memory.endRequest(m_holder)) {
+        close();
+        return;
+    }
+    if (m_reader.hasInput()) {
+        beginReceiving();
         return;
     }
     const bool isShuttingDown = m_callerContext->shuttingDown;
@@ -179,10 +246,23 @@
 {
     if (ec || !m_socket.is_open())
         return;
-    if (m_phase == Phase::Idle)
-        readHeader();
-    else if (m_phase == Phase::Running)
+    switch (m_phase) {
+    case Phase::Idle:
+        beginReceiving();
+        break;
+    case Phase::Receiving:
+        receive();
+        break;
+    case Phase::Running:
         checkCallerDisconnected();
+        break;
+    case Phase::Lingering:
+        discardInput();
+        break;
+    case Phase::Answering:
+    case Phase::Closed:
+        break;
+    }
 }
 
 CallerConnection::SocketState CallerConnection::peek()
@@ -204,51 +284,103 @@
         waitReadable();
     else if (state == SocketState::Closed)
         callerDisconnected();
+    else
+        chargeUnreadInput();
 }
 
-void CallerConnection::readHeader()
+// The kernel holds what follows the running request. If there is no room for it, the connection is
+// closed: the request runs on, but its caller gets no answer.
+void CallerConnection::chargeUnreadInput()
+{
+    m_heldBytes += m_callerContext->settings.receiveBufferBytes;
+    if (!m_callerContext->memory.hold(m_holder, m_heldBytes))
+        callerDisconnected();
+}
+
+void CallerConnection::beginReceiving()
 {
     m_phase = Phase::Receiving;
     setActive(true);
     m_isOverdue = false;
-    armTimer(std::chrono::milliseconds(m_callerContext->settings.headerTimeoutMs));
-    http::async_read_header(m_socket, m_buffer, *m_parser,
-                            [self = shared_from_this()](auto ec, std::size_t) {
-                                if (self->m_phase != Phase::Receiving)
-                                    return;
-                                if (ec)
-                                    self->handleReadError(ec);
-                                else
-                                    self->readBody();
-                            });
-}
-
-void CallerConnection::readBody()
-{
-    m_receivedAt = monotonicNow();
-    const auto expect = m_parser->get().find(http::field::expect);
-    if (expect != m_parser->get().end() && sameHeaderName(expect->value(), "100-continue"))
+    m_progressCheckedAt = monotonicNow();
+    m_receiveDeadline = m_progressCheckedAt
+            + std::chrono::milliseconds(m_callerContext->settings.headerTimeoutMs);
+    m_wireBytesAtCheck = 0;
+    m_reader.begin();
+    if (!m_callerContext->memory.beginRequest(m_holder)) {
+        refuseForRoom();
+        return;
+    }
+    armReceiveTimer();
+    if (m_reader.hasInput())
+        parse({});
+    else
+        receive();
+}
+
+void CallerConnection::receive()
+{
+    const Input input = readInput(m_socket);
+    if (input.isClosed)
+        close();
+    else if (input.bytes.empty())
+        waitReadable();
+    else
+        parse(input.bytes);
+}
+
+void CallerConnection::parse(std::string_view bytes)
+{
+    RequestReader::Status status = m_reader.add(bytes);
+    if (status == RequestReader::Status::HeadReceived) {
+        if (!handleHead())
+            return;
+        status = m_reader.add({});
+    }
+    if (status == RequestReader::Status::Failed) {
+        handleReadError(m_reader.error());
+        return;
+    }
+    m_heldBytes = m_reader.heldBytes();
+    if (!m_callerContext->memory.hold(m_holder, m_heldBytes))
+        refuseForRoom();
+    else if (status == RequestReader::Status::Complete)
+        handleRequest();
+    else
+        waitReadable();
+}
+
+// Returns false if the request was refused. A caller that waits for 100 Continue gets it only if
+// there is room for its body.
+bool CallerConnection::handleHead()
+{
+    m_receivedAt = m_progressCheckedAt = monotonicNow();
+    if (!m_callerContext->memory.expect(m_holder, m_reader.expectedBytes())) {
+        refuseForRoom();
+        return false;
+    }
+    const RequestReader::Message &message = m_reader.message();
+    const auto expect = message.find(http::field::expect);
+    if (expect != message.end() && sameHeaderName(expect->value(), "100-continue"))
         m_writer.writeRaw("HTTP/1.1 100 Continue\r\n\r\n");
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this()](auto ec, std::size_t) {
-                         if (self->m_phase != Phase::Receiving)
-                             return;
-                         if (ec)
-                             self->handleReadError(ec);
-                         else
-                             self->handleRequest();
-                     });
+    return true;
+}
+
+// The request has not run and does not run.
+void CallerConnection::refuseForRoom()
+{
+    m_keepAlive = false;
+    m_callerContext->metrics.notRun.add();
+    const auto spread = static_cast<std::uint32_t>(m_holder * 977 % retryAfterSpreadMs);
+    sendErrorResponse(notRunResponse(503, "request_memory",
+                                     "the requests in progress leave no room for this one",
+                                     minRetryAfterMs + spread));
 }
 
 void CallerConnection::handleReadError(const boost::system::error_code &ec)
 {
     m_keepAlive = false;
-    const bool isHttpParserError =
-            ec.category() == http::make_error_code(http::error::bad_version).category();
-    if (!isHttpParserError || ec == http::error::end_of_stream
-        || ec == http::error::partial_message) {
-        close();
-    } else if (ec == http::error::header_limit) {
+    if (ec == http::error::header_limit) {
         sendErrorResponse(
                 errorResponse(InputError {431, "header_too_large", "the header is too large"}));
     } else if (ec == http::error::body_limit) {
@@ -264,10 +396,16 @@
 void CallerConnection::handleRequest()
 {
     m_timer.cancel();
-    m_keepAlive = m_parser->keep_alive();
+    m_keepAlive = m_reader.isKeepAlive();
     m_request = makeRequest();
     if (!m_request)
         return;
+    if (!m_callerContext->memory.completeRequest(m_holder)) {
+        m_request = nullptr;
+        refuseForRoom();
+        return;
+    }
+    m_reader.endRequest();
     m_phase = Phase::Running;
     waitReadable();
     if (m_request->claim) {
@@ -287,7 +425,7 @@
                 notRunResponse(503, "no_configuration", "no configuration is known yet", 1000));
         return nullptr;
     }
-    auto &message = m_parser->get();
+    const RequestReader::Message &message = m_reader.message();
     const Headers headers = copyHeaders(message);
     const RawRequest raw {message.method_string(), message.target(), &headers, message.body()};
     Result<ValidRequest, InputError> checked = validateRequest(*configuration, raw, m_receivedAt);
@@ -309,7 +447,7 @@
         request->claim = ClaimKey {request->arrival.organisation, *valid.claimedKey};
         request->bodyDigest = requestDigest(raw.method, raw.target, raw.body);
     }
-    request->body = std::move(message.body());
+    request->body = m_reader.takeBody();
     request->sink = shared_from_this();
     return request;
 }
@@ -535,6 +673,8 @@
 void CallerConnection::sendErrorResponse(const ErrorResponse &answer)
 {
     m_phase = Phase::Answering;
+    if (!m_request)
+        m_reader.endRequest();
     Headers headers {{"Content-Type", "application/json"},
                      {"Cornelshed-Outcome", std::string(answer.outcome)}};
     if (answer.retryAfterMs > 0)
@@ -598,24 +738,25 @@
 {
     m_phase = Phase::Lingering;
     setActive(false);
+    m_request = nullptr;
+    m_reader.clear();
+    const bool isCounted = m_holder != 0 && m_callerContext->memory.endRequest(m_holder);
+    if (!isCounted && !countRefused()) {
+        close();
+        return;
+    }
     boost::system::error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     armTimer(lingerTimeout);
     discardInput();
 }
 
-// Does not use m_buffer: after a timeout, the read of the request is still writing to it.
 void CallerConnection::discardInput()
 {
-    m_socket.async_read_some(asio::buffer(m_discardedInput),
-                             [self = shared_from_this()](auto ec, std::size_t) {
-                                 if (self->m_phase != Phase::Lingering)
-                                     return;
-                                 if (ec)
-                                     self->close();
-                                 else
-                                     self->discardInput();
-                             });
+    if (readInput(m_socket).isClosed)
+        close();
+    else
+        waitReadable();
 }
 
 // Sets whether the connection counts towards activeCount.
@@ -635,9 +776,11 @@
     setActive(false);
     m_timer.cancel();
     m_request = nullptr;
+    m_reader.clear();
     dropBody();
     boost::system::error_code ec;
     m_socket.close(ec);
+    m_callerContext->memory.close(std::exchange(m_holder, 0));
 }
 
 void CallerConnection::armTimer(Duration limit)
@@ -649,6 +792,40 @@
     });
 }
 
+void CallerConnection::armReceiveTimer()
+{
+    const std::chrono::milliseconds interval(m_callerContext->settings.bodyProgressIntervalMs);
+    const Instant next = std::min(m_receiveDeadline, m_progressCheckedAt + interval);
+    armTimer(std::max(Duration::zero(), next - monotonicNow()));
+}
+
+void CallerConnection::handleReceiveTimeout()
+{
+    const EntrySettings &settings = m_callerContext->settings;
+    const Instant now = monotonicNow();
+    const std::uint64_t wireBytes = m_reader.bodyWireBytes();
+    const std::chrono::milliseconds interval(settings.bodyProgressIntervalMs);
+    const bool isSlow = m_reader.isHeadReceived() && now >= m_progressCheckedAt + interval
+            && wireBytes < m_wireBytesAtCheck + settings.bodyProgressBytes;
+    if (now < m_receiveDeadline && !isSlow) {
+        m_isOverdue = false;
+        if (now >= m_progressCheckedAt + interval) {
+            m_progressCheckedAt = now;
+            m_wireBytesAtCheck = wireBytes;
+        }
+        armReceiveTimer();
+        return;
+    }
+    // The rest of the request may be in the socket, or in handlers queued behind this one.
+    if (!std::exchange(m_isOverdue, true) || peek() == SocketState::HasData) {
+        armTimer(unreadDataCheckInterval);
+        return;
+    }
+    m_keepAlive = false;
+    sendErrorResponse(errorResponse(
+            InputError {408, "request_timeout", "the request was not received in time"}));
+}
+
 void CallerConnection::handleTimeout()
 {
     // The timer may have been set again after this handler was queued.
@@ -663,14 +840,7 @@
             close();
         break;
     case Phase::Receiving:
-        // The rest of the request may be in the socket, or in handlers queued behind this one.
-        if (!std::exchange(m_isOverdue, true) || peek() == SocketState::HasData) {
-            armTimer(unreadDataCheckInterval);
-            break;
-        }
-        m_keepAlive = false;
-        sendErrorResponse(errorResponse(
-                InputError {408, "request_timeout", "the request was not received in time"}));
+        handleReceiveTimeout();
         break;
     case Phase::Answering:
     case Phase::Lingering:
--- a/src/callerconnection.h
+++ b/src/callerconnection.h
@@ -9,25 +9,24 @@
 #include "callercontext.h"
 #include "callerrequest.h"
 #include "errorresponse.h"
+#include "requestreader.h"
 #include "responsewriter.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cornelshed {
 
 class CallerConnection final : public ResponseSink,
                                public ResponseWriterOwner,
+                               public MemoryHolder,
                                public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -35,11 +34,9 @@
     CallerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<CallerContext> context);
     ~CallerConnection() override;
 
+    // Starts to serve the caller or, if the daemon has too many connections, refuses it.
     void start();
 
-    // Responds that the daemon has too many connections, and closes the connection.
-    void refuse();
-
     // Closes the connection if no request is being received, run or answered, nor arrives within a
     // short delay after the last response. Call this during the shutdown.
     void closeIfIdle();
@@ -48,6 +45,8 @@
     void chunk(RequestId request, std::string data) override;
     void ended(RequestId request, const Ending &ending) override;
 
+    void dropped() override;
+
     std::shared_ptr<void> retainOwner() override { return shared_from_this(); }
     void bytesWritten() override;
     void responseSent() override;
@@ -61,10 +60,16 @@
     void readNext();
     void waitReadable();
     void handleReadable(const boost::system::error_code &ec);
-    void readHeader();
-    void readBody();
+    void beginReceiving();
+    void receive();
+    void parse(std::string_view bytes);
+    bool handleHead();
     void handleReadError(const boost::system::error_code &ec);
+    void refuseForRoom();
+    void armReceiveTimer();
+    void handleReceiveTimeout();
     SocketState peek();
+    void chargeUnreadInput();
     void checkCallerDisconnected();
 
     // --- running ---
@@ -83,6 +88,8 @@
 
     // --- answering ---
     ResponseHeader makeHead(std::uint32_t status, Headers headers);
+    void refuseConnection();
+    bool countRefused();
     void sendErrorResponse(const ErrorResponse &answer);
     void sendResponse(std::uint32_t status, const Headers &headers, const std::string &body);
     void finishStream(const Ending &ending);
@@ -102,15 +109,16 @@
     // Shared ownership, because pending handlers keep connections alive until the io_contexts are
     // destroyed.
     std::shared_ptr<CallerContext> m_callerContext;
-    boost::beast::flat_buffer m_buffer;
-    std::array<char, 4096> m_discardedInput; // used only in phase Lingering
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    CallerMemory::Holder m_holder = 0; // 0: not counted, because it was refused or is closed
+    std::size_t m_heldBytes = 0;       // charged for the request
+    RequestReader m_reader;
     ResponseWriter m_writer;
     Phase m_phase = Phase::Idle;
     bool m_waitPending = false; // waitReadable() is waiting for input
     // Whether the current response leaves the connection open; final once its head is written.
     bool m_keepAlive = false;
     bool m_isActive = false;                  // counted in activeCount
+    bool m_isRefused = false;                 // counted in refusedCount
     bool m_isOverdue = false;                 // the time limit passed in phase Receiving
     bool m_callerGone = false;                // the caller closed the connection
     bool m_submitted = false;                 // m_request was passed to the dispatcher
@@ -118,6 +126,11 @@
     Instant m_receivedAt;
     Instant m_waitingSince; // start of phase Idle
 
+    // Of phase Receiving.
+    Instant m_receiveDeadline;
+    Instant m_progressCheckedAt;
+    std::uint64_t m_wireBytesAtCheck = 0;
+
     // The part of the response that has arrived so far.
     bool m_hasResponseHead = false;
     bool m_isStream = false;
--- a/src/callercontext.h
+++ b/src/callercontext.h
@@ -4,6 +4,7 @@
 #define CORNELSHED_CALLERCONTEXT_H
 
 #include "answerbudget.h"
+#include "callermemory.h"
 #include "controllink.h"
 #include "entrydispatcher.h"
 #include "entrysettings.h"
@@ -39,7 +40,7 @@
         : settings(settings), dispatcher(dispatcher), control(control), metrics(metrics),
           answerBudget(std::make_shared<AnswerBudget>(
                   AnswerLimits {settings.answerLimitBytes, settings.bufferedAnswersLimitBytes})),
-          m_entryIncarnation(entryIncarnation)
+          memory(requestMemoryLimits(settings), metrics), m_entryIncarnation(entryIncarnation)
     { }
 
     // Null until the first setConfiguration().
@@ -62,8 +63,10 @@
     ControlLink &control;
     CallerMetrics metrics;
     const std::shared_ptr<AnswerBudget> answerBudget; // of the answers that the connections hold
+    CallerMemory memory;                              // of the requests
     std::atomic<std::size_t> connectionCount {0};
-    std::atomic<std::size_t> activeCount {0}; // connections that the shutdown waits for
+    std::atomic<std::size_t> refusedCount {0}; // connections that are told that they are too many
+    std::atomic<std::size_t> activeCount {0};  // connections that the shutdown waits for
     std::atomic<bool> shuttingDown {false};
 
 private:
--- a/src/entryservice.cpp
+++ b/src/entryservice.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <mutex>
 #include <thread>
@@ -38,13 +40,38 @@
     return contexts;
 }
 
+// Descriptors that connections of callers must leave to sessions, listeners and files: this many or
+// a quarter of all.
+constexpr std::uint64_t reservedDescriptorCount = 256;
+
+// Lowers the limit of connections to what the descriptors of the process permit: without one, the
+// listener could not even refuse a connection.
+EntrySettings withinDescriptors(EntrySettings settings)
+{
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return settings;
+    const std::uint64_t all = limit.rlim_cur;
+    const std::uint64_t reserved = std::min(std::max(reservedDescriptorCount, all / 4), all / 2);
+    const std::uint64_t room = std::max<std::uint64_t>(1, all - reserved);
+    if (room < settings.connectionLimitCount) {
+        EventLog("connection_limit_lowered", EventLevel::Warning)
+                .field("connection_limit_count", settings.connectionLimitCount)
+                .field("descriptors", all)
+                .field("connections", room);
+        settings.connectionLimitCount = static_cast<std::uint32_t>(room);
+    }
+    return settings;
+}
+
 } // namespace
 
 class EntryService::Private
 {
 public:
     Private(const EntrySettings &settings, std::uint64_t entryIncarnation, ControlLink &control)
-        : m_settings(settings), m_contexts(makeContexts(settings.trafficThreads)),
+        : m_settings(withinDescriptors(settings)),
+          m_contexts(makeContexts(settings.trafficThreads)),
           m_dispatcher(contextPointers(), m_settings, entryIncarnation, control, m_metrics),
           m_callerContext(std::make_shared<CallerContext>(m_settings, entryIncarnation,
                                                           m_dispatcher, control, m_metrics)),
@@ -89,10 +116,6 @@
     void accept(asio::ip::tcp::socket socket)
     {
         auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callerContext);
-        if (m_callerContext->connectionCount > m_settings.connectionLimitCount) {
-            connection->refuse();
-            return;
-        }
         connection->start();
         const std::lock_guard lock(m_mutex);
         removeClosedConnections();
--- a/src/entrysettings.cpp
+++ b/src/entrysettings.cpp
@@ -5,12 +5,25 @@
 #include "configurationsections.h"
 #include "settingsvalues.h"
 
+#include <algorithm>
+
 namespace cornelshed {
 
 using namespace detail;
 
 namespace {
 
+// Room for several hundred small requests, whatever the limit of bodies is.
+constexpr std::uint32_t minimumRequestMemoryBytes = 4U << 20U;
+
+// A head of the shortest headers, four bytes each, costs 25 times its size (see requestreader.cpp).
+// Besides, what arrives with it may not be parsed yet.
+std::uint64_t largestHeadCost(const EntrySettings &settings)
+{
+    constexpr std::uint64_t unparsedBytes = std::uint64_t {16} << 10U;
+    return std::uint64_t {25} * settings.headerLimitBytes + unparsedBytes;
+}
+
 void readEntry(TomlSection section, EntrySettings &settings)
 {
     settings.name = readName(section, "name");
@@ -29,6 +42,35 @@
     settings.platformPort = readPort(section, "port", 1);
 }
 
+// The defaults follow body_limit_bytes: 16 of the largest bodies at a time, each of which counts
+// twice.
+void readRequestMemory(TomlSection &section, EntrySettings &settings)
+{
+    const std::uint64_t largest =
+            std::uint64_t {2} * settings.bodyLimitBytes + largestHeadCost(settings);
+    const std::uint64_t defaultLimit =
+            std::max({std::uint64_t {32} * settings.bodyLimitBytes, 2 * largest,
+                      std::uint64_t {minimumRequestMemoryBytes}});
+    settings.requestMemoryLimitBytes =
+            readCount(section, "request_memory_limit_bytes", minimumRequestMemoryBytes, 1U << 31U,
+                      static_cast<std::int64_t>(std::min(defaultLimit, std::uint64_t {1} << 31U)));
+    settings.requestMemoryReservedBytes =
+            readCount(section, "request_memory_reserved_bytes", 1024, 1U << 31U,
+                      settings.requestMemoryLimitBytes / 8);
+    // The largest body must fit beside the reserved part, or it could never be served.
+    if (settings.requestMemoryLimitBytes
+        < std::uint64_t {settings.requestMemoryReservedBytes} + largest)
+        section.reject("request_memory_limit_bytes",
+                       "at least request_memory_reserved_bytes, twice body_limit_bytes, 25 times "
+                       "header_limit_bytes and 16384");
+    settings.receiveBufferBytes =
+            readCount(section, "receive_buffer_bytes", 4096, 1 << 24, settings.receiveBufferBytes);
+    settings.bodyProgressIntervalMs = readCount(section, "body_progress_interval_ms", 10, 600000,
+                                                settings.bodyProgressIntervalMs);
+    settings.bodyProgressBytes =
+            readCount(section, "body_progress_bytes", 1, 1 << 20, settings.bodyProgressBytes);
+}
+
 void readLimits(TomlSection section, EntrySettings &settings)
 {
     settings.headerLimitBytes =
@@ -45,6 +87,7 @@
                                                    1 << 30, settings.bufferedAnswersLimitBytes);
     if (settings.bufferedAnswersLimitBytes < settings.answerLimitBytes)
         section.reject("buffered_answers_limit_bytes", "at least answer_limit_bytes");
+    readRequestMemory(section, settings);
     settings.headerTimeoutMs =
             readCount(section, "header_timeout_ms", 1, 600000, settings.headerTimeoutMs);
     settings.shutdownTimeoutMs =
@@ -55,6 +98,15 @@
 
 } // namespace
 
+RequestMemoryLimits requestMemoryLimits(const EntrySettings &settings)
+{
+    RequestMemoryLimits limits;
+    limits.totalBytes = settings.requestMemoryLimitBytes;
+    limits.reservedBytes = settings.requestMemoryReservedBytes;
+    limits.connectionCount = settings.connectionLimitCount;
+    return limits;
+}
+
 Result<EntrySettings, TomlProblems> parseEntrySettings(std::string_view text,
                                                        const std::string &file)
 {
--- a/src/entrysettings.h
+++ b/src/entrysettings.h
@@ -3,6 +3,7 @@
 #ifndef CORNELSHED_ENTRYSETTINGS_H
 #define CORNELSHED_ENTRYSETTINGS_H
 
+#include "requestmemory.h"
 #include "tomlreader.h"
 #include "types.h"
 
@@ -34,13 +35,24 @@
     // Bytes of answers that are held until they are sent on: of each answer, and of all together.
     std::uint32_t answerLimitBytes = 16U << 20U;
     std::uint32_t bufferedAnswersLimitBytes = 128U << 20U;
+    // Bytes of requests that are received or in progress, of all connections together; the part of
+    // them for small requests. Each byte of a body counts twice.
+    std::uint32_t requestMemoryLimitBytes = 256U << 20U;
+    std::uint32_t requestMemoryReservedBytes = 32U << 20U;
+    std::uint32_t receiveBufferBytes = 32U << 10U; // of each connection, in the kernel
     std::uint32_t headerTimeoutMs = 10000;
+    // An incomplete body must grow by bodyProgressBytes in each interval.
+    std::uint32_t bodyProgressIntervalMs = 5000;
+    std::uint32_t bodyProgressBytes = 1024;
     std::uint32_t shutdownTimeoutMs = 30000;
     std::uint32_t reservationCount = 3;
 
     bool operator==(const EntrySettings &) const = default;
 };
 
+// Limits of the memory of requests that follow from the settings.
+RequestMemoryLimits requestMemoryLimits(const EntrySettings &settings);
+
 // Parses the settings file's text; file is the name used in error messages. Returns the settings or
 // all errors found.
 Result<EntrySettings, TomlProblems> parseEntrySettings(std::string_view text,
--- /dev/null
+++ b/src/requestmemory.cpp
@@ -0,0 +1,202 @@
+// All operations take constant time, or logarithmic time for requests that are not small, apart
+// from the connections that they drop.
+
+#include "requestmemory.h"
+
+#include <iterator>
+
+namespace cornelshed {
+
+RequestMemory::Entry *RequestMemory::find(Holder holder)
+{
+    const auto it = m_entries.find(holder);
+    return it == m_entries.end() || it->second.state == State::Dropped ? nullptr : &it->second;
+}
+
+RequestMemory::Room RequestMemory::open(Holder holder, Instant now)
+{
+    Room room;
+    if (m_openCount >= m_limits.connectionCount) {
+        const std::optional<Holder> victim =
+                m_idle.empty() ? stalledHolder(holder, now) : std::optional(m_idle.front());
+        if (!victim)
+            return room;
+        drop(*victim);
+        room.dropped.push_back(*victim);
+    }
+    Entry &entry = m_entries[holder];
+    entry.progressAt = now;
+    entry.position = m_idle.insert(m_idle.end(), holder);
+    ++m_openCount;
+    room.isGranted = true;
+    return room;
+}
+
+bool RequestMemory::beginRequest(Holder holder, Instant now)
+{
+    Entry *entry = find(holder);
+    if (entry == nullptr)
+        return false;
+    leaveState(holder, *entry);
+    entry->state = State::Receiving;
+    entry->progressAt = now;
+    entry->bytesAtProgress = entry->bytes;
+    entry->position = m_receiving.insert(m_receiving.end(), holder);
+    return true;
+}
+
+RequestMemory::Room RequestMemory::hold(Holder holder, std::size_t bytes, Instant now)
+{
+    Room room;
+    Entry *entry = find(holder);
+    if (entry == nullptr)
+        return room;
+    room.isGranted = makeRoom(holder, bytes, now, room.dropped);
+    if (!room.isGranted)
+        return room;
+    setBytes(holder, *entry, bytes);
+    noteProgress(*entry, bytes, now);
+    return room;
+}
+
+RequestMemory::Room RequestMemory::expect(Holder holder, std::size_t bytes, Instant now)
+{
+    Room room;
+    if (find(holder) != nullptr)
+        room.isGranted = makeRoom(holder, bytes, now, room.dropped);
+    return room;
+}
+
+void RequestMemory::noteArrived(Holder holder, std::size_t bytes, Instant now)
+{
+    if (Entry *entry = find(holder))
+        noteProgress(*entry, bytes, now);
+}
+
+void RequestMemory::noteProgress(Entry &entry, std::size_t bytes, Instant now)
+{
+    if (entry.state != State::Receiving || bytes < entry.bytesAtProgress + m_limits.progressBytes)
+        return;
+    entry.bytesAtProgress = bytes;
+    entry.progressAt = now;
+    m_receiving.splice(m_receiving.end(), m_receiving, entry.position);
+}
+
+bool RequestMemory::completeRequest(Holder holder)
+{
+    Entry *entry = find(holder);
+    if (entry == nullptr)
+        return false;
+    leaveState(holder, *entry);
+    entry->state = State::Complete;
+    return true;
+}
+
+bool RequestMemory::endRequest(Holder holder, Instant now)
+{
+    Entry *entry = find(holder);
+    if (entry == nullptr)
+        return false;
+    leaveState(holder, *entry);
+    m_heldBytes -= entry->bytes;
+    entry->bytes = 0;
+    entry->state = State::Idle;
+    entry->progressAt = now;
+    entry->position = m_idle.insert(m_idle.end(), holder);
+    return true;
+}
+
+void RequestMemory::close(Holder holder)
+{
+    const auto it = m_entries.find(holder);
+    if (it == m_entries.end())
+        return;
+    if (it->second.state != State::Dropped) {
+        leaveState(holder, it->second);
+        m_heldBytes -= it->second.bytes;
+        --m_openCount;
+    }
+    m_entries.erase(it);
+}
+
+bool RequestMemory::makeRoom(Holder holder, std::size_t bytes, Instant now,
+                             std::vector<Holder> &dropped)
+{
+    const Entry &entry = *find(holder);
+    // What can never fit must not drop others.
+    if (bytes > m_limits.totalBytes)
+        return false;
+    while (!fits(entry, bytes)) {
+        std::optional<Holder> victim = stalledHolder(holder, now);
+        if (!victim && bytes <= m_limits.smallRequestBytes)
+            victim = largestHolder(holder);
+        if (!victim)
+            return false;
+        drop(*victim);
+        dropped.push_back(*victim);
+    }
+    return true;
+}
+
+bool RequestMemory::fits(const Entry &entry, std::size_t bytes) const
+{
+    if (bytes <= entry.bytes)
+        return true;
+    const bool isSmall = bytes <= m_limits.smallRequestBytes;
+    const std::size_t limit =
+            isSmall ? m_limits.totalBytes : m_limits.totalBytes - m_limits.reservedBytes;
+    return m_heldBytes - entry.bytes + bytes <= limit;
+}
+
+std::optional<RequestMemory::Holder> RequestMemory::stalledHolder(Holder exceptHolder,
+                                                                  Instant now) const
+{
+    auto it = m_receiving.begin();
+    if (it != m_receiving.end() && *it == exceptHolder)
+        ++it;
+    if (it == m_receiving.end() || m_entries.at(*it).progressAt + m_limits.stallTime > now)
+        return std::nullopt;
+    return *it;
+}
+
+std::optional<RequestMemory::Holder> RequestMemory::largestHolder(Holder exceptHolder) const
+{
+    auto it = m_largeReceiving.rbegin();
+    if (it != m_largeReceiving.rend() && it->second == exceptHolder)
+        ++it;
+    return it == m_largeReceiving.rend() ? std::nullopt : std::optional(it->second);
+}
+
+void RequestMemory::setBytes(Holder holder, Entry &entry, std::size_t bytes)
+{
+    m_heldBytes += bytes - entry.bytes;
+    if (entry.state == State::Receiving) {
+        if (entry.bytes > m_limits.smallRequestBytes)
+            m_largeReceiving.erase({entry.bytes, holder});
+        if (bytes > m_limits.smallRequestBytes)
+            m_largeReceiving.insert({bytes, holder});
+    }
+    entry.bytes = bytes;
+}
+
+void RequestMemory::leaveState(Holder holder, Entry &entry)
+{
+    if (entry.state == State::Idle) {
+        m_idle.erase(entry.position);
+    } else if (entry.state == State::Receiving) {
+        m_receiving.erase(entry.position);
+        m_largeReceiving.erase({entry.bytes, holder});
+    }
+}
+
+void RequestMemory::drop(Holder holder)
+{
+    Entry &entry = m_entries.at(holder);
+    leaveState(holder, entry);
+    m_heldBytes -= entry.bytes;
+    entry.bytes = 0;
+    entry.state = State::Dropped;
+    --m_openCount;
+}
+
+} // namespace cornelshed
