Agent: one limit for arriving frames and running bodies, and unused sessions go first

Cause: any peer at the session port could make the agent hold a frame of the largest size before it said Hello, on each of its sessions; nothing bounded the bodies of running requests together; and peers that only said Hello kept entry daemons from their sessions for good.

Change: a frame over 16 KiB takes room for its whole length before more of it is read; while there is none, reading pauses, and frames that stop arriving end their session. A request whose body does not fit beside the running ones is returned as not run. A frame before Hello has at most 4 KiB. At the limit of sessions the oldest one without Hello is closed, then the oldest that sent nothing after it. Lines about such peers are written at most once a second.

--- a/src/agentd_main.cpp
+++ b/src/agentd_main.cpp
@@ -4,6 +4,7 @@
 #include "agentsettings.h"
 #include "daemonoptions.h"
 #include "eventlog.h"
+#include "processmemory.h"
 
 #include <iostream>
 
@@ -36,6 +37,7 @@
 
 int main(int argc, char **argv)
 {
+    returnLargeBlocks();
     const auto parsed = parseDaemonOptions(
             argc, argv, "cornelshed-agentd",
             "agent beside a backend server; queues, grants and runs the system's requests.");
--- a/src/agentdaemon.cpp
+++ b/src/agentdaemon.cpp
@@ -4,6 +4,7 @@
 #include "agentdaemon.h"
 
 #include "adminserver.h"
+#include "agentmemory.h"
 #include "agentrun.h"
 #include "agentscheduler.h"
 #include "agentserver.h"
@@ -47,10 +48,14 @@
 // frames around those that are.
 constexpr std::size_t controlMessagesMarginBytes = std::size_t {64} << 20U;
 
+// What a run costs besides its body: headers, connection and buffers.
+constexpr std::size_t runBytes = std::size_t {8} << 10U;
+
 struct RunningRequest
 {
     std::shared_ptr<AgentRun> run;
     std::shared_ptr<BackendExchange> exchange;
+    std::shared_ptr<void> bodyRoom;
 };
 
 Welcome makeIdentity(const AgentSettings &settings)
@@ -109,6 +114,7 @@
     std::shared_ptr<AnswerBudget> m_answerBudget;
     asio::io_context m_context {1}; // declared before the members that use it
     Metrics m_metrics;
+    std::shared_ptr<AgentMemory> m_memory;
     Welcome m_identity;
     AgentScheduler m_scheduler;
     BackendClient m_client;
@@ -139,6 +145,7 @@
     : m_settings(settings),
       m_answerBudget(std::make_shared<AnswerBudget>(
               AnswerLimits {settings.answerLimitBytes, settings.bufferedAnswersLimitBytes})),
+      m_memory(std::make_shared<AgentMemory>(settings.requestMemoryLimitBytes, m_metrics)),
       m_identity(makeIdentity(settings)), m_scheduler(makeLimits(settings), m_identity, {}),
       m_client(m_context, settings.serverAddress, settings.serverPort),
       m_probe(m_context, {settings.serverKind, settings.serverAddress, settings.serverPort},
@@ -146,7 +153,7 @@
       m_server(m_context,
                {settings.frameLimitBytes, settings.sessionLimitCount,
                 settings.bufferedAnswersLimitBytes + controlMessagesMarginBytes},
-               serverCallbacks()),
+               m_memory, serverCallbacks()),
       m_admin(m_context,
               {[this] { return m_metrics.text(); },
                [this] { return m_reachable && !m_shuttingDown; }}),
@@ -272,10 +279,19 @@
 void AgentDaemon::Private::carryOut(const StartOnServer &action)
 {
     const RequestId request = action.dispatch.request;
+    auto bodyRoom = m_memory->holdBody(action.dispatch.body.size() + runBytes);
+    if (!bodyRoom) {
+        // Posted, because the scheduler's actions are being carried out.
+        asio::post(m_context, [this, request] {
+            m_notRun.add();
+            carryOut(m_scheduler.serverFailed(request, FailReason::Draining, true, monotonicNow()));
+        });
+        return;
+    }
     m_started.add();
     auto run = std::make_shared<AgentRun>(action.session, action.dispatch, *this, m_answerBudget);
     auto exchange = m_client.start(backendRequest(action.dispatch), run);
-    m_runningRequests[request] = {std::move(run), std::move(exchange)};
+    m_runningRequests[request] = {std::move(run), std::move(exchange), std::move(bodyRoom)};
 }
 
 BackendRequest AgentDaemon::Private::backendRequest(const Dispatch &dispatch) const
--- a/src/agentserver.cpp
+++ b/src/agentserver.cpp
@@ -10,7 +10,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -22,6 +24,10 @@
 namespace {
 
 constexpr std::chrono::seconds helloTimeout {5};
+// Hello holds little more than a name. A peer that has not sent it may be anyone.
+constexpr std::size_t helloFrameLimitBytes = std::size_t {4} << 10U;
+// Without it, the kernel lets the buffer of a session grow to several megabytes.
+constexpr int receiveBufferBytes = 64 << 10;
 
 struct Session
 {
@@ -36,23 +42,27 @@
 {
 public:
     Private(asio::io_context &context, const AgentServerLimits &limits,
-            AgentServerCallbacks callbacks)
-        : m_context(context), m_limits(limits), m_callbacks(std::move(callbacks)),
+            std::shared_ptr<AgentMemory> memory, AgentServerCallbacks callbacks)
+        : m_context(context), m_limits(limits), m_memory(std::move(memory)),
+          m_callbacks(std::move(callbacks)),
           m_listener(std::make_shared<detail::Listener>(std::vector {&context}))
     { }
 
     void accept(asio::ip::tcp::socket socket)
     {
         if (m_sessions.size() >= m_limits.sessionLimitCount) {
-            EventLog("session_refused", EventLevel::Warning)
-                    .field("reason", "session limit reached");
-            return;
+            m_memory->noteSessionRefused("session_limit_count");
+            if (!closeUnusedSession())
+                return;
         }
+        boost::system::error_code ec;
+        socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ec);
         const SessionId id = ++m_lastSession;
         FramedConnectionLimits limits;
-        limits.frameLimitBytes = m_limits.frameLimitBytes;
+        limits.frameLimitBytes = std::min(m_limits.frameLimitBytes, helloFrameLimitBytes);
         limits.writeQueueLimitBytes = m_limits.writeQueueLimitBytes;
         Session &session = m_sessions[id];
+        m_withoutHello.insert(id);
         session.connection = std::make_shared<FramedConnection>(std::move(socket), limits);
         session.helloTimer = std::make_shared<asio::steady_timer>(m_context, helloTimeout);
         session.helloTimer->async_wait([connection = session.connection](auto ec) {
@@ -63,7 +73,30 @@
                                    id](std::string_view bytes) { return self->receive(id, bytes); },
                                   [self = shared_from_this(), id](const std::string &reason) {
                                       self->remove(id, reason);
-                                  });
+                                  },
+                                  makeFrameRoom(session.connection));
+    }
+
+    std::unique_ptr<FrameRoom> makeFrameRoom(const std::shared_ptr<FramedConnection> &connection)
+    {
+        return m_memory->makeFrameRoom([weak = std::weak_ptr(connection)] {
+            if (const auto dropped = weak.lock())
+                dropped->close("others need the room of its frame");
+        });
+    }
+
+    // Closes the oldest session that has not sent Hello, or else the oldest one that has not sent
+    // anything after it. An entry daemon that is closed here connects again. Returns false if all
+    // sessions are in use.
+    bool closeUnusedSession()
+    {
+        std::set<SessionId> &unused = m_withoutHello.empty() ? m_withoutMessage : m_withoutHello;
+        if (unused.empty())
+            return false;
+        const SessionId id = *unused.begin();
+        unused.erase(unused.begin());
+        m_sessions.at(id).connection->close("session limit reached");
+        return true;
     }
 
     bool receive(SessionId id, std::string_view bytes)
@@ -89,12 +122,16 @@
         if ((hello != nullptr) != expectsHello)
             return false;
         if (hello == nullptr) {
+            m_withoutMessage.erase(id);
             m_callbacks.messageReceived(id, std::move(message));
             return true;
         }
         session.helloTimer->cancel();
         session.helloTimer = nullptr;
         session.entry = hello->entry;
+        session.connection->setFrameLimit(m_limits.frameLimitBytes);
+        m_withoutHello.erase(id);
+        m_withoutMessage.insert(id);
         EventLog("session_opened").field("session", id).field("entry", hello->entry);
         m_callbacks.sessionOpened(id, *hello);
         return true;
@@ -106,10 +143,15 @@
         const bool wasOpened = it->second.helloTimer == nullptr;
         if (!wasOpened)
             it->second.helloTimer->cancel();
-        EventLog("session_closed")
-                .field("session", id)
-                .field("entry", it->second.entry)
-                .field("reason", reason);
+        if (wasOpened)
+            EventLog("session_closed")
+                    .field("session", id)
+                    .field("entry", it->second.entry)
+                    .field("reason", reason);
+        else // anyone may open a connection; a line for each could fill the log
+            m_memory->noteSessionRefused("closed before Hello");
+        m_withoutHello.erase(id);
+        m_withoutMessage.erase(id);
         m_sessions.erase(it);
         if (wasOpened)
             m_callbacks.sessionClosed(id);
@@ -117,15 +159,18 @@
 
     asio::io_context &m_context;
     AgentServerLimits m_limits;
+    std::shared_ptr<AgentMemory> m_memory;
     AgentServerCallbacks m_callbacks;
     std::shared_ptr<detail::Listener> m_listener;
     std::unordered_map<SessionId, Session> m_sessions;
+    std::set<SessionId> m_withoutHello;
+    std::set<SessionId> m_withoutMessage; // after Hello
     SessionId m_lastSession = 0;
 };
 
 AgentServer::AgentServer(asio::io_context &context, const AgentServerLimits &limits,
-                         AgentServerCallbacks callbacks)
-    : d(std::make_shared<Private>(context, limits, std::move(callbacks)))
+                         std::shared_ptr<AgentMemory> memory, AgentServerCallbacks callbacks)
+    : d(std::make_shared<Private>(context, limits, std::move(memory), std::move(callbacks)))
 { }
 
 AgentServer::~AgentServer()
--- a/src/agentserver.h
+++ b/src/agentserver.h
@@ -4,6 +4,7 @@
 #ifndef CORNELSHED_AGENTSERVER_H
 #define CORNELSHED_AGENTSERVER_H
 
+#include "agentmemory.h"
 #include "agentscheduler.h"
 #include "answerbudget.h"
 #include "messages.h"
@@ -48,7 +49,7 @@
 {
 public:
     AgentServer(boost::asio::io_context &context, const AgentServerLimits &limits,
-                AgentServerCallbacks callbacks);
+                std::shared_ptr<AgentMemory> memory, AgentServerCallbacks callbacks);
     ~AgentServer();
     AgentServer(const AgentServer &) = delete;
     AgentServer &operator=(const AgentServer &) = delete;
--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -5,6 +5,8 @@
 #include "configurationsections.h"
 #include "settingsvalues.h"
 
+#include <algorithm>
+
 namespace cornelshed {
 
 using namespace detail;
@@ -40,6 +42,16 @@
             readCount(section, "frame_limit_bytes", 4096, 1 << 30, settings.frameLimitBytes);
     settings.sessionLimitCount =
             readCount(section, "session_limit_count", 1, 65536, settings.sessionLimitCount);
+    // By default, a frame, the body that it carries and as much again for other sessions.
+    const std::uint64_t defaultRequestMemory =
+            std::clamp(std::uint64_t {4} * settings.frameLimitBytes, std::uint64_t {1} << 20U,
+                       std::uint64_t {1} << 31U);
+    settings.requestMemoryLimitBytes =
+            readCount(section, "request_memory_limit_bytes", 65536, std::int64_t {1} << 31U,
+                      static_cast<std::int64_t>(defaultRequestMemory));
+    // An eighth is reserved for small requests; a frame and its body must fit beside it.
+    if (settings.requestMemoryLimitBytes / 8 * 7 < std::uint64_t {2} * settings.frameLimitBytes)
+        section.reject("request_memory_limit_bytes", "at least 16/7 of frame_limit_bytes");
     settings.answerLimitBytes =
             readCount(section, "answer_limit_bytes", 1024, 1 << 30, settings.answerLimitBytes);
     settings.bufferedAnswersLimitBytes = readCount(section, "buffered_answers_limit_bytes", 1024,
--- a/src/agentsettings.h
+++ b/src/agentsettings.h
@@ -34,6 +34,8 @@
 
     std::uint32_t frameLimitBytes = 16U << 20U;
     std::uint32_t sessionLimitCount = 1024;
+    // Bytes of large frames while they arrive and of the bodies of running requests together.
+    std::uint32_t requestMemoryLimitBytes = 64U << 20U;
     // Bytes of answers: of each one that is not a stream; that are held until they are sent to the
     // entry daemon, of each answer and of all together.
     std::uint32_t answerLimitBytes = 16U << 20U;
--- a/src/framedconnection.cpp
+++ b/src/framedconnection.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <utility>
 
@@ -21,19 +22,24 @@
 // A larger buffer is freed after it is written, so that a session does not keep the memory of its
 // longest queue.
 constexpr std::size_t keptWriteBytes = std::size_t {1} << 20U;
+// While there is no room for a large frame, nothing is read. Its peer is slowed down by TCP.
+constexpr std::chrono::milliseconds roomRetryInterval {20};
 
 } // namespace
 
 FramedConnection::FramedConnection(boost::asio::ip::tcp::socket socket,
                                    const FramedConnectionLimits &limits)
-    : m_socket(std::move(socket)), m_limits(limits), m_input(initialInputBytes, '\0')
+    : m_socket(std::move(socket)), m_limits(limits), m_retryTimer(m_socket.get_executor()),
+      m_input(initialInputBytes, '\0')
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
 }
 
-void FramedConnection::start(FrameCallback onFrame, ClosedCallback onClosed)
+void FramedConnection::start(FrameCallback onFrame, ClosedCallback onClosed,
+                             std::unique_ptr<FrameRoom> room)
 {
+    m_room = std::move(room);
     m_onFrame = std::move(onFrame);
     m_onClosed = std::move(onClosed);
     readSome();
@@ -73,10 +79,13 @@
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
     m_socket.close(ec);
     releaseHeld(m_queuedHeld);
+    m_retryTimer.cancel();
     // Posted, because close() may be called from one of the owner's callbacks.
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] {
         const ClosedCallback closed = std::exchange(self->m_onClosed, nullptr);
         self->m_onFrame = nullptr;
+        self->m_room = nullptr;
+        self->m_input = std::string();
         if (closed)
             closed(reason);
     });
@@ -122,11 +131,47 @@
         if (!m_socket.is_open())
             return;
         m_begin += frameHeaderBytes + length;
+        releaseRoom();
+    }
+    if (!takeRoom()) {
+        retryLater();
+        return;
     }
     compactInput();
     readSome();
 }
 
+// Frames that fit the buffer need no room. Returns false if there is none now.
+bool FramedConnection::takeRoom()
+{
+    const std::size_t unread = m_end - m_begin;
+    if (!m_room || unread < frameHeaderBytes)
+        return true;
+    const std::size_t needed = frameHeaderBytes + messageLength({m_input.data() + m_begin, unread});
+    if (needed <= initialInputBytes)
+        return true;
+    if (!m_hasRoom)
+        m_hasRoom = m_room->take(needed);
+    if (m_hasRoom)
+        m_room->noteArrived(unread);
+    return m_hasRoom;
+}
+
+void FramedConnection::releaseRoom()
+{
+    if (std::exchange(m_hasRoom, false))
+        m_room->release();
+}
+
+void FramedConnection::retryLater()
+{
+    m_retryTimer.expires_after(roomRetryInterval);
+    m_retryTimer.async_wait([self = shared_from_this()](auto ec) {
+        if (!ec && self->m_socket.is_open())
+            self->consumeFrames();
+    });
+}
+
 // Moves the unread bytes to the front of the buffer and enlarges it, if necessary, to hold the rest
 // of a partially received frame.
 void FramedConnection::compactInput()
--- a/src/framedconnection.h
+++ b/src/framedconnection.h
@@ -6,8 +6,10 @@
 #define CORNELSHED_FRAMEDCONNECTION_H
 
 #include "answerbudget.h"
+#include "frameroom.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -36,7 +38,12 @@
     FramedConnection(boost::asio::ip::tcp::socket socket, const FramedConnectionLimits &limits);
 
     // Starts reading. onClosed is called exactly once, and no callback is called after it.
-    void start(FrameCallback onFrame, ClosedCallback onClosed);
+    // room: for large frames; without it, there is room for one of the largest size.
+    void start(FrameCallback onFrame, ClosedCallback onClosed,
+               std::unique_ptr<FrameRoom> room = nullptr);
+
+    // For frames from now on; may be called from onFrame.
+    void setFrameLimit(std::size_t bytes) { m_limits.frameLimitBytes = bytes; }
 
     // Queues a complete frame, including its header. A peer that does not read fast enough to keep
     // the queue within its limit is disconnected, because an unbounded queue would exhaust memory.
@@ -62,6 +69,9 @@
     void readSome();
     void consumeFrames();
     void compactInput();
+    bool takeRoom();
+    void releaseRoom();
+    void retryLater();
     void writeSome();
     void writeDone();
     static void releaseHeld(std::vector<HeldBytes> &held);
@@ -70,6 +80,9 @@
     FramedConnectionLimits m_limits;
     FrameCallback m_onFrame;
     ClosedCallback m_onClosed;
+    std::unique_ptr<FrameRoom> m_room; // may be null
+    bool m_hasRoom = false;            // for the frame that is arriving
+    boost::asio::steady_timer m_retryTimer;
     std::string m_input;
     // Invariant: m_begin <= m_end <= m_input.size(). The unread bytes are between m_begin and
     // m_end.
