Test that bodies that stand still give way to one that needs their room

Guards against the fault that a few bodies that stop one byte short keep every other body out for as long as they stay open.

--- a/test/correctness/requestreader.cpp
+++ b/test/correctness/requestreader.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr RequestReaderLimits limits {1024, 4096};
+constexpr std::size_t largestPartBytes = 16384;
 
 const std::string chunkedHead = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -42,7 +43,7 @@
     const Status status = addInParts(reader, bytes, partBytes);
     *error = reader.error();
     // Twice the body, the input that is not parsed, and the head.
-    CHECK(reader.heldBytes() <= 2 * limits.bodyBytes + 2 * 16384 + limits.headBytes * 25);
+    CHECK(reader.heldBytes() <= 2 * limits.bodyBytes + largestPartBytes + limits.headBytes * 25);
     return status;
 }
 
@@ -63,13 +64,14 @@
          {std::string("Content-Length: 5\r\n\r\nhello"),
           std::string("Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nhe\r\n3\r\nllo\r\n0\r\nT: "
                       "1\r\n\r\n")}) {
+        std::string all = "POST /a HTTP/1.1\r\nHost: h\r\n";
+        all += body;
+        all += next;
         for (std::size_t partBytes = 1; partBytes < 150; ++partBytes) {
             CAPTURE(partBytes);
             RequestReader reader(limits);
             reader.begin();
-            std::string_view bytes;
-            const std::string all = "POST /a HTTP/1.1\r\nHost: h\r\n" + body + next;
-            bytes = all;
+            std::string_view bytes = all;
             Status status = Status::NeedsMore;
             while (status == Status::NeedsMore && !bytes.empty()) {
                 const std::string_view part = bytes.substr(0, partBytes);
@@ -118,7 +120,7 @@
              http::error::bad_chunk},
     };
     for (const Case &it : cases) {
-        for (const std::size_t partBytes : {std::size_t {7}, std::size_t {16384}}) {
+        for (const std::size_t partBytes : {std::size_t {7}, largestPartBytes}) {
             CAPTURE(it.bytes.substr(0, 80));
             CAPTURE(partBytes);
             boost::system::error_code error;
--- a/test/error/entrymemory.cpp
+++ b/test/error/entrymemory.cpp
@@ -160,6 +160,28 @@
     CHECK(deployment.requestCount() == 3);
 }
 
+TEST_CASE("bodies that stand still give way to one that needs their room")
+{
+    Deployment deployment(smallMemory());
+    const std::uint16_t port = deployment.entry.port();
+    Caller first(port);
+    Caller second(port);
+    for (Caller *it : {&first, &second})
+        it->send(headOf(60000) + heldBody.substr(1));
+    // Longer than the time without growth after which a request gives way.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    Caller third(port);
+    third.sendPost("/status", {organisationHeader}, heldBody);
+    // The one that stopped first was refused, the other one may still be completed.
+    checkRefused(first.receive());
+    REQUIRE(deployment.waitForRequests(1));
+    deployment.release();
+    CHECK(third.receive().status == 200);
+    second.send("h");
+    CHECK(second.receive().status == 200);
+    CHECK(deployment.requestCount() == 2);
+}
+
 TEST_CASE("connections over the limit are refused while requests run on all others")
 {
     EntrySettings settings = smallMemory();
