Entry daemon: bound open connections where they are accepted

Change: open connections are counted when one is accepted, and one that would be more than 16 over the limit is closed at once.

--- a/src/callerconnection.cpp
+++ b/src/callerconnection.cpp
@@ -35,9 +35,6 @@
 // request for this long after it was opened, or after its last response: the caller may have sent
 // that request already.
 constexpr std::chrono::milliseconds unannouncedCloseDelay {500};
-// Refused connections that are told so at a time; others are closed at once, so that those who open
-// connections without end do not use up the descriptors.
-constexpr std::size_t maxRefusedCount = 16;
 // Refused callers are told to return after 0.5 s to 3 s, so that they do not return together.
 constexpr std::uint32_t minRetryAfterMs = 500;
 constexpr std::uint32_t retryAfterSpreadMs = 2500;
@@ -178,7 +175,8 @@
 // permits. Returns false if there are too many of them.
 bool CallerConnection::countRefused()
 {
-    return std::exchange(m_isRefused, true) || ++m_callerContext->refusedCount <= maxRefusedCount;
+    return std::exchange(m_isRefused, true)
+            || ++m_callerContext->refusedCount <= extraConnectionCount;
 }
 
 // Other connections need the room of this one.
--- a/src/callercontext.h
+++ b/src/callercontext.h
@@ -19,6 +19,11 @@
 
 namespace cornelshed {
 
+// Connections beyond the limit that may be open for a short time: refused ones that are told so,
+// and dropped ones that are not closed yet. Further ones are closed at once, so that those who open
+// connections without end do not use up the descriptors.
+constexpr std::size_t extraConnectionCount = 16;
+
 struct CallerMetrics
 {
     explicit CallerMetrics(Metrics &metrics);
--- a/src/callermemory.cpp
+++ b/src/callermemory.cpp
@@ -54,6 +54,12 @@
     m_connections.erase(holder);
 }
 
+void CallerMemory::noteRefusedConnection()
+{
+    const std::lock_guard lock(m_mutex);
+    logShortage({}, "connection_limit_count");
+}
+
 bool CallerMemory::beginRequest(Holder holder)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/callermemory.h
+++ b/src/callermemory.h
@@ -41,6 +41,9 @@
     Holder open(const std::weak_ptr<MemoryHolder> &connection);
     void close(Holder holder);
 
+    // Counts and logs a connection that is closed without open().
+    void noteRefusedConnection();
+
     // As the functions of RequestMemory.
     bool beginRequest(Holder holder);
     bool hold(Holder holder, std::size_t bytes);
--- a/src/entryservice.cpp
+++ b/src/entryservice.cpp
@@ -115,6 +115,12 @@
 
     void accept(asio::ip::tcp::socket socket)
     {
+        // Counts open connections, whether or not their threads have served or closed them yet.
+        if (m_callerContext->connectionCount
+            >= m_settings.connectionLimitCount + extraConnectionCount) {
+            m_callerContext->memory.noteRefusedConnection();
+            return;
+        }
         auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callerContext);
         connection->start();
         const std::lock_guard lock(m_mutex);
