Grow the delay between probes of a server that refuses connections

Cause: a probe set the time of the next one 400 ms ahead, and its refusal was taken for one of the slots granted before, so that the second delay was 400 ms already and never counted. A probe that its gateway gave back unused, as most grants are where each request asks several agents, cost 400 ms too.

Change: the allocator tells the refusal of the probe from others by its key. A probe that was not sent is followed by the next one at once.

Tests in correctness.slotallocator for the circuit breaker: delays, recovery, refusals that count once, lost, late and duplicated messages. Before the change the delays after the first one were 398 ms each (100, 200 and 400 ms expected), and no probe followed one that was given back.

--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -98,7 +98,7 @@
         if (const auto *release = std::get_if<SlotRelease>(&message)) {
             allocator.release(release->key, release->unused);
             if (release->serverDown)
-                allocator.serverRefused(now);
+                allocator.serverRefused(release->key, now);
             else if (!release->unused)
                 allocator.serverResponded();
         } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -52,8 +52,11 @@
 
 void SlotAllocator::release(const SlotKey &key, bool unused)
 {
-    if (m_leases.erase(key) > 0 && unused)
+    if (m_leases.erase(key) > 0 && unused) {
         m_limitedGrants = std::min(m_limitedGrants + 1, limitedGrantsLimit);
+        if (key == m_probe)
+            m_probeAt = {}; // it found out nothing
+    }
     const auto it = m_queueKeys.find(key);
     if (it == m_queueKeys.end())
         return;
@@ -61,11 +64,12 @@
     m_queueKeys.erase(it);
 }
 
-void SlotAllocator::serverRefused(Instant now)
+void SlotAllocator::serverRefused(const SlotKey &key, Instant now)
 {
     // Requests that were granted together are refused together.
-    if (m_probeAt > now)
+    if (m_refusals > 0 && key != m_probe)
         return;
+    m_probe = {};
     m_probeAt = now
             + std::min<Duration>(firstProbeDelay * (1U << std::min(m_refusals, 3U)),
                                  longestProbeDelay);
--- a/src/slotallocator.h
+++ b/src/slotallocator.h
@@ -60,8 +60,9 @@
 
     // The backend server's address refused a connection. Until a request has run on it, it gets one
     // at a time, after a delay that grows: each gateway would otherwise find out by itself that the
-    // server is down, and a server that fails at once always has free slots.
-    void serverRefused(Instant now);
+    // server is down, and a server that fails at once always has free slots. Call it after
+    // release(), which takes a probe that was not sent for one that found out nothing.
+    void serverRefused(const SlotKey &key, Instant now);
     // A request ran on the backend server.
     void serverResponded() { m_refusals = 0; }
     bool isServerDown() const { return m_refusals > 0; }
--- a/test/correctness/slotallocator.cpp
+++ b/test/correctness/slotallocator.cpp
@@ -151,3 +151,177 @@
         }
     }));
 }
+
+namespace {
+
+// A server with two slots that refuses connections, and requests of many gateways that ask its
+// allocator for slots. Load: 18 of 49 servers crashed; their agents went on granting, and about
+// 1,300 requests in 5 s ended with a refused connection.
+class RefusingServer
+{
+public:
+    RefusingServer()
+    {
+        for (std::uint64_t n = 1; n <= 40; ++n)
+            allocator.requestSlot({{n, n}, 0, 0, 2, 0, 60s}, now);
+    }
+
+    // Lets time pass in steps of 1 ms until slots are granted, at most this long.
+    std::vector<SlotKey> grantsWithin(Duration length)
+    {
+        for (const Instant end = now + length; now < end; now += 1ms) {
+            auto granted = allocator.advance(now);
+            if (!granted.empty())
+                return granted;
+        }
+        return {};
+    }
+
+    // As the agent does for a release that says that the address refused the connection.
+    void refuse(const SlotKey &key)
+    {
+        allocator.release(key, true);
+        allocator.serverRefused(key, now);
+    }
+
+    SlotAllocator allocator {start};
+    Instant now = ready;
+};
+
+} // namespace
+
+// Pattern: circuit breaker, whose half-open state lets one request pass, with exponential backoff.
+TEST_CASE("a server that refuses connections: one grant at a time, after delays of 50 to 400 ms")
+{
+    RefusingServer server;
+    auto granted = server.grantsWithin(1s);
+    REQUIRE(granted.size() == 2);
+    for (const SlotKey &it : granted)
+        server.refuse(it);
+    CHECK(server.allocator.isServerDown());
+    for (const Duration delay : {50ms, 100ms, 200ms, 400ms, 400ms}) {
+        const Instant refusedAt = server.now;
+        granted = server.grantsWithin(2s);
+        REQUIRE(granted.size() == 1);
+        CHECK(server.now - refusedAt == delay);
+        // No second one while the first is on its way.
+        CHECK(server.allocator.advance(server.now + 1ms).empty());
+        server.now += 2ms;
+        server.refuse(granted[0]);
+    }
+}
+
+TEST_CASE("a server that refuses connections: refusals of slots granted together count once")
+{
+    RefusingServer server;
+    const auto granted = server.grantsWithin(1s);
+    REQUIRE(granted.size() == 2);
+    server.refuse(granted[0]);
+    server.now += 10ms;
+    server.refuse(granted[1]);
+    const Instant lastRefusedAt = server.now;
+    CHECK(server.grantsWithin(2s).size() == 1);
+    CHECK(server.now - lastRefusedAt == 40ms);
+}
+
+TEST_CASE("a server that refuses connections: a late refusal of the first slots is no new one")
+{
+    RefusingServer server;
+    const auto granted = server.grantsWithin(1s);
+    REQUIRE(granted.size() == 2);
+    server.refuse(granted[0]);
+    const auto probe = server.grantsWithin(1s);
+    REQUIRE(probe.size() == 1);
+    server.refuse(granted[1]);
+    CHECK(server.allocator.advance(server.now + 55ms).empty());
+    // The probe goes on and shows that the server is back.
+    CHECK(server.allocator.advance(server.now + 60ms).size() == 1);
+    CHECK_FALSE(server.allocator.isServerDown());
+}
+
+TEST_CASE("a server that is back gets all its slots when a request has run")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    const auto probe = server.grantsWithin(1s);
+    REQUIRE(probe.size() == 1);
+    server.now += 20ms;
+    // As the agent does for a release of a request that was sent, without a refusal.
+    server.allocator.release(probe[0]);
+    server.allocator.serverResponded();
+    CHECK_FALSE(server.allocator.isServerDown());
+    CHECK(server.allocator.advance(server.now).size() == 2);
+}
+
+TEST_CASE("a server that is back gets all its slots when a probe has held one for 60 ms")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    REQUIRE(server.grantsWithin(1s).size() == 1);
+    const Instant grantedAt = server.now;
+    CHECK(server.allocator.advance(grantedAt + 59ms).empty());
+    CHECK(server.allocator.advance(grantedAt + 60ms).size() == 1);
+    CHECK_FALSE(server.allocator.isServerDown());
+    CHECK(server.allocator.held() == 2);
+}
+
+// Load: each request asks several agents and gives back all grants but the first.
+TEST_CASE("a server that refused connections: a probe that is given back unused costs no delay")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    const auto probe = server.grantsWithin(1s);
+    REQUIRE(probe.size() == 1);
+    server.now += 2ms;
+    server.allocator.release(probe[0], true);
+    CHECK(server.allocator.isServerDown());
+    CHECK(server.allocator.advance(server.now).size() == 1);
+}
+
+TEST_CASE("a server that refused connections: a lost probe delays the next one by 400 ms at most")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    REQUIRE(server.grantsWithin(1s).size() == 1);
+    // The gateway died, so that its lease ends without a release and without a renewal.
+    server.now += 59ms;
+    const Instant lostAt = server.now;
+    server.allocator.renew(1000, {}, server.now);
+    CHECK(server.grantsWithin(1s).size() >= 1);
+    CHECK(server.now - lostAt <= 400ms);
+}
+
+TEST_CASE("refusals at one server change nothing at another, and nothing changes without any")
+{
+    SlotAllocator down(start);
+    SlotAllocator other(start);
+    down.serverRefused({9, 9}, ready);
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        down.requestSlot(slotRequest(1, n), ready);
+        other.requestSlot(slotRequest(1, n), ready);
+    }
+    CHECK(down.advance(ready).empty());
+    CHECK(other.advance(ready) == std::vector<SlotKey> {{1, 1}, {1, 2}});
+    other.release({1, 1}, true);
+    CHECK(other.advance(ready + 1ms) == std::vector<SlotKey> {{1, 3}});
+    CHECK_FALSE(other.isServerDown());
+}
+
+TEST_CASE("a server that refuses connections: a duplicated message of a refusal changes nothing")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    const auto probe = server.grantsWithin(1s);
+    REQUIRE(probe.size() == 1);
+    server.refuse(probe[0]);
+    const Instant refusedAt = server.now;
+    server.now += 5ms;
+    server.refuse(probe[0]);
+    CHECK(server.grantsWithin(1s).size() == 1);
+    CHECK(server.now - refusedAt == 100ms);
+}
