Wait for agents also when all servers of a service had left

Cause: whether a service has agents was judged by the servers listed before. When all had left, the first one that came back was taken for one without an agent, and all gateways started up to its slots there.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -560,12 +560,8 @@
                                   const std::map<std::string, double> &coldRateOfService,
                                   Instant now)
 {
-    std::set<std::string> servicesWithAgents;
-    for (auto &[name, service] : d->services) {
-        if (Private::anyAgent(service, now))
-            servicesWithAgents.insert(name);
+    for (auto &[name, service] : d->services)
         service.backends.clear();
-    }
     for (const auto &[name, rate] : coldRateOfService)
         d->serviceOf(name).coldRate = rate;
     for (auto &[id, backend] : d->backends) {
@@ -594,7 +590,8 @@
             backend.slowness = 1;
             backend.namedLimit = {};
         }
-        if (added && d->settings.agents && servicesWithAgents.contains(record.service))
+        // All servers of the service may have left before.
+        if (added && d->settings.agents && d->serviceOf(record.service).hadAgents)
             backend.agentDiscoveryUntil = now + agentDiscoveryTime;
         if (added || restarted || backend.record != record) {
             backend.coldUntil = std::max(backend.coldUntil, now + record.coldRemaining);
