Order servers of equal cost by request instead of by memory address

Cause: slot requests go to the servers of the lowest cost, and those of equal cost were sorted by the addresses of their objects.

Change: servers of equal cost are in an order that differs between requests and is the same in each run.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <unordered_map>
 
 namespace cornelshed {
@@ -388,16 +389,20 @@
                 || now < queued.lastSlotRequestAt + slotRequestInterval))
             return;
         const Backend *sessionBackend = sessionBackendOf(service, queued.request);
-        std::vector<std::pair<double, Backend *>> candidates;
+        // Those of equal cost are in an order that differs between requests: gateways would ask the
+        // same agents otherwise.
+        const std::uint64_t salt = std::hash<RequestId>()(queued.request.id);
+        std::vector<std::tuple<double, std::uint64_t, Backend *>> candidates;
         for (Backend *it : service.backends) {
             if (canRequestSlot(*it, queued, now))
-                candidates.emplace_back(cost(*it, queued.request, sessionBackend, now), it);
+                candidates.emplace_back(cost(*it, queued.request, sessionBackend, now),
+                                        (it->digest ^ salt) * 0x9e3779b97f4a7c15ULL, it);
         }
         const std::size_t n = std::min(newRequests, candidates.size());
         std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
                           candidates.end());
         for (std::size_t i = 0; i < n; ++i) {
-            Backend &backend = *candidates[i].second;
+            Backend &backend = *std::get<Backend *>(candidates[i]);
             queued.slotRequests[backend.record.id] = {now, false, std::nullopt};
             queued.lastSlotRequestAt = now;
             actions.emplace_back(slotRequestAction(queued.request, backend, now));
