Measure gateways under load against one queue for all servers

A test in correctness.measure checks that a run is reproducible and that no server gets more than its slots.

--- a/apps/measure/experiment.cpp
+++ b/apps/measure/experiment.cpp
@@ -60,6 +60,7 @@
 {
     Experiments experiments;
     addSchedulingExperiments(experiments);
+    addLoadedExperiments(experiments);
     addFaultExperiments(experiments);
     addReconfigurationExperiments(experiments, rolloutChart);
     addDecisionCostExperiments(experiments);
--- a/apps/measure/experiment.h
+++ b/apps/measure/experiment.h
@@ -65,6 +65,7 @@
 
 // One function per source file of experiments.
 void addSchedulingExperiments(Experiments &experiments);
+void addLoadedExperiments(Experiments &experiments);
 void addFaultExperiments(Experiments &experiments);
 void addReconfigurationExperiments(Experiments &experiments, const StateChart &rolloutChart);
 void addDecisionCostExperiments(Experiments &experiments);
--- a/test/correctness/measure.cpp
+++ b/test/correctness/measure.cpp
@@ -4,6 +4,7 @@
 #include "enginemodel.h"
 #include "experiment.h"
 #include "faultsystem.h"
+#include "loadedfleet.h"
 #include "system.h"
 
 #include <doctest/doctest.h>
@@ -136,3 +137,25 @@
     CHECK(counts.wrongAnswers == 0);
     CHECK(counts.withoutEnding + counts.severalEndings == 0);
 }
+
+// Guards against decisions that depend on memory addresses: a figure could not be traced then, and
+// servers of equal cost would be chosen in an order that gateways may have in common.
+TEST_CASE("loaded gateways: a run is reproducible, and no server gets more than its slots")
+{
+    LoadedScenario scenario;
+    scenario.load = 1.1;
+    scenario.length = std::chrono::seconds(6);
+    DirectSettings settings;
+    settings.agents = true;
+    const LoadedCounts first = runLoadedFleet(scenario, settings, 3);
+    // Other memory addresses.
+    const std::vector<LoadedRequest> other = loadedRequests(scenario, 4);
+    const LoadedCounts second = runLoadedFleet(scenario, settings, 3);
+    CHECK(other.size() > 1000);
+    CHECK(first == second);
+    CHECK(first.maxRunning == scenario.slots);
+    CHECK(first.refusedConnections > 0);
+    const LoadedCounts bound = runOneQueue(scenario, 3);
+    CHECK(bound.requests == first.requests);
+    CHECK(bound.share(0) >= first.share(0));
+}
