--- a/src/ingressprotocol.h
+++ b/src/ingressprotocol.h
@@ -27,6 +27,9 @@
     std::string sessionAffinityKey; // last part of the prompt; equal for requests of one session
     // Ids of the parts of the prompt before the last one, in order. Other requests may share them.
     std::vector<std::string> sharedPromptParts;
+    // Tokens of these parts, in the same order, and of the last one. 0: unknown.
+    std::vector<std::uint32_t> sharedPartTokens;
+    std::uint32_t lastPartTokens = 0;
     std::optional<std::uint64_t> resumeAfter; // id of the last event that the caller has
 
     bool operator==(const CallerMetadata &) const = default;
