Weigh what a server's prefix cache saves against the wait there

With prompt_cache in [scheduling], off by default, the expected time to the first event counts only the prompt tokens that the estimate doesn't expect in the server's cache, and the preference by session is not used. Prefill that peers are told of is what is left of the prompt, too.

Off, nothing changes: the digest of all decisions of four schedulers over 4 s of sessions, with and without agents, equals that of the scheduler before (correctness.promptplacement). Passed beside it: correctness.directscheduler, promptcache, backendavailability, namedlimit, requestownership, gatewayparts, operationspage, slotallocator, promptquarantine, crashingprompts.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -109,7 +109,8 @@
         std::int64_t backendStart = 0;
         std::uint64_t promptTokens = 0;
         std::uint64_t outputTokens = 0;
-        bool probe = false; // for the outlier detector
+        std::uint64_t prefillTokens = 0; // of the prompt, without those in the prefix cache
+        bool probe = false;              // for the outlier detector
         bool firstEventSeen = false;
     };
     struct PeerState
@@ -119,7 +120,8 @@
     };
 
     explicit Private(const DirectSettings &given)
-        : settings(given), outliers(outlierSettings()), availability(given, outliers)
+        : settings(given), outliers(outlierSettings()), availability(given, outliers),
+          promptCache(given.promptCache)
     { }
 
     Service &serviceOf(const std::string &name)
@@ -191,16 +193,19 @@
                 Instant now) const
     {
         const double uncachedShare = sessionBackend == &backend ? uncachedPromptShare : 1;
+        const std::uint64_t uncachedTokens = promptCache.uncachedTokens(
+                backend.digest, request.promptParts, request.promptTokens, now);
         const double prefillTokens = static_cast<double>(backend.pendingPrefillTokens)
                 + static_cast<double>(backend.peerPromptTokens)
-                + uncachedShare * static_cast<double>(request.promptTokens);
+                + uncachedShare * static_cast<double>(uncachedTokens);
         const double occupancy = static_cast<double>(backend.running + backend.peerRunning)
                 / std::max(backend.record.slots, 1U);
         double seconds = backend.slowness
                 * (prefillTokens / settings.promptTokensPerSecond + occupancy * fullBatchSeconds);
         if (backend.record.availabilityZone != settings.availabilityZone)
             seconds += crossZoneSeconds;
-        return seconds + availability.namedLimitWait(backend, now);
+        return seconds + availability.namedLimitWait(backend, now)
+                + promptCache.tieSpreadSeconds(request.id, backend.digest);
     }
 
     // The backend server that requests of the session prefer, because it caches their prompts. By
@@ -208,7 +213,7 @@
     // when the set of backend servers changes.
     const Backend *sessionBackendOf(const Service &service, const DirectRequest &request) const
     {
-        if (request.sessionAffinityKey.empty())
+        if (settings.promptCache.enabled || request.sessionAffinityKey.empty())
             return nullptr;
         const Backend *sessionBackend = nullptr;
         std::uint64_t best = 0;
@@ -266,10 +271,13 @@
         ++backend.running;
         serviceOf(request.service).starts.record(now);
         backend.liveness.requestStarted();
-        backend.pendingPrefillTokens += request.promptTokens;
+        const std::uint64_t prefillTokens = promptCache.uncachedTokens(
+                backend.digest, request.promptParts, request.promptTokens, now);
+        backend.pendingPrefillTokens += prefillTokens;
+        promptCache.started(request.id, backend.digest, request.promptParts);
         backend.recordStart(now);
-        StartedRequest started {backend.record.id, request.service, backend.latestStart,
-                                request.promptTokens, request.outputTokens};
+        StartedRequest started {backend.record.id,    request.service,      backend.latestStart,
+                                request.promptTokens, request.outputTokens, prefillTokens};
         started.probe = outliers.state(backend.outlierSlot) == OutlierState::ProbeReady;
         outliers.probeStarted(backend.outlierSlot);
         startedRequests.emplace(request.id, std::move(started));
@@ -537,6 +545,7 @@
     DirectSettings settings;
     OutlierDetector outliers;
     BackendAvailability availability;
+    PromptCache promptCache;
     std::map<std::string, Service> services;
     std::unordered_map<std::string, Backend> backends; // by id
     std::unordered_map<std::uint64_t, Backend *> backendOfDigest;
@@ -604,6 +613,7 @@
             d->outliers.add(backend.outlierSlot, d->serviceOf(record.service).group);
         Private::Service &service = d->serviceOf(record.service);
         backend.setRecord(record);
+        d->promptCache.setServer(backend.digest, backend.latestStart, record.version);
         backend.listed = true;
         backend.coldRate = service.coldRate;
         service.backends.push_back(&backend);
@@ -618,6 +628,7 @@
         }
         d->freeOutlierSlots.push_back(it->second.outlierSlot);
         d->backendOfDigest.erase(it->second.digest);
+        d->promptCache.removeServer(it->second.digest);
         it = d->backends.erase(it);
     }
     d->recountPeers();
@@ -854,7 +865,8 @@
         return;
     it->second.firstEventSeen = true;
     Private::Backend &backend = d->backends[it->second.backend];
-    backend.pendingPrefillTokens -= it->second.promptTokens;
+    backend.pendingPrefillTokens -= it->second.prefillTokens;
+    d->promptCache.firstEvent(id, now);
     backend.liveness.responseReceived(now);
 }
 
@@ -865,11 +877,12 @@
         return;
     const Private::StartedRequest started = it->second;
     d->startedRequests.erase(it);
+    d->promptCache.ended(id);
     Private::Backend &backend = d->backends[started.backend];
     --backend.running;
     const bool silent = report.outcome == AttemptOutcome::TimedOut;
     if (!started.firstEventSeen) {
-        backend.pendingPrefillTokens -= started.promptTokens;
+        backend.pendingPrefillTokens -= started.prefillTokens;
         if (report.outcome == AttemptOutcome::NeverSent)
             backend.liveness.requestNeverSent();
         else if (silent || report.outcome == AttemptOutcome::Abandoned
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -18,6 +18,7 @@
 #include "backendrecord.h"
 #include "directsettings.h"
 #include "namedlimit.h"
+#include "promptcache.h"
 #include "types.h"
 
 #include <cstdint>
@@ -56,8 +57,9 @@
     Instant deadline = instantNever; // of the caller; never started after it
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
-    std::string sessionAffinityKey; // requests with the same value share cached memory
-    std::set<std::string> excluded; // ids of backend servers that must not get it
+    std::string sessionAffinityKey;              // requests with the same value share cached memory
+    std::vector<PromptCachePart> promptParts {}; // used if the prompt cache is enabled
+    std::set<std::string> excluded;              // ids of backend servers that must not get it
     VersionConstraint version;
     bool isRetry = false; // an earlier attempt was made on a backend server
 
--- a/src/directsettings.h
+++ b/src/directsettings.h
@@ -3,6 +3,7 @@
 #ifndef CORNELSHED_DIRECTSETTINGS_H
 #define CORNELSHED_DIRECTSETTINGS_H
 
+#include "promptcache.h"
 #include "types.h"
 
 #include <cstddef>
@@ -28,6 +29,7 @@
     // Share of the time that a request may still wait which it may spend in the queue of a backend
     // server without an agent. 0: no request waits there.
     double serverQueueShare = 0;
+    PromptCacheSettings promptCache {};
 
     bool operator==(const DirectSettings &) const = default;
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -215,6 +215,8 @@
         request.promptTokens = admitted.metadata.promptTokens;
         request.outputTokens = admitted.metadata.outputTokens;
         request.sessionAffinityKey = admitted.metadata.sessionAffinityKey;
+        if (settings.scheduling.promptCache.enabled)
+            request.promptParts = promptCacheParts(admitted.metadata);
         const std::set<std::string> &missing = exchange.missingBackends();
         request.excluded = exchange.excludedBackends();
         request.excluded.insert(missing.begin(), missing.end());
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -78,6 +78,8 @@
     result.scheduling.slotRequestLimit = settings.slotRequestLimit;
     result.scheduling.yieldAfter = std::chrono::milliseconds(settings.yieldAfterMs);
     result.scheduling.serverQueueShare = settings.serverQueueShare;
+    result.scheduling.promptCache.enabled = settings.promptCache;
+    result.scheduling.promptCache.defaultCapacityTokens = settings.promptCacheTokens;
     result.answeredLogInterval = settings.answeredLogInterval;
     result.answerLimitBytes = std::size_t {settings.answerLimitKb} * bytesPerKb;
     result.bufferedAnswersLimitBytes = std::size_t {settings.bufferedAnswersLimitKb} * bytesPerKb;
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -18,6 +18,7 @@
 constexpr std::int64_t maxDurationMs = 3600000;
 constexpr std::int64_t maxBufferKb = 4194304;
 constexpr std::int64_t maxSlotRequests = 64;
+constexpr std::int64_t maxPromptCacheTokens = 1000000000;
 
 SocketAddress readSocketAddress(TomlSection &section, std::string_view key)
 {
@@ -97,6 +98,9 @@
             readCount(section, "yield_after_ms", 0, maxDurationMs, settings.yieldAfterMs);
     settings.serverQueueShare =
             section.number("server_queue_share", 0, 1, settings.serverQueueShare);
+    settings.promptCache = section.boolean("prompt_cache", settings.promptCache);
+    settings.promptCacheTokens = readCount(section, "prompt_cache_tokens", 1, maxPromptCacheTokens,
+                                           settings.promptCacheTokens);
 }
 
 } // namespace
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -65,6 +65,8 @@
     std::uint32_t slotRequestLimit = 8;
     std::uint32_t yieldAfterMs = 0;
     double serverQueueShare = 0;
+    bool promptCache = false;
+    std::uint32_t promptCacheTokens = 262144; // that a backend server caches
 
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
