--- a/src/directsettings.h
+++ b/src/directsettings.h
@@ -3,6 +3,7 @@
 #ifndef CORNELSHED_DIRECTSETTINGS_H
 #define CORNELSHED_DIRECTSETTINGS_H
 
+#include "promptcache.h"
 #include "types.h"
 
 #include <cstddef>
@@ -30,6 +31,7 @@
     double serverQueueShare = 0;
     // Cost of another availability zone, expressed as time: a round trip and the charged traffic.
     Duration crossZoneCost = std::chrono::milliseconds(4);
+    PromptCacheSettings promptCache {};
 
     bool operator==(const DirectSettings &) const = default;
 };
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -81,6 +81,8 @@
     result.scheduling.yieldAfter = std::chrono::milliseconds(settings.yieldAfterMs);
     result.scheduling.serverQueueShare = settings.serverQueueShare;
     result.scheduling.crossZoneCost = std::chrono::milliseconds(settings.crossZoneCostMs);
+    result.scheduling.promptCache.enabled = settings.promptCache;
+    result.scheduling.promptCache.defaultCapacityTokens = settings.promptCacheTokens;
     result.answeredLogInterval = settings.answeredLogInterval;
     result.answerLimitBytes = std::size_t {settings.answerLimitKb} * bytesPerKb;
     result.bufferedAnswersLimitBytes = std::size_t {settings.bufferedAnswersLimitKb} * bytesPerKb;
