--- a/apps/measure/loadedfleet.cpp
+++ b/apps/measure/loadedfleet.cpp
@@ -146,8 +146,8 @@
             m_servers[n].down = true;
             const auto broken = std::move(m_servers[n].running);
             m_servers[n].running.clear();
-            for (const auto &[id, start] : broken)
-                send([this, id] { end(id, AttemptOutcome::Broken, false); });
+            for (const auto &it : broken)
+                send([this, id = it.first] { end(id, AttemptOutcome::Broken, false); });
         }
     }
 
--- a/apps/measure/loadedworkload.cpp
+++ b/apps/measure/loadedworkload.cpp
@@ -81,7 +81,7 @@
 public:
     OneQueue(const LoadedScenario &scenario, std::uint64_t seed)
         : m_scenario(scenario), m_requests(loadedRequests(scenario, seed)),
-          m_failingSlots(scenario.failingServers * scenario.slots),
+          m_failingSlots(std::size_t {scenario.failingServers} * scenario.slots),
           m_slots(std::size_t {scenario.servers} * scenario.slots)
     {
         // Those of the servers that crash are used last until then, so that this is a bound.
