error.callerchannel: wait for the part of a request, not for 30 ms

Cause: the test sends a request in two parts and allowed 400 ms, the fixture's limit for a head, between them, which a late thread exceeds. The channel sends 408 for this limit only.

Change: the test goes on once the channel has begun to receive the request, which it shows by reading the limits, and the limits of this test, which is not about them, are 8 s.

--- a/test/error/callerchannel.cpp
+++ b/test/error/callerchannel.cpp
@@ -50,7 +50,10 @@
                        const std::shared_ptr<CallerChannel> &channel) {
                     return handle(request, channel);
                 },
-                [this] { return limits; },
+                [this] {
+                    ++limitReads;
+                    return limits;
+                },
                 std::make_shared<PendingWrites>(std::size_t {64} << 20U));
         m_channel->start();
         m_thread = std::thread([this] { m_context.run(); });
@@ -91,6 +94,9 @@
     }
 
     CallerLimits limits {2048, 4096, 400ms, 300ms};
+    // The channel reads the limits at its start, for each request as soon as it has received a part
+    // of it, and when the idle time passes.
+    std::atomic<int> limitReads {0};
     std::string answerBody; // instead of the target, if not empty
     std::unique_ptr<Caller> caller;
 
@@ -188,8 +194,13 @@
     for (const std::size_t sentBefore : {std::size_t {5}, text.size() - 2}) {
         CAPTURE(sentBefore);
         ChannelFixture fixture;
+        // Time limits play no part here, however late this thread is.
+        fixture.run([&] { fixture.limits = {2048, 4096, 8s, 8s}; });
+        const int readsBefore = fixture.limitReads;
         fixture.caller->send(text.substr(0, sentBefore));
-        std::this_thread::sleep_for(30ms);
+        for (int n = 0; n < 1000 && fixture.limitReads == readsBefore; ++n)
+            std::this_thread::sleep_for(5ms);
+        REQUIRE(fixture.limitReads > readsBefore);
         fixture.run([&] { fixture.channel().closeWhenIdle(); });
         fixture.caller->send(text.substr(sentBefore));
         const CallerAnswer answer = fixture.caller->receive();
