error.crashingplainrequest: cut requests only once the list shows the planned stop

Cause: the servers cut a request 150 ms after its arrival, and the test listed them as draining in that time. A late test thread lists them after the cut, and the request is repeated.

Change: the servers keep such a request until the test has listed them, and for 150 ms after that.

--- a/test/error/crashingplainrequest.cpp
+++ b/test/error/crashingplainrequest.cpp
@@ -48,9 +48,11 @@
     constexpr std::size_t stops = 5;
     CrashingServers fixture({"slow"}, 100ms, 150ms);
     for (std::size_t n = 0; n < stops; ++n) {
+        fixture.holdDeadly = true;
         auto answer = fixture.requestAsync(0, "slow");
         REQUIRE(fixture.waitUntil([&] { return fixture.arrivals("slow") == n + 1; }));
         fixture.listAsDraining(true);
+        fixture.holdDeadly = false;
         CHECK(answer.get().status == 502);
         std::this_thread::sleep_for(300ms); // checks of the port after the stop
         REQUIRE(fixture.waitUntil([&] { return fixture.allUp(); }));
--- a/test/support/crashingservers.h
+++ b/test/support/crashingservers.h
@@ -141,6 +141,8 @@
     std::atomic<bool> listed {false};
     // Deadly requests wait until each server runs one, then all servers crash at once.
     std::atomic<bool> crashTogether {false};
+    // Deadly requests run until it is cleared, and for deadlyRun after that.
+    std::atomic<bool> holdDeadly {false};
     // If set, only this organisation's requests crash servers. Those of others with the same body
     // are counted as soundKey(body).
     std::string deadlyOrganisation;
@@ -212,6 +214,8 @@
         if (std::find(m_bodies.begin(), m_bodies.end(), body) != m_bodies.end()) {
             for (int n = 0; n < 400 && crashTogether && !allRunDeadly(); ++n)
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            for (int n = 0; n < 400 && holdDeadly; ++n)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
             std::this_thread::sleep_for(m_deadlyRun);
             server.crashing = true;
             return;
