Test a gateway and an admission agent with callers that ignore limits

Nothing bounds the memory and the descriptors that callers make these processes use. The tests start the real processes on loopback, with memory_mb = 32 (88 for the smallest host) and lowered max_fds, and check that the process lives, that its memory with unread receive buffers, its peak and its descriptors stay within these settings, and that an ordinary request is answered while the callers are still connected. memory_mb and max_fds are read and have no effect yet; the deployment template fills them in. The tests run alone (RUN_SERIAL).

--- a/apps/demo/childprocess.cpp
+++ b/apps/demo/childprocess.cpp
@@ -54,6 +54,11 @@
 ChildProcess::ChildProcess(ChildProcess &&) noexcept = default;
 ChildProcess &ChildProcess::operator=(ChildProcess &&) noexcept = default;
 
+int ChildProcess::id() const
+{
+    return d->m_child.id();
+}
+
 void ChildProcess::sendSignal(int signal)
 {
     if (running())
--- a/apps/demo/childprocess.h
+++ b/apps/demo/childprocess.h
@@ -23,6 +23,8 @@
     ChildProcess(ChildProcess &&) noexcept;
     ChildProcess &operator=(ChildProcess &&) noexcept;
 
+    [[nodiscard]] int id() const;
+
     // Does nothing if the process has ended.
     void sendSignal(int signal);
 
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -32,8 +32,9 @@
     # A fixed seed makes the result the same on every run.
     set_tests_properties(${kind}.${part} PROPERTIES
       ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 240 LABELS ${kind})
-    # Tests that run at the same time would distort the measurements.
-    if(kind STREQUAL "performance")
+    # Tests that run at the same time would distort the measurements, and callers that ignore limits
+    # would disturb them.
+    if(kind STREQUAL "performance" OR part MATCHES "^hostile")
       set_tests_properties(${kind}.${part} PROPERTIES RUN_SERIAL TRUE)
     endif()
   endforeach()
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::int64_t maxDurationMs = 3600000;
 constexpr std::int64_t maxBufferKb = 4194304;
+constexpr std::int64_t maxMemoryMb = 1048576;
+constexpr std::int64_t maxDescriptors = 1048576;
 
 SocketAddress readSocketAddress(TomlSection &section, std::string_view key)
 {
@@ -60,6 +62,8 @@
         section.reject("buffered_answers_limit_kb", "at least answer_limit_kb");
     settings.requestBodiesLimitKb = readCount(section, "request_bodies_limit_kb", 1, maxBufferKb,
                                               settings.requestBodiesLimitKb);
+    settings.memoryMb = readCount(section, "memory_mb", 0, maxMemoryMb, settings.memoryMb);
+    settings.maxFds = readCount(section, "max_fds", 0, maxDescriptors, settings.maxFds);
 }
 
 void readBounds(TomlSection section, GatewaySettings &settings)
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -60,6 +60,10 @@
     // Memory for the bodies of all requests that are received or in progress, in KiB.
     std::uint32_t requestBodiesLimitKb = 49152;
 
+    // Memory and file descriptors that the process may use; 0: those of the host.
+    std::uint32_t memoryMb = 0;
+    std::uint32_t maxFds = 0;
+
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
     bool operator==(const GatewaySettings &) const = default;
