Share one memory budget among all that callers make a gateway hold

Nothing bounded the memory and descriptors of a gateway as a whole: connections, heads, bodies and responses had separate limits or none, incomplete bodies held theirs until the idle time, responses that were never read were kept without a time limit, and the kernel's receive buffers grew to megabytes for each connection.

MemoryBudget (decision library) counts all of it. memory_mb and max_fds, or the host's memory and limit of open files, are divided into the process's own part, callers, receive buffers and backend connections. When there is no room, idle connections are closed, incomplete requests without progress get 408, and bodies that do not fit 503 before they are read; bodies up to 64 KiB have a reserved part. 100 Continue is sent only for a body that fits. Sockets are read into one buffer for all connections, heads are checked once for each byte, freed blocks of 128 KiB and more go back to the system, and parsed headers are freed when the request is passed on. A rate of 16 bytes/s for bodies, a bound on the bytes of chunk framing, a time limit for unread responses and 24 connections for each metrics and readiness listener are new. Log lines that callers cause are limited. Admission agents bound the gateways and leases that datagrams can invent.

--- a/src/adminserver.cpp
+++ b/src/adminserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,12 @@
 
 constexpr std::uint32_t headerLimitBytes = 8192;
 
+// Beyond this many connections, the oldest one is closed: those who hold connections open must not
+// keep the platform's checks out.
+constexpr std::size_t sessionLimit = 24;
+constexpr std::size_t receiveBufferBytes = std::size_t {16} << 10U;
+constexpr std::size_t sendBufferBytes = std::size_t {64} << 10U;
+
 http::response<http::string_body> makeResponse(const AdminHandlers &handlers,
                                                const http::request<http::empty_body> &request)
 {
@@ -68,6 +75,8 @@
                          });
     }
 
+    void close() { m_stream.close(); }
+
 private:
     void writeResponse()
     {
@@ -85,6 +94,25 @@
     http::response<http::string_body> m_response;
 };
 
+// The open connections, in the order in which they were opened.
+class Sessions
+{
+public:
+    void add(const std::shared_ptr<Session> &session)
+    {
+        std::erase_if(m_sessions, [](const auto &it) { return it.expired(); });
+        if (m_sessions.size() >= sessionLimit) {
+            if (const auto oldest = m_sessions.front().lock())
+                oldest->close();
+            m_sessions.pop_front();
+        }
+        m_sessions.push_back(session);
+    }
+
+private:
+    std::deque<std::weak_ptr<Session>> m_sessions;
+};
+
 } // namespace
 
 class AdminServer::Private
@@ -97,6 +125,7 @@
 
     std::shared_ptr<detail::Listener> m_listener;    // shared with the pending accept
     std::shared_ptr<const AdminHandlers> m_handlers; // shared with the sessions
+    std::shared_ptr<Sessions> m_sessions = std::make_shared<Sessions>();
 };
 
 AdminServer::AdminServer(boost::asio::io_context &context, AdminHandlers handlers)
@@ -110,10 +139,13 @@
 
 std::optional<std::string> AdminServer::listen(const std::string &address, std::uint16_t port)
 {
-    return d->m_listener->listen(address, port, [handlers = d->m_handlers](auto socket) {
-        auto session = std::make_shared<Session>(std::move(socket), handlers);
-        session->readRequest();
-    });
+    d->m_listener->setBufferSizes(receiveBufferBytes, sendBufferBytes);
+    return d->m_listener->listen(
+            address, port, [handlers = d->m_handlers, sessions = d->m_sessions](auto socket) {
+                auto session = std::make_shared<Session>(std::move(socket), handlers);
+                sessions->add(session);
+                session->readRequest();
+            });
 }
 
 std::uint16_t AdminServer::port() const
--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -8,6 +8,7 @@
 #include "daemonsignals.h"
 #include "eventlog.h"
 #include "handlerloop.h"
+#include "logthrottle.h"
 #include "metrics.h"
 #include "monotonicclock.h"
 #include "settingsvalues.h"
@@ -15,7 +16,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace cornelshed {
 
@@ -31,6 +34,9 @@
 constexpr Duration allocatorCheckInterval = 20ms;
 // Gateways without a message for this time are removed when the next new gateway appears.
 constexpr Duration gatewayRetention = 60s;
+// Gateways that are remembered. Beyond this many, those that were heard once are forgotten first,
+// because anyone can send datagrams with invented identifiers.
+constexpr std::size_t gatewayLimit = 512;
 
 } // namespace
 
@@ -62,6 +68,7 @@
     {
         Endpoint endpoint;
         Instant lastMessageAt {};
+        bool heardAgain = false;
     };
 
     explicit Private(const AdmissionAgentSettings &agentSettings)
@@ -108,13 +115,23 @@
     void trackGateway(std::uint64_t gateway, const Endpoint &sender, Instant now)
     {
         const auto [it, added] = gateways.try_emplace(gateway);
-        it->second = {sender, now};
+        it->second = {sender, now, !added};
         if (!added)
             return;
-        EventLog("gateway_heard").field("address", sender.address().to_string());
+        if (const auto more = gatewayLog.admit(now))
+            EventLog("gateway_heard")
+                    .field("address", sender.address().to_string())
+                    .field("more", *more);
         std::erase_if(gateways, [&](const auto &other) {
             return other.second.lastMessageAt + gatewayRetention <= now;
         });
+        if (gateways.size() <= gatewayLimit)
+            return;
+        const auto least = [](const auto &a, const auto &b) {
+            return std::pair(a.second.heardAgain, a.second.lastMessageAt)
+                    < std::pair(b.second.heardAgain, b.second.lastMessageAt);
+        };
+        gateways.erase(std::min_element(gateways.begin(), gateways.end(), least));
     }
 
     // Sends the grants that are due.
@@ -153,6 +170,7 @@
     Counter &grantCounter;
     Counter &slotRequestCounter;
     std::map<std::uint64_t, Gateway> gateways; // by incarnation
+    LogThrottle gatewayLog {5, 60};
     bool allocatorCheckScheduled = false;
 };
 
--- a/src/callerchannel.cpp
+++ b/src/callerchannel.cpp
@@ -1,11 +1,11 @@
-// Reads, validates and answers the requests of one connection. The raw bytes of a header section
-// are checked before parsing, because parsers accept line folding and bare line feeds that the next
-// hop may interpret differently (request smuggling).
+// Reads, validates and answers the requests of one connection, and counts what it holds toward the
+// memory that all callers share.
 
 #include "callerchannel.h"
 
 #include "eventlog.h"
 #include "monotonicclock.h"
+#include "requesthead.h"
 #include "unparsedlimit.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -32,7 +33,26 @@
 
 // For callers whose body finds no room: bodies of other requests are released as these end.
 constexpr const char *bodyRetryAfterSeconds = "1";
+// Bytes read at once, of a body and otherwise.
+constexpr std::size_t bodyReadBytes = std::size_t {64} << 10U;
 constexpr std::size_t readChunkBytes = std::size_t {16} << 10U;
+// The next request of a caller is not handled while more response data than this is waiting for it
+// to be read.
+constexpr std::size_t unreadResponseBytes = std::size_t {64} << 10U;
+// A response of which nothing is read for this long, and for the idle time, closes the connection.
+constexpr std::chrono::seconds unreadResponseTimeout {10};
+constexpr std::chrono::milliseconds unreadResponseCheckInterval {200};
+// An idle connection gives back a receive buffer above this size.
+constexpr std::size_t idleBufferBytes = std::size_t {4} << 10U;
+// A body of which less arrives per second, over half of the time limit for it, ends the request.
+// Ordinary callers send thousands of times as much.
+constexpr std::int64_t bodyFloorBytesPerSecond = 16;
+// Bytes of chunk lines, extensions and trailers that a body may come with. A body in chunks of one
+// byte needs 5 for each of its bytes.
+constexpr std::size_t framingBytesPerBodyByte = 16;
+constexpr std::size_t framingBytesAllowed = std::size_t {128} << 10U;
+// Memory of a parsed header besides its text: in the parser, in the request and in its attempt.
+constexpr std::size_t headerOverheadBytes = 256;
 // After the last response, incoming data is read and discarded for this long. Closing a socket with
 // unread data sends a reset, which may reach the caller before it has read the response.
 constexpr std::chrono::milliseconds lingerTimeout {500};
@@ -49,80 +69,21 @@
 // While more response data than this is buffered for a caller that reads slowly, a further write
 // closes the connection.
 constexpr std::size_t pendingWriteLimitBytes = std::size_t {4} << 20U;
-constexpr std::string_view headTerminator = "\r\n\r\n";
+// Where sockets are read to before the data is added to a connection's own buffer: thousands of
+// idle connections need no room for data.
+thread_local std::array<char, bodyReadBytes> receivedBytes;
 
-enum class HeadCheck { Incomplete, Valid, Malformed };
-
-// Looks for the end of the header section. Folded lines, a carriage return or line feed on its own,
-// and NUL bytes are malformed.
-HeadCheck checkHead(std::string_view data)
-{
-    const std::size_t end = data.find(headTerminator);
-    const std::string_view head = data.substr(0, end);
-    for (std::size_t i = 0; i < head.size(); ++i) {
-        const char c = head[i];
-        const bool isCrlf = c == '\r' && i + 1 < head.size() && head[i + 1] == '\n';
-        if (isCrlf) {
-            if (i + 2 < head.size() && (head[i + 2] == ' ' || head[i + 2] == '\t'))
-                return HeadCheck::Malformed;
-            ++i;
-            continue;
-        }
-        const bool isLastByte = i + 1 == head.size() && end == std::string_view::npos;
-        if ((c == '\r' && !isLastByte) || c == '\n' || c == '\0')
-            return HeadCheck::Malformed;
-    }
-    return end == std::string_view::npos ? HeadCheck::Incomplete : HeadCheck::Valid;
-}
-
-// Returns whether two HTTP implementations could disagree on where the body ends.
-bool hasAmbiguousFraming(const http::request_header<> &head)
-{
-    const auto encodings = head.count(http::field::transfer_encoding);
-    if (encodings == 0)
-        return head.count(http::field::content_length) > 1;
-    return encodings > 1 || head.count(http::field::content_length) > 0
-            || !beast::iequals(head[http::field::transfer_encoding], "chunked");
-}
-
-// The head's framing is not ambiguous.
-bool hasBody(const http::request_header<> &head)
-{
-    const auto length = head.find(http::field::content_length);
-    return head.count(http::field::transfer_encoding) > 0
-            || (length != head.end() && length->value() != "0");
-}
-
-struct HttpError
-{
-    std::uint32_t status;
-    const char *reason;
-};
-
-std::optional<HttpError> findHeadError(const http::request_header<> &head)
-{
-    if (head.version() != 11)
-        return HttpError {505, "only HTTP/1.1 is spoken here"};
-    if (hasAmbiguousFraming(head))
-        return HttpError {400, "the length of the body is ambiguous"};
-    if (head.count(http::field::host) != 1)
-        return HttpError {400, "one Host header is needed"};
-    if (!head.target().starts_with('/'))
-        return HttpError {400, "the target must be a path"};
-    if (head.method() == http::verb::trace && hasBody(head))
-        return HttpError {400, "a TRACE request has no body"}; // RFC 9110, section 9.3.8
-    return std::nullopt;
-}
-
-class Channel final : public CallerChannel
+class Channel final : public CallerChannel, public MemoryHolder
 {
 public:
     Channel(asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
             std::shared_ptr<PendingWrites> pendingWrites,
-            std::shared_ptr<RequestBodies> requestBodies)
+            std::shared_ptr<RequestBodies> requestBodies, std::shared_ptr<CallerMemory> memory)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
           m_handler(std::move(handler)), m_limits(std::move(limits)),
-          m_allPendingWrites(std::move(pendingWrites)), m_requestBodies(std::move(requestBodies))
+          m_allPendingWrites(std::move(pendingWrites)), m_requestBodies(std::move(requestBodies)),
+          m_memory(std::move(memory)),
+          m_share(std::shared_ptr<MemoryBudget>(m_memory, &m_memory->budget))
     { }
     ~Channel() override
     {
@@ -138,7 +99,8 @@
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         m_socket.set_option(UserTimeout(callerUserTimeoutMs), ignored);
-        awaitRequest();
+        m_share.open(self(), monotonicNow());
+        startWait();
         readSome();
     }
 
@@ -194,6 +156,23 @@
 
     void closeForPendingWrites() override { disconnect("shared_write_limit"); }
 
+    bool giveUpMemory() override
+    {
+        const auto keepAlive = self();
+        if (m_closed) {
+            closeSocket();
+        } else if (m_lingering || (!m_requestInProgress && !m_receivedAt)) {
+            if (!m_lingering && (!m_writes.empty() || peek() == SocketState::HasData))
+                return false;
+            closeNow("memory");
+        } else if (m_requestInProgress) {
+            disconnect("memory");
+        } else {
+            rejectRequest(408, "the request arrived too slowly while memory is short");
+        }
+        return true;
+    }
+
     void announceClose() override { m_announceClose = true; }
 
     void closeWhenIdle() override
@@ -219,8 +198,16 @@
 
     void awaitRequest()
     {
-        m_parser.emplace();
-        m_parser->eager(true);
+        if (m_writes.empty())
+            m_share.setPhase(ConnectionPhase::Idle, monotonicNow());
+        startWait();
+    }
+
+    void startWait()
+    {
+        m_parser.reset();
+        m_scanner = {};
+        shrinkBuffer();
         const CallerLimits limits = m_limits();
         m_headParsed = false;
         m_receivedAt.reset();
@@ -243,15 +230,27 @@
     {
         // The handler of an earlier limit may have been queued when the timer was set again.
         const bool expired = m_timer.expiry() <= asio::steady_timer::clock_type::now();
-        if (expired && !m_closed && !m_requestInProgress && !m_lingering)
+        if (!expired || m_closed || m_requestInProgress)
+            return;
+        if (!m_lingering)
             endWait();
+        else if (isResponseUnread())
+            disconnect("unread_response");
+        else
+            setTimer(unreadResponseCheckInterval);
     }
 
     // Ends the wait for a request, or for the rest of one, unless there is a reason to go on.
     void endWait()
     {
-        if (peek() == SocketState::HasData)
+        if (isResponseUnread())
+            disconnect("unread_response");
+        else if (awaitsWrites())
+            setTimer(unreadResponseCheckInterval);
+        else if (peek() == SocketState::HasData)
             setTimer(unreadDataCheckInterval);
+        else if (m_headParsed && isBodyInTime())
+            setTimer(m_bodyDeadline - monotonicNow());
         else if (m_receivedAt)
             rejectRequest(408, "the request did not arrive in time");
         else if (const Duration left = idleTimeLeft(); left > Duration::zero())
@@ -262,6 +261,24 @@
             closeIdle(m_closeAfterResponse ? "shutdown" : "idle");
     }
 
+    // Whether the body has arrived fast enough so far and may still arrive.
+    bool isBodyInTime()
+    {
+        const Instant now = monotonicNow();
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - std::exchange(m_floorCheckedAt, now));
+        const auto received = static_cast<std::int64_t>(std::exchange(m_bytesSinceCheck, 0));
+        return now < m_bodyDeadline && received * 1000 >= bodyFloorBytesPerSecond * elapsed.count();
+    }
+
+    // Whether the caller has read nothing of its response for too long.
+    bool isResponseUnread() const
+    {
+        return !m_writes.empty()
+                && m_writeProgressAt + unreadResponseTimeout + m_limits().idleTimeout
+                <= monotonicNow();
+    }
+
     // Closes the connection while no request is in progress.
     void closeIdle(const char *reason)
     {
@@ -313,6 +330,7 @@
     {
         boost::system::error_code ignored;
         m_socket.close(ignored);
+        m_share.close();
     }
 
     // The limit may have been raised while the connection was idle.
@@ -334,21 +352,26 @@
         return isEmpty ? SocketState::Empty : SocketState::Closed;
     }
 
+    // Whether the next request waits until the caller has read responses.
+    bool awaitsWrites() const { return m_pendingBytes > unreadResponseBytes; }
+
     void readSome()
     {
         if (m_reading || m_closed)
             return;
         // Bounds the data buffered from a caller that sends more while its request is in progress.
-        if (m_requestInProgress && m_buffer.size() >= readChunkBytes)
+        if (isHandlingPaused() && !m_lingering && m_buffer.size() >= readChunkBytes)
             return;
         m_reading = true;
-        m_socket.async_read_some(asio::buffer(m_received), [self = self()](auto ec, std::size_t n) {
+        m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = self()](auto ec) {
             self->m_reading = false;
-            self->handleRead(ec, n);
+            self->handleReadable(ec);
         });
     }
 
-    void handleRead(const boost::system::error_code &ec, std::size_t n)
+    bool isHandlingPaused() const { return m_requestInProgress || awaitsWrites(); }
+
+    void handleReadable(const boost::system::error_code &ec)
     {
         if (m_closed)
             return;
@@ -356,22 +379,76 @@
             finishIdleClose();
             return;
         }
-        if (ec) {
+        if (isHandlingPaused() && !m_lingering && m_buffer.size() >= readChunkBytes)
+            return; // read after the response
+        const std::size_t room = isHandlingPaused() ? readChunkBytes - m_buffer.size()
+                : m_headParsed                      ? bodyReadBytes
+                                                    : readChunkBytes;
+        const auto n = ec
+                ? -1
+                : ::recv(m_socket.native_handle(), receivedBytes.data(), room, MSG_DONTWAIT);
+        const bool isEmpty =
+                !ec && n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        if (n > 0 && !m_lingering)
+            handleRead(static_cast<std::size_t>(n));
+        else if (n <= 0 && !isEmpty)
             handleDisconnect();
-            return;
-        }
-        if (m_lingering) {
-            m_buffer.consume(m_buffer.size());
-            readSome();
-            return;
+        else if (m_idleCloseReason != nullptr)
+            finishIdleClose();
+        readSome();
+    }
+
+    // receivedBytes has so many bytes for this connection.
+    void handleRead(std::size_t n)
+    {
+        const auto received = asio::buffer(receivedBytes.data(), n);
+        m_buffer.commit(asio::buffer_copy(m_buffer.prepare(n), received));
+        const bool isBody = m_headParsed;
+        if (isBody && !m_requestInProgress) {
+            m_framedBytes += n;
+            m_bytesSinceCheck += n;
         }
-        m_buffer.commit(asio::buffer_copy(m_buffer.prepare(n), asio::buffer(m_received, n)));
-        if (!m_requestInProgress)
+        if (!isHandlingPaused())
             parse();
+        if (m_receivedAt && !m_requestInProgress && !m_closed) {
+            m_share.recordProgress(n, monotonicNow());
+            shrinkBuffer();
+            holdMemory();
+        } else if (m_requestInProgress) {
+            m_share.setHasUnreadRequests(m_buffer.size() >= idleBufferBytes);
+        }
         const bool wasIdle = std::exchange(m_idleCloseReason, nullptr) != nullptr;
         if (wasIdle && !m_requestInProgress && !m_receivedAt && !m_lingering && !m_closed)
             setTimer(unreadDataCheckInterval);
-        readSome();
+    }
+
+    // --- memory ---
+
+    // A caller that sent a lot may send nothing for long now.
+    void shrinkBuffer()
+    {
+        if (m_buffer.size() == 0 && m_buffer.capacity() > idleBufferBytes)
+            m_buffer.shrink_to_fit();
+    }
+
+    // Counts what the current request holds. Called after each change of it.
+    void holdMemory()
+    {
+        m_share.hold(m_buffer.capacity() + m_headBytes + std::max(m_promisedBytes, m_bodyBytes));
+        if (m_memory->budget.isExceeded())
+            m_share.makeRoom(0, RequestSize::Small, monotonicNow());
+    }
+
+    // Holds memory for a body of this size in all. Returns false if there is none.
+    bool promiseBody(std::size_t bytes)
+    {
+        if (bytes <= m_promisedBytes)
+            return true;
+        if (!m_share.makeRoom(bytes - m_promisedBytes, requestSize(bytes), monotonicNow()))
+            return false;
+        m_promisedBytes = bytes;
+        holdMemory();
+        return true;
     }
 
     std::string_view bufferedData() const
@@ -385,12 +462,17 @@
         if (!m_headParsed && !parseHead())
             return;
         const auto ec = parseBuffered(m_buffer, *m_parser);
+        const bool hasRoom = takeBody(m_parser->get().body().size());
+        if (m_closed) // to make room
+            return;
         if (ec == http::error::body_limit)
             rejectRequest(413, "the body is too large");
         else if (ec)
             rejectRequest(400, "the body is not proper HTTP");
-        else if (!takeBody(m_parser->get().body().size()))
+        else if (!hasRoom)
             rejectBody();
+        else if (m_framedBytes > framingBytesAllowed + framingBytesPerBodyByte * m_bodyBytes)
+            rejectRequest(413, "the chunks of the body have too many bytes besides their data");
         else if (m_parser->is_done())
             dispatchRequest();
     }
@@ -406,25 +488,30 @@
         const CallerLimits limits = m_limits();
         if (!m_receivedAt) {
             m_receivedAt = monotonicNow();
+            m_share.setPhase(ConnectionPhase::Receiving, *m_receivedAt);
+            m_parser.emplace();
+            m_parser->eager(true);
             // The limits may have changed while the connection was idle.
             m_parser->header_limit(limits.headerBytes);
             m_parser->body_limit(limits.bodyBytes);
             setTimer(limits.headerTimeout);
         }
-        const HeadCheck check = checkHead(bufferedData());
+        const HeadCheck check = m_scanner.scan(bufferedData());
         if (check == HeadCheck::Malformed) {
             rejectRequest(400, "the head is not proper HTTP");
             return false;
         }
-        const std::size_t end = bufferedData().find(headTerminator);
-        if (std::min(end, m_buffer.size()) > limits.headerBytes) {
+        constexpr std::size_t terminatorBytes = 4;
+        const std::size_t length =
+                check == HeadCheck::Valid ? m_scanner.length() - terminatorBytes : m_buffer.size();
+        if (length > limits.headerBytes) {
             rejectRequest(431, "the head is too large");
             return false;
         }
         if (check == HeadCheck::Incomplete)
             return false;
         boost::system::error_code ec;
-        const asio::const_buffer head(m_buffer.data().data(), end + headTerminator.size());
+        const asio::const_buffer head(m_buffer.data().data(), m_scanner.length());
         m_buffer.consume(m_parser->put(head, ec));
         return validateHead(ec, limits);
     }
@@ -444,16 +531,25 @@
             rejectRequest(error->status, error->reason);
             return false;
         }
+        const auto &fields = m_parser->get();
+        m_headBytes = m_scanner.length()
+                + static_cast<std::size_t>(std::distance(fields.begin(), fields.end()))
+                        * headerOverheadBytes;
         // Refused before it is sent, if its length is known.
-        if (m_requestBodies && !m_requestBodies->hasRoom(m_parser->content_length().value_or(0))) {
+        const auto length = static_cast<std::size_t>(m_parser->content_length().value_or(0));
+        if ((m_requestBodies && !m_requestBodies->hasRoom(length)) || !takeHead(length)) {
             rejectBody();
             return false;
         }
+        if (m_closed) // to make room
+            return false;
         m_headParsed = true;
-        setTimer(limits.idleTimeout);
+        m_floorCheckedAt = monotonicNow();
+        m_bodyDeadline = m_floorCheckedAt + limits.idleTimeout;
+        setTimer(limits.idleTimeout / 2);
         if (beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
             write("HTTP/1.1 100 Continue\r\n\r\n");
-        return true;
+        return !m_closed && !m_lingering; // writing may have ended it to make room
     }
 
     void dispatchRequest()
@@ -467,7 +563,14 @@
         request.body = std::move(message.body());
         request.receivedAt = *m_receivedAt;
         m_closeAfterResponse = m_closeAfterResponse || !m_parser->keep_alive();
+        m_parser.reset(); // frees the headers, which the request has copies of
+        shrinkBuffer();
+        holdMemory();
+        if (m_closed) // to make room
+            return;
         m_requestInProgress = true;
+        m_share.setPhase(ConnectionPhase::Waiting, monotonicNow());
+        m_share.setHasUnreadRequests(m_buffer.size() >= idleBufferBytes);
         m_requestId.clear();
         m_timer.cancel();
         auto exchange = m_handler(std::move(request), shared_from_this());
@@ -520,20 +623,35 @@
 
     void rejectBody()
     {
-        EventLog("request_body_refused", EventLevel::Warning)
-                .field("bytes", m_parser->content_length().value_or(0))
-                .field("received", m_bodyBytes)
-                .field("all_bodies", m_requestBodies->heldBytes());
+        if (const auto more = m_memory->refusalLog.admit(monotonicNow()))
+            EventLog("request_body_refused", EventLevel::Warning)
+                    .field("bytes", m_parser->content_length().value_or(0))
+                    .field("received", m_bodyBytes)
+                    .field("all_bodies", m_requestBodies ? m_requestBodies->heldBytes() : 0)
+                    .field("memory_used", m_memory->budget.usedBytes())
+                    .field("more", *more);
         rejectRequest(503, "no memory is free for the body",
                       {{"Retry-After", bodyRetryAfterSeconds}});
     }
 
-    // Counts this much of the current request's body toward the limit for all.
+    // Holds memory for the head and for a body whose length is known.
+    bool takeHead(std::size_t bodyBytes)
+    {
+        const std::size_t total = m_headBytes + bodyBytes;
+        if (!m_share.makeRoom(total, requestSize(bodyBytes), monotonicNow()))
+            return false;
+        m_promisedBytes = bodyBytes;
+        holdMemory();
+        return true;
+    }
+
+    // Counts this much of the current request's body toward the limits for all.
     bool takeBody(std::size_t bytes)
     {
-        if (!m_requestBodies || bytes <= m_bodyBytes)
+        if (bytes <= m_bodyBytes)
             return true;
-        if (!m_requestBodies->tryTake(bytes - m_bodyBytes))
+        if (!promiseBody(bytes)
+            || (m_requestBodies && !m_requestBodies->tryTake(bytes - m_bodyBytes)))
             return false;
         m_bodyBytes = bytes;
         return true;
@@ -542,7 +660,13 @@
     void forgetBody()
     {
         if (m_requestBodies)
-            m_requestBodies->release(std::exchange(m_bodyBytes, 0));
+            m_requestBodies->release(m_bodyBytes);
+        m_bodyBytes = 0;
+        m_promisedBytes = 0;
+        m_headBytes = 0;
+        m_framedBytes = 0;
+        m_bytesSinceCheck = 0;
+        m_share.hold(m_buffer.capacity());
     }
 
     void write(std::string text)
@@ -562,27 +686,57 @@
     void writeNext()
     {
         m_currentWrite = m_allPendingWrites->begin(*this);
-        asio::async_write(m_socket, asio::buffer(m_writes.front()),
-                          [self = self()](auto ec, std::size_t) {
-                              if (self->m_closed)
-                                  return;
-                              if (ec) {
-                                  self->handleDisconnect();
-                                  return;
-                              }
-                              const std::size_t n = self->m_writes.front().size();
-                              self->m_pendingBytes -= n;
-                              self->m_allPendingWrites->remove(n);
-                              self->m_allPendingWrites->end(self->m_currentWrite);
-                              self->m_writes.pop_front();
-                              if (!self->m_writes.empty()) {
-                                  self->writeNext();
-                                  return;
-                              }
-                              self->m_waitingSince = monotonicNow();
-                              if (self->m_lingering)
-                                  self->linger();
-                          });
+        m_writeProgressAt = monotonicNow();
+        m_writtenBytes = 0;
+        writeRest();
+    }
+
+    void writeRest()
+    {
+        m_socket.async_write_some(asio::buffer(m_writes.front()) + m_writtenBytes,
+                                  [self = self()](auto ec, std::size_t n) {
+                                      if (!self->m_closed)
+                                          self->handleWritten(ec, n);
+                                  });
+    }
+
+    void handleWritten(const boost::system::error_code &ec, std::size_t n)
+    {
+        if (ec) {
+            handleDisconnect();
+            return;
+        }
+        m_writtenBytes += n;
+        if (m_writtenBytes < m_writes.front().size()) {
+            m_writeProgressAt = monotonicNow();
+            writeRest();
+            return;
+        }
+        m_pendingBytes -= m_writtenBytes;
+        m_allPendingWrites->remove(m_writtenBytes);
+        m_allPendingWrites->end(m_currentWrite);
+        m_writes.pop_front();
+        if (!m_writes.empty()) {
+            writeNext();
+            return;
+        }
+        m_waitingSince = monotonicNow();
+        if (m_lingering) {
+            linger();
+        } else if (!m_requestInProgress && !m_receivedAt) {
+            m_share.setPhase(ConnectionPhase::Idle, m_waitingSince);
+            handleBuffered(); // may have waited for the caller to read
+        }
+    }
+
+    // Goes on with data that arrived earlier.
+    void handleBuffered()
+    {
+        if (m_closed || isHandlingPaused() || m_lingering)
+            return;
+        if (m_buffer.size() > 0)
+            parse();
+        readSome();
     }
 
     void finishRequest()
@@ -596,21 +750,20 @@
         forgetBody();
         if (m_closeAnnounced) {
             m_lingering = true;
-            m_parser.emplace(); // frees a body that was refused
+            m_parser.reset(); // frees a body that was refused
+            m_buffer.consume(m_buffer.size());
+            shrinkBuffer();
+            m_share.hold(m_buffer.capacity());
             if (m_writes.empty())
                 linger();
+            else
+                setTimer(unreadResponseCheckInterval);
             return;
         }
         awaitRequest();
         // The buffer may already hold the next request. Posted, because this function may run
         // inside the handler's call.
-        asio::post(m_socket.get_executor(), [self = self()] {
-            if (self->m_closed || self->m_requestInProgress)
-                return;
-            if (self->m_buffer.size() > 0)
-                self->parse();
-            self->readSome();
-        });
+        asio::post(m_socket.get_executor(), [self = self()] { self->handleBuffered(); });
     }
 
     void forgetWrites()
@@ -623,6 +776,7 @@
     {
         boost::system::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        m_share.setPhase(ConnectionPhase::Closing, monotonicNow());
         m_timer.expires_after(lingerTimeout);
         m_timer.async_wait([self = self()](auto ec) {
             if (!ec)
@@ -636,7 +790,9 @@
             return;
         m_closed = true;
         // Closing between requests is routine.
-        if (m_requestInProgress || m_receivedAt || !m_writes.empty()) {
+        const bool isRoutine = !m_requestInProgress && !m_receivedAt && m_writes.empty();
+        const auto more = isRoutine ? std::nullopt : m_memory->closeLog.admit(monotonicNow());
+        if (more) {
             EventLog("caller_connection_closed", EventLevel::Warning)
                     .field("reason", reason)
                     .field("request",
@@ -649,13 +805,17 @@
                     .field("age_ms",
                            m_receivedAt
                                    ? (monotonicNow() - *m_receivedAt) / std::chrono::milliseconds(1)
-                                   : 0);
+                                   : 0)
+                    .field("more", *more);
         }
         m_exchange = nullptr;
         forgetWrites();
         m_timer.cancel();
+        forgetBody();
         if (closesSocket)
             closeSocket();
+        else
+            m_share.setPhase(ConnectionPhase::Closing, monotonicNow());
     }
 
     asio::ip::tcp::socket m_socket;
@@ -664,12 +824,18 @@
     LimitsProvider m_limits;
     std::shared_ptr<PendingWrites> m_allPendingWrites; // shared by all channels
     std::shared_ptr<RequestBodies> m_requestBodies;    // null: no limit
-    std::size_t m_bodyBytes = 0;                       // taken from m_requestBodies
-    // Where the socket is read to. Not m_buffer: a request that waited there is parsed while a read
-    // is in progress, which moves the place at which the buffer adds data.
-    std::array<char, readChunkBytes> m_received;
+    std::shared_ptr<CallerMemory> m_memory;
+    ConnectionShare m_share;
+    std::size_t m_bodyBytes = 0;       // taken from m_requestBodies
+    std::size_t m_promisedBytes = 0;   // of the body: its length if that is known
+    std::size_t m_headBytes = 0;       // memory of the parsed head
+    std::size_t m_framedBytes = 0;     // received after the head
+    std::size_t m_bytesSinceCheck = 0; // the same since m_floorCheckedAt
+    Instant m_floorCheckedAt {};
+    Instant m_bodyDeadline {};
+    HeadScanner m_scanner;
     beast::flat_buffer m_buffer; // received and not parsed yet
-    // Parser of the current or next request, and the time when its first byte was read.
+    // Parser of the current request while it is received, and the time of its first byte.
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<Instant> m_receivedAt;
     Instant m_waitingSince {}; // start of the wait for that byte, or end of the last write after it
@@ -677,6 +843,8 @@
     std::string m_requestId;          // of the last request that was handled
     std::deque<std::string> m_writes; // front: being written
     std::size_t m_pendingBytes = 0;
+    std::size_t m_writtenBytes = 0; // of the one that is being written
+    Instant m_writeProgressAt {};
     std::uint64_t m_currentWrite = 0; // its number in m_allPendingWrites
     bool m_headParsed = false;
     bool m_reading = false;
@@ -704,11 +872,23 @@
 void PendingWrites::add(std::size_t bytes)
 {
     m_bytes += bytes;
+    if (m_budget) {
+        m_budget->take(bytes);
+        if (m_budget->isExceeded())
+            m_budget->makeRoom(0, RequestSize::Small, nullptr, monotonicNow());
+    }
     // A single answer above the limit is written.
-    while (m_bytes > m_limitBytes && m_writing.size() > 1)
+    while ((m_bytes > m_limitBytes || (m_budget && m_budget->isExceeded())) && m_writing.size() > 1)
         m_writing.begin()->second->closeForPendingWrites(); // ends the write
 }
 
+void PendingWrites::remove(std::size_t bytes)
+{
+    m_bytes -= bytes;
+    if (m_budget)
+        m_budget->release(bytes);
+}
+
 bool RequestBodies::tryTake(std::size_t bytes)
 {
     if (!hasRoom(bytes))
@@ -720,10 +900,14 @@
 std::shared_ptr<CallerChannel> CallerChannel::create(asio::ip::tcp::socket socket, Handler handler,
                                                      LimitsProvider limits,
                                                      std::shared_ptr<PendingWrites> pendingWrites,
-                                                     std::shared_ptr<RequestBodies> requestBodies)
+                                                     std::shared_ptr<RequestBodies> requestBodies,
+                                                     std::shared_ptr<CallerMemory> memory)
 {
+    if (!memory)
+        memory = std::make_shared<CallerMemory>(MemoryLimits {});
     return std::make_shared<Channel>(std::move(socket), std::move(handler), std::move(limits),
-                                     std::move(pendingWrites), std::move(requestBodies));
+                                     std::move(pendingWrites), std::move(requestBodies),
+                                     std::move(memory));
 }
 
 } // namespace cornelshed::detail
--- a/src/callerchannel.h
+++ b/src/callerchannel.h
@@ -9,6 +9,8 @@
 #ifndef CORNELSHED_CALLERCHANNEL_H
 #define CORNELSHED_CALLERCHANNEL_H
 
+#include "logthrottle.h"
+#include "memorybudget.h"
 #include "messages.h"
 #include "routetable.h"
 #include "types.h"
@@ -21,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace cornelshed::detail {
 
@@ -45,12 +48,25 @@
 
 class CallerChannel;
 
+// What the connections of all callers share.
+struct CallerMemory
+{
+    explicit CallerMemory(const MemoryLimits &limits) : budget(limits) { }
+
+    MemoryBudget budget;
+    LogThrottle closeLog {10, 50}; // lines about connections that were closed around a request
+    LogThrottle refusalLog {10, 50};
+};
+
 // The response data that is buffered for all callers that read slowly. At the limit, the caller
 // whose current write began first loses its connection; those that read finish theirs soon.
 class PendingWrites
 {
 public:
-    explicit PendingWrites(std::size_t limitBytes) : m_limitBytes(limitBytes) { }
+    // budget: counts the data as well; null: none.
+    explicit PendingWrites(std::size_t limitBytes, std::shared_ptr<MemoryBudget> budget = nullptr)
+        : m_limitBytes(limitBytes), m_budget(std::move(budget))
+    { }
 
     // A channel begins to write. Returns the number under which the write ends.
     std::uint64_t begin(CallerChannel &channel);
@@ -58,10 +74,11 @@
 
     // Channels buffer more data, or less.
     void add(std::size_t bytes);
-    void remove(std::size_t bytes) { m_bytes -= bytes; }
+    void remove(std::size_t bytes);
 
 private:
     std::size_t m_limitBytes;
+    std::shared_ptr<MemoryBudget> m_budget;
     std::size_t m_bytes = 0;
     std::uint64_t m_lastWrite = 0;
     std::map<std::uint64_t, CallerChannel *> m_writing; // in the order in which the writes began
@@ -98,11 +115,13 @@
                                                                    std::shared_ptr<CallerChannel>)>;
     using LimitsProvider = std::function<CallerLimits()>;
 
-    // requestBodies: null: no limit for the bodies of all requests.
+    // requestBodies: null: no limit for the bodies of all requests. memory: null: only this
+    // connection's.
     static std::shared_ptr<CallerChannel>
     create(boost::asio::ip::tcp::socket socket, Handler handler, LimitsProvider limits,
            std::shared_ptr<PendingWrites> pendingWrites,
-           std::shared_ptr<RequestBodies> requestBodies = nullptr);
+           std::shared_ptr<RequestBodies> requestBodies = nullptr,
+           std::shared_ptr<CallerMemory> memory = nullptr);
     virtual ~CallerChannel() = default;
 
     virtual void start() = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -61,6 +61,9 @@
 constexpr Duration portCheckInterval = 100ms;
 // Interval at which a shutdown checks whether the last responses have been written.
 constexpr Duration drainCheckInterval = 20ms;
+// Closed connections are removed from the list of all when it is twice as long as needed, and this
+// many longer.
+constexpr std::size_t channelSweepMinimum = 64;
 
 std::string retryAfterText(Duration duration)
 {
@@ -117,6 +120,14 @@
         metrics.gauge("cornelshed_gateway_buffered_bytes",
                       "Bytes of responses that are not complete yet",
                       [this] { return static_cast<double>(bufferedBytes); });
+        metrics.gauge("cornelshed_gateway_caller_memory_bytes",
+                      "Memory that connections, requests and responses hold",
+                      [this] { return static_cast<double>(memory->budget.usedBytes()); });
+        metrics.gauge("cornelshed_gateway_caller_connections", "Connections of callers",
+                      [this] { return static_cast<double>(memory->budget.connectionCount()); });
+        metrics.gauge("cornelshed_gateway_callers_ended_for_room",
+                      "Connections and incomplete requests ended for lack of memory or descriptors",
+                      [this] { return static_cast<double>(memory->budget.closedForRoom()); });
         metrics.gauge("cornelshed_gateway_backends", "Backend servers listed",
                       [this] { return static_cast<double>(backends.size()); });
         metrics.gauge("cornelshed_gateway_configuration_version", "Version in force; 0: none",
@@ -657,10 +668,12 @@
     {
         if (responseBytes + bytes > settings.answerLimitBytes)
             return false;
-        if (bufferedBytes + bytes > settings.bufferedAnswersLimitBytes
-            && !endLargerResponse(responseBytes + bytes))
+        const bool fits = bufferedBytes + bytes <= settings.bufferedAnswersLimitBytes
+                && memory->budget.makeRoom(bytes, RequestSize::Small, nullptr, monotonicNow());
+        if (!fits && !endLargerResponse(responseBytes + bytes))
             return false;
         bufferedBytes += bytes;
+        memory->budget.take(bytes);
         return true;
     }
 
@@ -692,7 +705,11 @@
         return true;
     }
 
-    void releaseBuffer(std::size_t bytes) override { bufferedBytes -= bytes; }
+    void releaseBuffer(std::size_t bytes) override
+    {
+        bufferedBytes -= bytes;
+        memory->budget.release(bytes);
+    }
 
     void exchangeEnded(GatewayExchange &exchange, std::uint32_t status) override
     {
@@ -921,6 +938,11 @@
 
     void accept(asio::ip::tcp::socket socket)
     {
+        memory->budget.setIdleTimeout(limits().idleTimeout);
+        if (!memory->budget.makeConnectionRoom(monotonicNow())) {
+            counter("connections_refused_total", "Connections closed at once at their limit").add();
+            return; // closes it
+        }
         const std::weak_ptr<Private> weak = weak_from_this();
         auto channel = CallerChannel::create(
                 std::move(socket),
@@ -933,10 +955,11 @@
                     const auto self = weak.lock();
                     return self ? self->limits() : CallerLimits {};
                 },
-                pendingWrites, requestBodies);
+                pendingWrites, requestBodies, memory);
         if (draining)
             channel->announceClose();
-        std::erase_if(channels, [](const auto &it) { return it.expired(); });
+        if (channels.size() >= 2 * memory->budget.connectionCount() + channelSweepMinimum)
+            std::erase_if(channels, [](const auto &it) { return it.expired(); });
         channels.push_back(channel);
         channel->start();
         if (draining && !listening)
@@ -977,8 +1000,11 @@
     // By id of the place in the scheduler's queue; holds those of exchanges with a queuedId().
     std::unordered_map<RequestId, std::shared_ptr<GatewayExchange>> queued;
     std::vector<std::weak_ptr<CallerChannel>> channels;
+    std::shared_ptr<detail::CallerMemory> memory =
+            std::make_shared<detail::CallerMemory>(settings.memory);
     std::shared_ptr<detail::PendingWrites> pendingWrites = std::make_shared<detail::PendingWrites>(
-            settings.pendingWritesLimitBytes); // of the channels
+            settings.pendingWritesLimitBytes,
+            std::shared_ptr<MemoryBudget>(memory, &memory->budget)); // of the channels
     std::shared_ptr<detail::RequestBodies> requestBodies =
             std::make_shared<detail::RequestBodies>(settings.requestBodiesLimitBytes);
     GossipView view;
@@ -1027,6 +1053,8 @@
 
 std::optional<std::string> Gateway::listen(const std::string &address, std::uint16_t port)
 {
+    d->listener->setBufferSizes(d->settings.memory.receiveBufferBytes,
+                                d->settings.memory.sendBufferBytes);
     return d->listener->listen(address, port, [weak = std::weak_ptr<Private>(d)](auto socket) {
         if (const auto self = weak.lock())
             self->accept(std::move(socket));
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -9,6 +9,7 @@
 #include "freshness.h"
 #include "gatewayrollouts.h"
 #include "ingressprotocol.h"
+#include "memorybudget.h"
 #include "metrics.h"
 #include "peergossip.h"
 #include "tokenallowance.h"
@@ -58,6 +59,8 @@
     std::size_t pendingWritesLimitBytes = std::size_t {64} << 20U;
     // Limit of the bodies of all requests that are being received or are in progress.
     std::size_t requestBodiesLimitBytes = std::size_t {48} << 20U;
+    // Limits of all that callers make the process use, the three above included.
+    MemoryLimits memory;
 
     bool operator==(const GatewayTrafficSettings &) const = default;
 };
--- a/src/gatewaydaemon.cpp
+++ b/src/gatewaydaemon.cpp
@@ -8,6 +8,7 @@
 #include "eventlog.h"
 #include "gateway.h"
 #include "handlerloop.h"
+#include "hostresources.h"
 #include "logwriter.h"
 #include "metrics.h"
 #include "peergossip.h"
@@ -78,6 +79,12 @@
     result.answerLimitBytes = std::size_t {settings.answerLimitKb} * bytesPerKb;
     result.bufferedAnswersLimitBytes = std::size_t {settings.bufferedAnswersLimitKb} * bytesPerKb;
     result.requestBodiesLimitBytes = std::size_t {settings.requestBodiesLimitKb} * bytesPerKb;
+    HostResources resources = readHostResources();
+    if (settings.memoryMb > 0)
+        resources.memoryBytes = std::size_t {settings.memoryMb} * bytesPerKb * bytesPerKb;
+    if (settings.maxFds > 0)
+        resources.descriptors = settings.maxFds;
+    result.memory = divideResources(resources);
     return result;
 }
 
@@ -316,6 +323,7 @@
     }
     if (options.checkOnly)
         return static_cast<int>(DaemonExitStatus::Success);
+    returnFreedMemory();
     LogWriter log;
     log.install();
     GatewayDaemon daemon(gatewaySettings, options.settingsFile,
--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -3,6 +3,7 @@
 #include "listener.h"
 
 #include "eventlog.h"
+#include "monotonicclock.h"
 
 #include <boost/asio/post.hpp>
 
@@ -36,6 +37,12 @@
         m_acceptor.open(endpoint.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec && m_receiveBytes > 0)
+        m_acceptor.set_option(
+                asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveBytes)), ec);
+    if (!ec && m_sendBytes > 0)
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(static_cast<int>(m_sendBytes)),
+                              ec);
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
@@ -47,6 +54,12 @@
     return std::nullopt;
 }
 
+void Listener::setBufferSizes(std::size_t receiveBytes, std::size_t sendBytes)
+{
+    m_receiveBytes = receiveBytes;
+    m_sendBytes = sendBytes;
+}
+
 std::uint16_t Listener::port() const
 {
     return m_port;
@@ -96,7 +109,10 @@
     }
     if (!m_acceptor.is_open())
         return;
-    EventLog("accept_failed", EventLevel::Warning).field("reason", ec.message());
+    if (const auto more = m_failureLog.admit(monotonicNow()))
+        EventLog("accept_failed", EventLevel::Warning)
+                .field("reason", ec.message())
+                .field("more", *more);
     m_retryTimer.expires_after(retryDelay);
     m_retryTimer.async_wait([self = shared_from_this()](auto) { self->acceptNext(); });
 }
--- a/src/listener.h
+++ b/src/listener.h
@@ -3,6 +3,8 @@
 #ifndef CORNELSHED_LISTENER_H
 #define CORNELSHED_LISTENER_H
 
+#include "logthrottle.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +29,10 @@
     // round-robin. Each context must be run by exactly one thread.
     explicit Listener(std::vector<boost::asio::io_context *> contexts);
 
+    // Sizes of the kernel's buffers of each connection; 0: its default. To be called before
+    // listen(), as the receive buffer bounds the window that is agreed on with the peer.
+    void setBufferSizes(std::size_t receiveBytes, std::size_t sendBytes);
+
     // Port 0 selects any free port. Returns the error message on failure.
     std::optional<std::string> listen(const std::string &address, std::uint16_t port,
                                       AcceptHandler acceptHandler);
@@ -46,6 +52,9 @@
     boost::asio::steady_timer m_retryTimer;
     AcceptHandler m_acceptHandler;
     std::uint16_t m_port = 0;
+    std::size_t m_receiveBytes = 0;
+    std::size_t m_sendBytes = 0;
+    LogThrottle m_failureLog {0.2, 2};
 };
 
 } // namespace cornelshed::detail
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -18,6 +18,9 @@
 // After the agent starts, gateways report the requests that they run within this time.
 constexpr Duration recoveryDuration = 250ms;
 constexpr std::size_t queueLimit = 500;
+// A renewal adds no lease beyond this many: a backend server has some tens of slots, and anyone can
+// send a datagram that lists thousands.
+constexpr std::size_t leaseLimit = 1000;
 // Slots of a cold backend server that an agent grants in its first second if the gateway states no
 // limit.
 constexpr std::uint32_t minColdRestartLimit = 2;
@@ -60,6 +63,8 @@
                           Instant now)
 {
     for (const std::uint64_t sequence : sequences) {
+        if (m_leases.size() >= leaseLimit && !m_leases.contains({gateway, sequence}))
+            continue;
         const auto [it, added] = m_leases.try_emplace({gateway, sequence});
         it->second.expiresAt = now + leaseDuration;
         if (added)
