--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -81,6 +81,10 @@
     bool promptCache = false;
     std::uint32_t promptCacheTokens = 262144; // that a backend server caches
 
+    // Memory and file descriptors that the process may use; 0: those of the host.
+    std::uint32_t memoryMb = 0;
+    std::uint32_t maxFds = 0;
+
     std::uint32_t answeredLogInterval = 20; // one of every this many answered requests is logged
 
     std::optional<CloudSettings> cloud; // empty: no duties
--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -3,6 +3,7 @@
 #include "listener.h"
 
 #include "eventlog.h"
+#include "monotonicclock.h"
 
 #include <boost/asio/post.hpp>
 
@@ -18,6 +19,9 @@
 // accept() fails repeatedly while the process is out of file descriptors. The delay keeps the
 // accept loop from using a whole core during that time.
 constexpr std::chrono::milliseconds retryDelay {50};
+// Connections that are not accepted yet may have unread data as well, which counts toward the
+// memory. A gateway that stalls for a second gets some tens of new connections meanwhile.
+constexpr int boundedBacklog = 512;
 
 } // namespace
 
@@ -36,10 +40,18 @@
         m_acceptor.open(endpoint.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec && m_receiveBytes > 0)
+        m_acceptor.set_option(
+                asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveBytes)), ec);
+    if (!ec && m_sendBytes > 0)
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(static_cast<int>(m_sendBytes)),
+                              ec);
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        m_acceptor.listen(m_receiveBytes > 0 ? boundedBacklog
+                                             : asio::socket_base::max_listen_connections,
+                          ec);
     if (ec)
         return "cannot listen on " + address + ":" + std::to_string(port) + ": " + ec.message();
     m_port = m_acceptor.local_endpoint().port();
@@ -47,6 +59,12 @@
     return std::nullopt;
 }
 
+void Listener::setBufferSizes(std::size_t receiveBytes, std::size_t sendBytes)
+{
+    m_receiveBytes = receiveBytes;
+    m_sendBytes = sendBytes;
+}
+
 std::uint16_t Listener::port() const
 {
     return m_port;
@@ -96,7 +114,10 @@
     }
     if (!m_acceptor.is_open())
         return;
-    EventLog("accept_failed", EventLevel::Warning).field("reason", ec.message());
+    if (const auto more = m_failureLog.admit(monotonicNow()))
+        EventLog("accept_failed", EventLevel::Warning)
+                .field("reason", ec.message())
+                .field("more", *more);
     m_retryTimer.expires_after(retryDelay);
     m_retryTimer.async_wait([self = shared_from_this()](auto) { self->acceptNext(); });
 }
