Duties: do not write a call after its time-out on the boot clock

The lease was checked when a call was started, but the request was written only once the connection was established. A gateway that was suspended or starved in between wrote it on resuming, since the timers run on the steady clock or were handled after the connection. A successor may have sent calls by then. After a time-out, the host could also go on to send buffered data.

The boot clock is now read again directly before the request is written, and a failed call is closed with a reset.

--- a/src/backendclient.cpp
+++ b/src/backendclient.cpp
@@ -341,6 +341,7 @@
         m_echoHeaderValue = std::move(request.echoHeaderValue);
         m_echoOptional = request.echoOptional;
         m_reuseAllowed = !request.ownConnection;
+        m_writeBefore = request.writeBefore;
         m_timer.expires_after(request.timeLimit);
         m_request.method_string(request.method);
         m_request.target(request.path);
@@ -369,6 +370,11 @@
 
     void writeRequest()
     {
+        // The timers stop while the host is suspended.
+        if (m_writeBefore > Duration::zero() && timeSinceBoot() > m_writeBefore) {
+            end(ConnectionEnd::TimedOut);
+            return;
+        }
         m_writeStarted = true;
         watchWindow();
         http::async_write(m_socket, m_request, [self = shared_from_this()](auto ec, std::size_t) {
@@ -580,6 +586,9 @@
         m_windowTimer.cancel();
         m_connectTimer.cancel();
         boost::system::error_code ec;
+        // After an orderly close, the host would go on to send what it has buffered.
+        if (m_writeBefore > Duration::zero())
+            m_socket.set_option(asio::socket_base::linger(true, 0), ec);
         m_socket.close(ec);
         // Posted, because abandon() may be called by the owner of the BackendResponseHandler.
         asio::post(m_pool->context(), [self = shared_from_this(), error] {
@@ -612,6 +621,7 @@
     bool m_otherResponseSeen = false; // a response to another request was received
     bool m_isNewConnection = true;    // no earlier request was sent on it
     bool m_reuseAllowed = true;       // the connection may be one from the pool and return to it
+    Duration m_writeBefore {};        // 0: unlimited
     bool m_endsWithReset = false;     // the server did not echo the id, which is optional
     bool m_ended = false;
 };
--- a/src/backendclient.h
+++ b/src/backendclient.h
@@ -58,6 +58,10 @@
     bool echoOptional = false;
     // Uses a connection of its own, on which no response to another request can arrive.
     bool ownConnection = false;
+    // On the clock of timeSinceBoot(). The writing does not begin after this time, also if the host
+    // was suspended while the connection was established, and what a failed exchange has not
+    // delivered is discarded. 0: unlimited.
+    Duration writeBefore {};
 
     bool operator==(const BackendRequest &) const = default;
 };
--- a/src/dutyclient.cpp
+++ b/src/dutyclient.cpp
@@ -81,6 +81,7 @@
     BackendRequest request {call.method, call.path, call.headers, call.body, m_callTimeout};
     // Of a call on a connection that was lost meanwhile, nobody could tell whether it was taken.
     request.ownConnection = true;
+    request.writeBefore = now + m_callTimeout;
     m_client.start(
             std::move(request),
             std::make_shared<StatusHandler>(
--- a/src/dutyclient.h
+++ b/src/dutyclient.h
@@ -29,7 +29,8 @@
     bool isReady(Duration now) const;
     bool isIdle() const { return m_state->inProgress == 0; }
 
-    // ended is called once, unless this object is destroyed before. duty: for the metrics.
+    // now: on the clock of timeSinceBoot(). ended is called once, unless this object is destroyed
+    // before. duty: for the metrics.
     using Ended = std::function<void(DutyCallOutcome outcome, std::uint32_t status)>;
     void send(const EncodedDutyCall &call, const char *duty, Duration now, Ended ended);
 
