Usage: keep windows through an outage in which no call is answered

A window was given up after 20 calls without an answer, about 90 s. A platform that accepts connections and does not answer for that long lost the windows in the row for good, although windows are to be sent late rather than never.

Calls without an answer now count toward that limit only if another window was accepted since the last one. Otherwise a window is given up after 240 of them, 20 minutes, which is as long as gateways keep counts.

--- a/src/usageduty.cpp
+++ b/src/usageduty.cpp
@@ -3,6 +3,7 @@
 #include "usageduty.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelshed {
 
@@ -25,7 +26,10 @@
 constexpr std::int64_t windowLimit = 240;
 constexpr Duration firstRetryPause = 250ms;
 constexpr int maxRetryDoublings = 4;
+// A window whose calls stay without an answer while others are accepted is given up. In an outage
+// of the platform no window is; this limit is reached when no gateway would have its counts.
 constexpr int unansweredLimit = 20;
+constexpr int outageUnansweredLimit = 240;
 constexpr int refusedLimit = 5;
 
 } // namespace
@@ -152,7 +156,10 @@
     }
     if (next == nullptr)
         return std::nullopt;
-    m_attempts[next->window].inProgress = true;
+    Attempts &attempts = m_attempts[next->window];
+    attempts.inProgress = true;
+    if (attempts.failures == 0)
+        attempts.acceptedBefore = m_accepted;
     return *next;
 }
 
@@ -165,9 +172,16 @@
     attempts.inProgress = false;
     attempts.nextAt = now + firstRetryPause * (1 << std::min(attempts.failures, maxRetryDoublings));
     ++attempts.failures;
-    attempts.unanswered += outcome == DutyCallOutcome::Unanswered ? 1 : 0;
+    if (outcome == DutyCallOutcome::Accepted)
+        ++m_accepted;
+    if (outcome == DutyCallOutcome::Unanswered) {
+        const bool othersAccepted = std::exchange(attempts.acceptedBefore, m_accepted) < m_accepted;
+        ++(othersAccepted ? attempts.unanswered : attempts.unansweredInOutage);
+    }
     attempts.refused += outcome == DutyCallOutcome::Refused ? 1 : 0;
-    const bool givenUp = attempts.unanswered >= unansweredLimit || attempts.refused >= refusedLimit;
+    const bool givenUp = attempts.unanswered >= unansweredLimit
+            || attempts.unansweredInOutage >= outageUnansweredLimit
+            || attempts.refused >= refusedLimit;
     m_skipped += givenUp ? 1 : 0;
     if (outcome != DutyCallOutcome::Accepted && !givenUp)
         return false;
--- a/src/usageduty.h
+++ b/src/usageduty.h
@@ -83,7 +83,9 @@
         bool inProgress = false;
         Duration nextAt {};
         int failures = 0;
-        int unanswered = 0;
+        int unanswered = 0; // while other windows were accepted
+        int unansweredInOutage = 0;
+        std::uint64_t acceptedBefore = 0; // m_accepted at the latest call without an answer
         int refused = 0;
     };
 
@@ -98,6 +100,7 @@
     std::map<std::int64_t, UsageCounts> m_known; // fixed in this or an earlier era
     std::int64_t m_replacedNextWindow = 0;       // of the row that the last acquisition replaces
     std::uint64_t m_skipped = 0;
+    std::uint64_t m_accepted = 0; // calls
 };
 
 } // namespace cornelshed
