Gossip: bound the duties' part of a report

Fixed windows were also sent with every report, although they change once in a window.

Windows that do not fit are left out, the least important ones first, and the fixed ones are sent once a second. The test checks the order and that a window without its counts is not reported as closed. It does not cover the socket.

--- a/src/dutyreport.cpp
+++ b/src/dutyreport.cpp
@@ -6,6 +6,8 @@
 
 #include "gossip.capnp.h"
 
+#include <algorithm>
+
 namespace cornelshed {
 
 namespace {
@@ -55,6 +57,24 @@
     return detail::packDatagram(message);
 }
 
+std::string encodeDutyReport(DutyReport report, std::size_t limitBytes)
+{
+    std::string text = encodeDutyReport(report);
+    while (text.size() > limitBytes) {
+        if (!report.fixed.empty()) {
+            report.fixed.erase(report.fixed.begin());
+        } else if (!report.windows.empty()) {
+            // Without its counts, the window must not count as closed here.
+            report.openWindow = std::min(report.openWindow, report.windows.back().window);
+            report.windows.pop_back();
+        } else {
+            return {};
+        }
+        text = encodeDutyReport(report);
+    }
+    return text;
+}
+
 std::optional<DutyReport> decodeDutyReport(const std::string &text)
 {
     DutyReport report;
--- a/src/dutyreport.h
+++ b/src/dutyreport.h
@@ -9,6 +9,7 @@
 #include "types.h"
 #include "usagewindows.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,10 @@
 
 std::string encodeDutyReport(const DutyReport &report);
 
+// Leaves out windows, the least important ones first, so that the text has no more bytes than this.
+// Returns an empty text if even a report without windows is longer.
+std::string encodeDutyReport(DutyReport report, std::size_t limitBytes);
+
 // Returns nothing if the text is not a valid report.
 std::optional<DutyReport> decodeDutyReport(const std::string &text);
 
--- a/src/peergossip.cpp
+++ b/src/peergossip.cpp
@@ -34,6 +34,9 @@
 constexpr Duration rolloutReportInterval = 200ms;
 // The same for reports that include duties. A gateway that is killed loses the counts of this time.
 constexpr Duration dutyReportInterval = 150ms;
+// The same for the windows that are fixed, which change once in a window. With the counts of the
+// open windows they would be most of what a holder sends.
+constexpr Duration fixedReportInterval = 1s;
 // Ages in a peer's report are cut to this.
 constexpr Duration longestReportedTime = 24h;
 
@@ -137,6 +140,13 @@
     return report;
 }
 
+std::string encodeDuties(DutyReport report, bool includesFixed, std::size_t limitBytes)
+{
+    if (!includesFixed)
+        report.fixed.clear();
+    return encodeDutyReport(std::move(report), limitBytes);
+}
+
 } // namespace
 
 std::string encodeGossip(const GossipReport &report)
@@ -249,6 +259,7 @@
         bool registered = false; // has a row in the store
         Instant rolloutsSentAt = Instant::min();
         Instant dutiesSentAt = Instant::min();
+        Instant fixedSentAt = Instant::min();
     };
 
     Private(asio::io_context &context, GatewayRecord gateway, ReportComposer reportComposer,
@@ -335,7 +346,9 @@
         const Instant now = monotonicNow();
         GossipReport report = composeReport();
         const auto duties = std::exchange(report.duties, std::nullopt);
-        std::string encodedDuties; // once a recipient is due
+        // With and without the fixed windows, once a recipient is due.
+        std::string encodedDuties;
+        std::string encodedCounts;
         const std::string complete = encodeGossip(report);
         const bool hasRollouts = !report.rollouts.empty();
         report.rollouts.clear();
@@ -348,9 +361,15 @@
             std::string datagram = due ? complete : withoutRollouts;
             if (duties && (isLast || now >= peer.dutiesSentAt + dutyReportInterval)) {
                 peer.dutiesSentAt = now;
-                if (encodedDuties.empty())
-                    encodedDuties = encodeDutyReport(*duties);
-                datagram += encodedDuties;
+                const bool fixedDue = isLast || now >= peer.fixedSentAt + fixedReportInterval;
+                if (fixedDue)
+                    peer.fixedSentAt = now;
+                std::string &text = fixedDue ? encodedDuties : encodedCounts;
+                if (text.empty())
+                    text = encodeDuties(*duties, fixedDue,
+                                        maxDatagramBytes
+                                                - std::min(maxDatagramBytes, complete.size()));
+                datagram += text;
             }
             if (datagram.size() > maxDatagramBytes)
                 continue;
--- a/test/correctness/usageduty.cpp
+++ b/test/correctness/usageduty.cpp
@@ -3,12 +3,14 @@
 
 #include "usageduty.h"
 
+#include "dutyreport.h"
 #include "stabledigest.h"
 #include "usagewindows.h"
 #include "windowclock.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace cornelshed;
@@ -103,6 +105,43 @@
     CHECK(windows.takeReport().size() == 2);
 }
 
+TEST_CASE("a report of many organisations keeps the newest counts when not all fit")
+{
+    DutyReport report;
+    report.openWindow = firstWindow + 9;
+    report.number = 7;
+    std::map<std::uint64_t, std::uint64_t> counts;
+    for (int n = 0; n < 400; ++n)
+        counts[stableDigest("organisation " + std::to_string(n))] = 300;
+    for (std::int64_t n = 0; n < 5; ++n)
+        report.windows.push_back({firstWindow + 9 - n, counts});
+    for (std::int64_t n = 0; n < 10; ++n)
+        report.fixed.push_back({firstWindow - 10 + n, counts});
+    const std::size_t all = encodeDutyReport(report).size();
+    MESSAGE("bytes of 15 windows of 400 organisations: ", all);
+    CHECK(all > 60000);
+    CHECK(encodeDutyReport(report, all) == encodeDutyReport(report));
+    for (const std::size_t limit : {std::size_t {30000}, std::size_t {8000}, std::size_t {100}}) {
+        const std::string text = encodeDutyReport(report, limit);
+        CHECK(text.size() <= limit);
+        const auto decoded = decodeDutyReport(text);
+        REQUIRE(decoded);
+        CHECK(decoded->number == 7);
+        CHECK(decoded->windows.size() == (limit == 30000 ? 5 : limit == 8000 ? 1 : 0));
+        for (std::size_t n = 0; n < decoded->windows.size(); ++n)
+            CHECK(decoded->windows[n] == report.windows[n]);
+        // A window whose counts are missing is not closed.
+        for (const WindowCounts &it : report.windows) {
+            const bool isIncluded = std::find(decoded->windows.begin(), decoded->windows.end(), it)
+                    != decoded->windows.end();
+            CHECK((isIncluded || it.window >= decoded->openWindow));
+        }
+        for (const WindowCounts &it : decoded->fixed)
+            CHECK(it.window > firstWindow - 10);
+    }
+    CHECK(encodeDutyReport(report, 1).empty());
+}
+
 TEST_CASE("counts are kept until they are fixed, and for a while after")
 {
     UsageWindows windows = ownCounts(1);
