Agent: frames that still arrive do not count as stalled

An agent takes room for the whole of a frame before it arrives, and that counted as progress up to its full length, so no byte that arrived afterwards did. A frame that took more than a second lost its session, with all requests on it, when another frame needed room.

Only bytes that have arrived count now. So that a few peers that send 1 KiB a second cannot keep the room instead, a frame must grow by 1/32 of its length in each second while others wait. The first new case of correctness.requestmemory fails if the room is taken as before (hold() instead of holdInAdvance()).

--- a/src/agentmemory.cpp
+++ b/src/agentmemory.cpp
@@ -40,7 +40,7 @@
     bool take(std::size_t frameBytes) override
     {
         m_memory->m_memory.beginRequest(m_holder, monotonicNow());
-        if (m_memory->hold(m_holder, frameBytes))
+        if (m_memory->holdInAdvance(m_holder, frameBytes))
             return true;
         release();
         return false;
@@ -120,7 +120,16 @@
 
 bool AgentMemory::hold(RequestMemory::Holder holder, std::size_t bytes)
 {
-    const RequestMemory::Room room = m_memory.hold(holder, bytes, monotonicNow());
+    return carryOut(m_memory.hold(holder, bytes, monotonicNow()));
+}
+
+bool AgentMemory::holdInAdvance(RequestMemory::Holder holder, std::size_t bytes)
+{
+    return carryOut(m_memory.holdInAdvance(holder, bytes, monotonicNow()));
+}
+
+bool AgentMemory::carryOut(const RequestMemory::Room &room)
+{
     for (const RequestMemory::Holder it : room.dropped) {
         m_dropped.add();
         log("request_memory_limit_bytes");
--- a/src/agentmemory.h
+++ b/src/agentmemory.h
@@ -43,6 +43,9 @@
     RequestMemory::Holder open(std::function<void()> onDropped);
     void close(RequestMemory::Holder holder);
     bool hold(RequestMemory::Holder holder, std::size_t bytes);
+    bool holdInAdvance(RequestMemory::Holder holder, std::size_t bytes);
+    // Closes the sessions that were dropped. Returns whether the room was granted.
+    bool carryOut(const RequestMemory::Room &room);
     void log(std::string_view reason);
 
     RequestMemory m_memory;
--- a/src/requestmemory.cpp
+++ b/src/requestmemory.cpp
@@ -3,6 +3,7 @@
 
 #include "requestmemory.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace cornelshed {
@@ -41,6 +42,7 @@
     entry->state = State::Receiving;
     entry->progressAt = now;
     entry->bytesAtProgress = entry->bytes;
+    entry->progressBytes = m_limits.progressBytes;
     entry->position = m_receiving.insert(m_receiving.end(), holder);
     return true;
 }
@@ -59,6 +61,21 @@
     return room;
 }
 
+RequestMemory::Room RequestMemory::holdInAdvance(Holder holder, std::size_t bytes, Instant now)
+{
+    Room room;
+    Entry *entry = find(holder);
+    if (entry == nullptr)
+        return room;
+    room.isGranted = makeRoom(holder, bytes, now, room.dropped);
+    if (!room.isGranted)
+        return room;
+    setBytes(holder, *entry, bytes);
+    entry->progressBytes =
+            std::max(m_limits.progressBytes, bytes / m_limits.advanceProgressDivisor);
+    return room;
+}
+
 RequestMemory::Room RequestMemory::expect(Holder holder, std::size_t bytes, Instant now)
 {
     Room room;
@@ -75,7 +92,7 @@
 
 void RequestMemory::noteProgress(Entry &entry, std::size_t bytes, Instant now)
 {
-    if (entry.state != State::Receiving || bytes < entry.bytesAtProgress + m_limits.progressBytes)
+    if (entry.state != State::Receiving || bytes < entry.bytesAtProgress + entry.progressBytes)
         return;
     entry.bytesAtProgress = bytes;
     entry.progressAt = now;
--- a/src/requestmemory.h
+++ b/src/requestmemory.h
@@ -33,6 +33,9 @@
     // dropped only while room is short, so a pause of the network does no harm otherwise.
     std::size_t progressBytes = 1024;
     Duration stallTime = std::chrono::seconds(1);
+    // A request that takes its room in advance is stalled also if it grows by less than this part
+    // of it, or a few slow ones could keep all room.
+    std::size_t advanceProgressDivisor = 32;
 
     bool operator==(const RequestMemoryLimits &) const = default;
 };
@@ -66,6 +69,10 @@
     // The request holds this many bytes from now on. If it is not granted, it holds what it held.
     Room hold(Holder holder, std::size_t bytes, Instant now);
 
+    // Like hold(), for a request that has begun and takes all of its room before its bytes arrive.
+    // Only noteArrived() counts as progress then.
+    Room holdInAdvance(Holder holder, std::size_t bytes, Instant now);
+
     // Like hold(), for bytes that are still to come: makes room, but takes none.
     Room expect(Holder holder, std::size_t bytes, Instant now);
 
@@ -94,6 +101,7 @@
         State state = State::Idle;
         std::size_t bytes = 0;
         std::size_t bytesAtProgress = 0;
+        std::size_t progressBytes = 0; // by which it must grow
         Instant progressAt;
         std::list<Holder>::iterator position; // in m_idle or m_receiving
     };
--- a/test/correctness/requestmemory.cpp
+++ b/test/correctness/requestmemory.cpp
@@ -149,6 +149,25 @@
     CHECK(memory.hold(2, 200, at(1900)) == RequestMemory::Room {true, {1}});
 }
 
+TEST_CASE("a request that holds room in advance and still arrives is not dropped")
+{
+    RequestMemory memory = receivingMemory(2);
+    CHECK(memory.holdInAdvance(1, 700, at(0)).isGranted);
+    for (int n = 1; n <= 10; ++n) {
+        memory.noteArrived(1, static_cast<std::size_t>(60 * n), at(900 * n));
+        CHECK_FALSE(memory.hold(2, 200, at(900 * n + 100)).isGranted);
+    }
+    CHECK(memory.hold(2, 200, at(10000)) == RequestMemory::Room {true, {1}});
+}
+
+TEST_CASE("a request that holds room in advance and hardly arrives gives way")
+{
+    RequestMemory memory = receivingMemory(2);
+    CHECK(memory.holdInAdvance(1, 700, at(0)).isGranted); // 21 bytes are progress
+    memory.noteArrived(1, 12, at(900));
+    CHECK(memory.hold(2, 200, at(1000)) == RequestMemory::Room {true, {1}});
+}
+
 TEST_CASE("random sequences: the sum is exact and within the limit, nothing running is dropped")
 {
     const bool holds = rc::check([] {
