--- a/test/correctness/usageduty.cpp
+++ b/test/correctness/usageduty.cpp
@@ -2,12 +2,17 @@
 // windows that are sent with counts that another holder may have sent differently.
 
 #include "usageduty.h"
+
+#include "dutyreport.h"
 #include "stabledigest.h"
 #include "usagewindows.h"
 #include "windowclock.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+
 using namespace cornelshed;
 using namespace std::chrono_literals;
 
@@ -100,6 +105,43 @@
     CHECK(windows.takeReport().size() == 2);
 }
 
+TEST_CASE("a report of many organisations keeps the newest counts when not all fit")
+{
+    DutyReport report;
+    report.openWindow = firstWindow + 9;
+    report.number = 7;
+    std::map<std::uint64_t, std::uint64_t> counts;
+    for (int n = 0; n < 400; ++n)
+        counts[stableDigest("organisation " + std::to_string(n))] = 300;
+    for (std::int64_t n = 0; n < 5; ++n)
+        report.windows.push_back({firstWindow + 9 - n, counts});
+    for (std::int64_t n = 0; n < 10; ++n)
+        report.fixed.push_back({firstWindow - 10 + n, counts});
+    const std::size_t all = encodeDutyReport(report).size();
+    MESSAGE("bytes of 15 windows of 400 organisations: ", all);
+    CHECK(all > 60000);
+    CHECK(encodeDutyReport(report, all) == encodeDutyReport(report));
+    for (const std::size_t limit : {std::size_t {30000}, std::size_t {8000}, std::size_t {100}}) {
+        const std::string text = encodeDutyReport(report, limit);
+        CHECK(text.size() <= limit);
+        const auto decoded = decodeDutyReport(text);
+        REQUIRE(decoded);
+        CHECK(decoded->number == 7);
+        CHECK(decoded->windows.size() == (limit == 30000 ? 5 : limit == 8000 ? 1 : 0));
+        for (std::size_t n = 0; n < decoded->windows.size(); ++n)
+            CHECK(decoded->windows[n] == report.windows[n]);
+        // A window whose counts are missing is not closed.
+        for (const WindowCounts &it : report.windows) {
+            const bool isIncluded = std::find(decoded->windows.begin(), decoded->windows.end(), it)
+                    != decoded->windows.end();
+            CHECK((isIncluded || it.window >= decoded->openWindow));
+        }
+        for (const WindowCounts &it : decoded->fixed)
+            CHECK(it.window > firstWindow - 10);
+    }
+    CHECK(encodeDutyReport(report, 1).empty());
+}
+
 TEST_CASE("counts are kept until they are fixed, and for a while after")
 {
     UsageWindows windows = ownCounts(1);
@@ -182,16 +224,43 @@
     for (const auto &[outcome, attempts] :
          {std::pair(DutyCallOutcome::Refused, 5), std::pair(DutyCallOutcome::Unanswered, 20)}) {
         UsageDuty duty({5s, 10s});
-        duty.confirmed({firstWindow + 1, {{firstWindow, {{"alpha", 4}}}}});
+        std::vector<FixedWindow> pending {{firstWindow, {{"alpha", 4}}}};
+        for (std::int64_t n = 1; n <= attempts; ++n)
+            pending.push_back({firstWindow + n, {{"alpha", 1}}});
+        duty.confirmed({firstWindow + attempts + 1, pending});
         Duration now = 1s;
         for (int n = 1; n <= attempts; ++n, now += 10s) {
-            REQUIRE(duty.nextCall(now));
+            // All are due now; one of the others is accepted during each call of the first.
+            std::set<std::int64_t> called;
+            while (const auto call = duty.nextCall(now))
+                called.insert(call->window);
+            REQUIRE(called.contains(firstWindow));
+            REQUIRE(called.contains(firstWindow + n));
+            CHECK(duty.callEnded(firstWindow + n, DutyCallOutcome::Accepted, now));
             CHECK(duty.callEnded(firstWindow, outcome, now) == (n == attempts));
+            for (const std::int64_t it : called)
+                duty.callEnded(it, DutyCallOutcome::NotTaken, now);
         }
         CHECK(duty.skippedCount() == 1);
     }
 }
 
+TEST_CASE("no window is given up while the platform answers no call at all, for 20 minutes")
+{
+    UsageDuty duty({5s, 10s});
+    const FixedWindow window {firstWindow, {{"alpha", 4}}};
+    duty.confirmed({firstWindow + 1, {window}});
+    Duration now = 1s;
+    for (int n = 1; n < 240; ++n, now += 5s) {
+        REQUIRE(duty.nextCall(now) == window);
+        CHECK(!duty.callEnded(firstWindow, DutyCallOutcome::Unanswered, now));
+    }
+    CHECK(duty.skippedCount() == 0);
+    REQUIRE(duty.nextCall(now) == window);
+    CHECK(duty.callEnded(firstWindow, DutyCallOutcome::Unanswered, now));
+    CHECK(duty.skippedCount() == 1);
+}
+
 TEST_CASE("a successor in the same era repeats what is fixed, and fixes what follows")
 {
     const DutyProgress stored {firstWindow + 1, {{firstWindow, {{"alpha", 4}}}}};
