Circuit breaker of a server: only its probe ends it

Cause: a stream that breaks when its server crashes releases its slot as sent. If that release arrived after a refusal of another request, it ended the circuit breaker, and the delays between probes began again at 50 ms.

Change: while a server is down, slots are granted to probes only, so only a release of the last probe since the last refusal ends the circuit breaker. A probe that has held its slot for 60 ms ends it as before.

--- a/apps/measure/loadedfleet.cpp
+++ b/apps/measure/loadedfleet.cpp
@@ -250,7 +250,7 @@
         if (action.serverDown)
             m_allocators[server].serverRefused(key, m_events.now());
         else if (!action.unused)
-            m_allocators[server].serverResponded();
+            m_allocators[server].serverResponded(key);
         sendGrants(server);
     }
 
--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -100,7 +100,7 @@
             if (release->serverDown)
                 allocator.serverRefused(release->key, now);
             else if (!release->unused)
-                allocator.serverResponded();
+                allocator.serverResponded(release->key);
         } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
             trackGateway(renewal->gateway, sender, now);
             allocator.renew(renewal->gateway, renewal->sequences, now);
--- a/src/slotallocator.cpp
+++ b/src/slotallocator.cpp
@@ -69,13 +69,19 @@
     // Requests that were granted together are refused together.
     if (m_refusals > 0 && key != m_probe)
         return;
-    m_probe = {};
+    m_probe.reset();
     m_probeAt = now
             + std::min<Duration>(firstProbeDelay * (1U << std::min(m_refusals, 3U)),
                                  longestProbeDelay);
     ++m_refusals;
 }
 
+void SlotAllocator::serverResponded(const SlotKey &key)
+{
+    if (key == m_probe)
+        m_refusals = 0;
+}
+
 void SlotAllocator::renew(std::uint64_t gateway, const std::vector<std::uint64_t> &sequences,
                           Instant now)
 {
@@ -97,7 +103,7 @@
     expire(now);
     std::vector<SlotKey> granted;
     std::swap(granted, m_regrants);
-    const auto probe = m_leases.find(m_probe);
+    const auto probe = m_probe ? m_leases.find(*m_probe) : m_leases.end();
     if (probe != m_leases.end() && probe->second.grantedAt + connectedAfter <= now)
         m_refusals = 0;
     if (now < m_recoveryEndsAt || (m_refusals > 0 && now < m_probeAt))
--- a/src/slotallocator.h
+++ b/src/slotallocator.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace cornelshed {
@@ -63,8 +64,9 @@
     // server is down, and a server that fails at once always has free slots. Call it after
     // release(), which takes a probe that was not sent for one that found out nothing.
     void serverRefused(const SlotKey &key, Instant now);
-    // A request ran on the backend server.
-    void serverResponded() { m_refusals = 0; }
+    // A request that was sent to the backend server ended. Only one that was granted after the last
+    // refusal shows that the server is back: a stream that broke at the crash ends in the same way.
+    void serverResponded(const SlotKey &key);
     bool isServerDown() const { return m_refusals > 0; }
 
     // Renews the leases of the listed requests, which are all that the gateway runs here, and frees
@@ -106,9 +108,9 @@
     std::deque<Instant> m_recentGrants;      // of the last second
     std::vector<SlotKey> m_regrants; // requested again while holding a slot; the grant is resent
     std::uint64_t m_arrivalCount = 0;
-    std::uint32_t m_refusals = 0; // delays since the last request that ran
-    Instant m_probeAt {};         // the next slot of a server that is down is granted
-    SlotKey m_probe;              // the last request that got one
+    std::uint32_t m_refusals = 0;   // delays since the last request that ran
+    Instant m_probeAt {};           // the next slot of a server that is down is granted
+    std::optional<SlotKey> m_probe; // the last request that got one since the last refusal
     NamedLimit m_namedLimit;
     double m_limitedGrants = 0; // that a named limit allows now
     Instant m_limitedGrantsAt;  // when m_limitedGrants was brought up to date
--- a/test/correctness/slotallocator.cpp
+++ b/test/correctness/slotallocator.cpp
@@ -249,7 +249,7 @@
     server.now += 20ms;
     // As the agent does for a release of a request that was sent, without a refusal.
     server.allocator.release(probe[0]);
-    server.allocator.serverResponded();
+    server.allocator.serverResponded(probe[0]);
     CHECK_FALSE(server.allocator.isServerDown());
     CHECK(server.allocator.advance(server.now).size() == 2);
 }
@@ -325,3 +325,56 @@
     CHECK(server.grantsWithin(1s).size() == 1);
     CHECK(server.now - refusedAt == 100ms);
 }
+
+// Failure: streams break when their server crashes, and their releases arrive in any order with the
+// refusals of requests that were sent after it. Each one ended the circuit breaker.
+TEST_CASE("a server that refuses connections: streams that broke at the crash do not end that")
+{
+    SlotAllocator allocator(start);
+    for (std::uint64_t n = 1; n <= 6; ++n)
+        allocator.requestSlot({{n, n}, 0, 0, 3, 0, 60s}, ready);
+    REQUIRE(allocator.advance(ready).size() == 3);
+    allocator.renew(1, {1}, ready + 100ms);
+    allocator.renew(2, {2}, ready + 100ms);
+    // The third request is refused, then the releases of the two streams arrive.
+    allocator.release({3, 3}, true);
+    allocator.serverRefused({3, 3}, ready + 100ms);
+    allocator.release({1, 1});
+    allocator.serverResponded({1, 1});
+    CHECK(allocator.isServerDown());
+    CHECK(allocator.advance(ready + 101ms).empty());
+    // The probe is on its way when the other one arrives.
+    const auto probe = allocator.advance(ready + 150ms);
+    REQUIRE(probe.size() == 1);
+    allocator.release({2, 2});
+    allocator.serverResponded({2, 2});
+    CHECK(allocator.isServerDown());
+    CHECK(allocator.advance(ready + 151ms).empty());
+    // It is refused: the next delay is the second one, not the first.
+    allocator.release(probe[0], true);
+    allocator.serverRefused(probe[0], ready + 152ms);
+    CHECK(allocator.advance(ready + 251ms).empty());
+    CHECK(allocator.advance(ready + 252ms).size() == 1);
+}
+
+// Failure: a release is repeated by the network, after the server that was back has crashed again.
+TEST_CASE("a server that refuses connections: an earlier probe's repeated release ends nothing")
+{
+    RefusingServer server;
+    for (const SlotKey &it : server.grantsWithin(1s))
+        server.refuse(it);
+    const auto probe = server.grantsWithin(1s);
+    REQUIRE(probe.size() == 1);
+    server.allocator.release(probe[0]);
+    server.allocator.serverResponded(probe[0]);
+    REQUIRE_FALSE(server.allocator.isServerDown());
+    const auto granted = server.grantsWithin(1s);
+    REQUIRE(granted.size() == 2);
+    server.refuse(granted[0]);
+    server.allocator.release(probe[0]);
+    server.allocator.serverResponded(probe[0]);
+    // Nor does a message of a request that was never granted.
+    server.allocator.serverResponded({});
+    CHECK(server.allocator.isServerDown());
+    CHECK(server.allocator.advance(server.now + 49ms).empty());
+}
