An agent says that its server is down; gateways leave it alone

Cause: a crashed server runs nothing, so it seems the least loaded one until its record is gone. Slot requests went to its agent, which grants almost none while the server refuses connections, and requests waited there.

Change: AdmissionQueued.serverDown, set while the circuit breaker of the agent's allocator is open. The gateway then withdraws its slot requests there and sends no new ones for 200 ms, as after a refused connection of its own. The withdrawn requests ask others in the same pass. After the backoff, requests that wait ask the agent again, and one of them becomes the next probe. A message without the field decodes as before.

--- a/apps/measure/loadedfleet.cpp
+++ b/apps/measure/loadedfleet.cpp
@@ -236,8 +236,10 @@
         sendGrants(server);
         if (!allocator.isQueued(keyOf(id)))
             return;
-        send([this, id, server, ahead = allocator.ahead(keyOf(id))] {
-            schedulerOf(id).slotRequestQueued(id, idOf(server), ahead, m_events.now());
+        send([this, id, server, ahead = allocator.ahead(keyOf(id)),
+              down = allocator.isServerDown()] {
+            if (schedulerOf(id).slotRequestQueued(id, idOf(server), ahead, m_events.now(), down))
+                advance(gatewayOf(id));
         });
     }
 
--- a/schema/admission.capnp
+++ b/schema/admission.capnp
@@ -38,4 +38,6 @@
 struct AdmissionQueued {
   sequence @0 :UInt64;
   ahead @1 :UInt32;        # number of asks that are granted before it
+  serverDown @2 :Bool;     # the backend server refuses connections, so that the agent grants only
+                           # single slots to find out when it is back
 }
--- a/schema/admission.capnp.h
+++ b/schema/admission.capnp.h
@@ -364,6 +364,8 @@
 
   inline  ::uint32_t getAhead() const;
 
+  inline bool getServerDown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -398,6 +400,9 @@
   inline  ::uint32_t getAhead();
   inline void setAhead( ::uint32_t value);
 
+  inline bool getServerDown();
+  inline void setServerDown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -877,6 +882,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AdmissionQueued::Reader::getServerDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdmissionQueued::Builder::getServerDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionQueued::Builder::setServerDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -92,7 +92,9 @@
             allocator.requestSlot(*request, now);
             sendGrants(now);
             if (allocator.isQueued(request->key))
-                socket->send(SlotQueued {request->key, allocator.ahead(request->key)}, sender);
+                socket->send(SlotQueued {request->key, allocator.ahead(request->key),
+                                         allocator.isServerDown()},
+                             sender);
             return;
         }
         if (const auto *release = std::get_if<SlotRelease>(&message)) {
--- a/src/admissionclient.cpp
+++ b/src/admissionclient.cpp
@@ -42,9 +42,9 @@
 
     Private(asio::io_context &ioContext, DirectScheduler &directScheduler,
             std::uint64_t gatewayIncarnation, std::uint16_t port,
-            std::function<void()> grantCallback)
+            std::function<void()> actionsDueCallback)
         : context(ioContext), scheduler(directScheduler), incarnation(gatewayIncarnation),
-          agentPort(port), onGranted(std::move(grantCallback)), timer(ioContext)
+          agentPort(port), onActionsDue(std::move(actionsDueCallback)), timer(ioContext)
     { }
 
     struct Agent
@@ -73,11 +73,12 @@
             if (grant->key.gateway != incarnation)
                 return;
             scheduler.slotGranted({incarnation, grant->key.sequence}, backend->second, now);
-            onGranted();
+            onActionsDue();
         } else if (const auto *queued = std::get_if<SlotQueued>(&message)) {
-            if (queued->key.gateway == incarnation)
-                scheduler.slotRequestQueued({incarnation, queued->key.sequence}, backend->second,
-                                            queued->ahead, now);
+            if (queued->key.gateway == incarnation
+                && scheduler.slotRequestQueued({incarnation, queued->key.sequence}, backend->second,
+                                               queued->ahead, now, queued->serverDown))
+                onActionsDue();
         } else if (std::holds_alternative<AgentPresent>(message)) {
             scheduler.agentResponded(backend->second, now);
         }
@@ -135,7 +136,7 @@
     DirectScheduler &scheduler;
     std::uint64_t incarnation;
     std::uint16_t agentPort;
-    std::function<void()> onGranted;
+    std::function<void()> onActionsDue;
     asio::steady_timer timer;
     std::shared_ptr<detail::AdmissionSocket> socket;                 // null until open() succeeds
     std::map<std::string, Agent> agents;                             // by id of the backend server
@@ -144,9 +145,9 @@
 
 AdmissionClient::AdmissionClient(asio::io_context &context, DirectScheduler &scheduler,
                                  std::uint64_t gatewayIncarnation, std::uint16_t agentPort,
-                                 std::function<void()> onGranted)
+                                 std::function<void()> onActionsDue)
     : d(std::make_shared<Private>(context, scheduler, gatewayIncarnation, agentPort,
-                                  std::move(onGranted)))
+                                  std::move(onActionsDue)))
 { }
 
 AdmissionClient::~AdmissionClient()
--- a/src/admissionclient.h
+++ b/src/admissionclient.h
@@ -25,11 +25,11 @@
 {
 public:
     // agentPort is the UDP port of the agents, the same on all hosts; 0 if there are no agents.
-    // onGranted is called after each grant that was passed to the scheduler. The scheduler must
-    // outlive this object.
+    // onActionsDue is called after each message that gave the scheduler something to do: a grant,
+    // or the answer that a backend server is down. The scheduler must outlive this object.
     AdmissionClient(boost::asio::io_context &context, DirectScheduler &scheduler,
                     std::uint64_t gatewayIncarnation, std::uint16_t agentPort,
-                    std::function<void()> onGranted);
+                    std::function<void()> onActionsDue);
     ~AdmissionClient();
     AdmissionClient(const AdmissionClient &) = delete;
     AdmissionClient &operator=(const AdmissionClient &) = delete;
--- a/src/admissionmessages.cpp
+++ b/src/admissionmessages.cpp
@@ -57,6 +57,7 @@
     auto out = root.initQueued();
     out.setSequence(queued.key.sequence);
     out.setAhead(queued.ahead);
+    out.setServerDown(queued.serverDown);
 }
 
 void write(const AgentPresent &present, Builder root)
@@ -95,7 +96,9 @@
     case wire::AdmissionMessage::GRANTED:
         return SlotGranted {{gateway, root.getGranted()}};
     case wire::AdmissionMessage::QUEUED:
-        return SlotQueued {{gateway, root.getQueued().getSequence()}, root.getQueued().getAhead()};
+        return SlotQueued {{gateway, root.getQueued().getSequence()},
+                           root.getQueued().getAhead(),
+                           root.getQueued().getServerDown()};
     case wire::AdmissionMessage::PRESENT:
         return AgentPresent {gateway};
     }
--- a/src/admissionmessages.h
+++ b/src/admissionmessages.h
@@ -52,6 +52,7 @@
 {
     SlotKey key;
     std::uint32_t ahead = 0; // number of requests in the queue before it
+    bool serverDown = false; // nothing listens at the address of the backend server
 
     auto operator<=>(const SlotQueued &) const = default;
 };
--- a/src/backendavailability.h
+++ b/src/backendavailability.h
@@ -32,7 +32,7 @@
     NoAgent,       // a slot cannot be requested, as its agent does not respond
     Unresponsive,  // neither its agent nor the server responds, and this gateway must not probe it
     Full,          // it refused a request a moment ago
-    Down,          // its address refused a connection a moment ago
+    Down,          // its address refused a connection a moment ago, or its agent said so
     NoFreeSlot,    // as many requests run on it as it has slots for
     Ejected,       // it fails or is slow compared with the others of its service
     ColdLimit,     // it warms up, and this gateway has used its share of what it sustains
@@ -71,7 +71,7 @@
     std::uint32_t unresponsiveReports = 0; // peers that report it as unresponsive
     Instant coldUntil {};
     Instant fullUntil {};
-    Instant refusedUntil {};        // its address refused a connection
+    Instant refusedUntil {};        // its address refused a connection, or its agent said so
     Instant agentDiscoveryUntil {}; // whether it has an agent is not known before
     // The latest startedAtMs of its records. A store that was restored from a copy lists an earlier
     // one for a while, but the answers come from the latest.
--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -494,14 +494,17 @@
                 : backend.latestStart;
     }
 
-    // Releases the slots that were requested for queued requests and are not granted yet.
-    void withdrawSlotRequests(const Backend &backend)
+    // Releases the slots that were requested for queued requests and are not granted yet. Returns
+    // whether there were any.
+    bool withdrawSlotRequests(const Backend &backend)
     {
+        const std::size_t actionCount = pendingActions.size();
         for (auto &[key, queued] : serviceOf(backend.record.service).queue) {
             if (queued.slotRequests.erase(backend.record.id) > 0)
                 pendingActions.emplace_back(
                         ReleaseSlotAction {queued.request.id, backend.record.id, true});
         }
+        return pendingActions.size() > actionCount;
     }
 
     static bool anyAgent(const Service &service, Instant now)
@@ -799,19 +802,25 @@
     d->pendingActions.emplace_back(StartAction {id, backend});
 }
 
-void DirectScheduler::slotRequestQueued(const RequestId &id, const std::string &backend,
-                                        std::uint32_t ahead, Instant now)
+bool DirectScheduler::slotRequestQueued(const RequestId &id, const std::string &backend,
+                                        std::uint32_t ahead, Instant now, bool serverDown)
 {
     agentResponded(backend, now);
+    const auto target = d->backends.find(backend);
+    const bool withdrawn =
+            serverDown && target != d->backends.end() && d->withdrawSlotRequests(target->second);
+    if (serverDown && target != d->backends.end())
+        target->second.refusedUntil = now + refusedBackoff;
     const auto it = d->queueKeys.find(id);
     if (it == d->queueKeys.end()) {
         d->pendingActions.emplace_back(ReleaseSlotAction {id, backend, true});
-        return;
+        return withdrawn;
     }
     auto &slotRequests = d->services[it->second.first].queue.at(it->second.second).slotRequests;
     const auto slotRequest = slotRequests.find(backend);
     if (slotRequest != slotRequests.end())
         slotRequest->second.ahead = ahead;
+    return withdrawn;
 }
 
 bool DirectScheduler::otherVersionsIdle(const std::string &service,
--- a/src/directscheduler.h
+++ b/src/directscheduler.h
@@ -203,10 +203,12 @@
     // The limit in force, in requests per second over all gateways; nothing: none.
     std::optional<double> namedLimit(const std::string &backend) const;
 
-    // The agent granted a slot, or reported how many slot requests are queued before this one.
+    // The agent granted a slot, or reported how many slot requests are queued before this one and
+    // whether the backend server refuses connections. slotRequestQueued() returns whether slot
+    // requests were withdrawn, so that advance() should be called at once.
     void slotGranted(const RequestId &id, const std::string &backend, Instant now);
-    void slotRequestQueued(const RequestId &id, const std::string &backend, std::uint32_t ahead,
-                           Instant now);
+    bool slotRequestQueued(const RequestId &id, const std::string &backend, std::uint32_t ahead,
+                           Instant now, bool serverDown = false);
 
     // Whether no request of this gateway or a peer runs on the service's backend servers of other
     // versions.
--- a/test/correctness/requestownership.cpp
+++ b/test/correctness/requestownership.cpp
@@ -79,7 +79,8 @@
         case 8:
             if (!m_slotRequests.empty()) {
                 const auto [id, backend] = element(m_slotRequests);
-                m_scheduler.slotRequestQueued(id, backend, *rc::gen::inRange(0, 3), m_now);
+                m_scheduler.slotRequestQueued(id, backend, *rc::gen::inRange(0, 3), m_now,
+                                              *rc::gen::inRange(0, 4) == 0);
             }
             break;
         case 9:
--- a/test/correctness/schedulingload.cpp
+++ b/test/correctness/schedulingload.cpp
@@ -174,6 +174,62 @@
     CHECK(actionsOf<RequestSlotAction>(scheduler, refusedAt + 200ms).size() == 1);
 }
 
+// Failure: a crashed server runs nothing, so it seemed the least loaded one; requests waited at its
+// agent, which grants nothing.
+TEST_CASE("crashed server: when its agent says so, all slot requests there go to others at once")
+{
+    DirectSettings settings = settingsOf(true);
+    settings.initialSlotRequests = 1;
+    DirectScheduler scheduler(settings);
+    BackendRecord distant = server("b");
+    distant.availabilityZone = "z";
+    list(scheduler, {server("a"), distant}, start);
+    scheduler.agentResponded("a", start);
+    scheduler.agentResponded("b", start);
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        scheduler.add(request(1, n, start));
+    REQUIRE(actionsOf<RequestSlotAction>(scheduler, start).size() == 3);
+    // An agent without the field says only that they are queued.
+    CHECK_FALSE(scheduler.slotRequestQueued({1, 1}, "a", 1, start + 1ms));
+    CHECK(scheduler.countUnavailable(AvailabilityReason::Down, start + 1ms) == 0);
+    CHECK(actionsOf<ReleaseSlotAction>(scheduler, start + 1ms).empty());
+
+    const Instant toldAt = start + 2ms;
+    CHECK(scheduler.slotRequestQueued({1, 2}, "a", 2, toldAt, true));
+    // The answers to the others change nothing more.
+    CHECK_FALSE(scheduler.slotRequestQueued({1, 3}, "a", 3, toldAt, true));
+    std::vector<ReleaseSlotAction> released;
+    std::vector<std::string> asked;
+    for (const DirectAction &it : scheduler.advance(toldAt)) {
+        if (const auto *action = std::get_if<ReleaseSlotAction>(&it))
+            released.push_back(*action);
+        else if (const auto *action = std::get_if<RequestSlotAction>(&it))
+            asked.push_back(action->backend.id);
+    }
+    CHECK(released
+          == std::vector<ReleaseSlotAction> {{{1, 1}, "a", true, false},
+                                             {{1, 2}, "a", true, false},
+                                             {{1, 3}, "a", true, false}});
+    CHECK(asked == std::vector<std::string> {"b", "b", "b"});
+
+    // A request that has left is released, too; the answer to it renews the backoff.
+    scheduler.remove({1, 3});
+    scheduler.advance(toldAt);
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        scheduler.slotRequestQueued({1, n}, "b", 9, toldAt);
+    scheduler.slotRequestQueued({1, 3}, "a", 3, toldAt + 1ms, true);
+    CHECK(actionsOf<ReleaseSlotAction>(scheduler, toldAt + 1ms)
+          == std::vector<ReleaseSlotAction> {{{1, 3}, "a", true, false}});
+    for (Duration age = 2ms; age <= 200ms; age += 1ms) {
+        scheduler.agentResponded("a", toldAt + age);
+        CHECK(actionsOf<RequestSlotAction>(scheduler, toldAt + age).empty());
+    }
+    // Then the agent gets slot requests again, one of which may become its probe.
+    const auto again = actionsOf<RequestSlotAction>(scheduler, toldAt + 201ms);
+    REQUIRE(again.size() == 2);
+    CHECK(again[0].backend.id == "a");
+}
+
 TEST_CASE("crashed server without an agent: it gets no request for 200 ms, others do")
 {
     DirectScheduler scheduler(settingsOf(false));
--- a/test/fuzz/datagrams.cpp
+++ b/test/fuzz/datagrams.cpp
@@ -56,6 +56,7 @@
             SlotRenewal {1, {2, 3, 4}},
             SlotGranted {{1, 2}},
             SlotQueued {{1, 2}, 3},
+            SlotQueued {{1, 2}, 3, true},
             AgentPresent {1}};
 }
 
@@ -80,6 +81,16 @@
     CHECK(decodeGossip(encodeGossip(report) + "later release") == std::optional(report));
 }
 
+// Agents of an earlier release do not say whether their server is down.
+TEST_CASE("an answer to a slot request without the field serverDown says that it is not down")
+{
+    const std::string earlier(
+            "\x10\x07\x50\x03\x01\x01\x01\x01\x04\x00\x00\x10\x02\x01\x02\x01\x03", 17);
+    CHECK(decodeAdmission(earlier) == std::optional<AdmissionMessage>(SlotQueued {{1, 2}, 3}));
+    // An earlier gateway reads the same place in the queue.
+    CHECK(encodeAdmission(SlotQueued {{1, 2}, 3}) == earlier);
+}
+
 TEST_CASE("corrupted datagrams are rejected or decode to a message that can be encoded")
 {
     std::vector<std::string> seeds {encodeGossip(sampleReport())};
