Refused connections at a server with an agent eject nobody

Cause: a gateway whose probes were refused three times in a row ejected the server as an outlier for 1 s and more. Where one or two gateways probe, the server stayed unused for up to 1999 ms (one) and 770 ms (two) after its return, in a trial in virtual time.

Change: while the agent responds, its circuit breaker decides; refused connections are not counted by the outlier detector.

--- a/src/directscheduler.cpp
+++ b/src/directscheduler.cpp
@@ -917,7 +917,8 @@
         backend.coldUntil = std::max(backend.coldUntil, now + restartHoldTime);
     if (report.outcome == AttemptOutcome::NotRun || report.outcome == AttemptOutcome::Misdirected
         || report.outcome == AttemptOutcome::Abandoned
-        || report.outcome == AttemptOutcome::NeverSent) {
+        || report.outcome == AttemptOutcome::NeverSent
+        || (report.connectionRefused && backend.liveness.hasAgent(now))) { // its agent decides
         if (started.probe)
             d->outliers.probeInconclusive(backend.outlierSlot);
         return;
--- a/test/correctness/serverdown.cpp
+++ b/test/correctness/serverdown.cpp
@@ -330,6 +330,25 @@
     }
 }
 
+// Failure: the probes of a few gateways were refused three times in a row, which ejected the server
+// as an outlier for 1 s and more, also after its return.
+TEST_CASE("crashed servers: found as fast where only one or two gateways probe them")
+{
+    for (const std::uint32_t gateways : {1U, 2U}) {
+        for (Duration downFor = 20ms; downFor < 3000ms; downFor += 111ms) {
+            CAPTURE(gateways);
+            CAPTURE(downFor / 1ms);
+            Fleet fleet({gateways, 8, true});
+            fleet.run(500ms, 4ms);
+            fleet.crash(4);
+            fleet.run(downFor, 4ms);
+            fleet.bringBack();
+            fleet.run(longestProbeDelay + refusedBackoff + messageAllowance, 4ms);
+            CHECK(fleet.longestUnused());
+        }
+    }
+}
+
 // Failure: all slot requests are withdrawn, and there is no other server whose grants would make
 // the gateways look again.
 TEST_CASE("crashed servers: the only server of a service is found as fast, and nothing is lost")
