--- a/src/admissionagent.cpp
+++ b/src/admissionagent.cpp
@@ -99,7 +99,9 @@
             allocator.requestSlot(*request, now);
             sendGrants(now);
             if (allocator.isQueued(request->key))
-                socket->send(SlotQueued {request->key, allocator.ahead(request->key)}, sender);
+                socket->send(SlotQueued {request->key, allocator.ahead(request->key),
+                                         allocator.isServerDown()},
+                             sender);
             return;
         }
         if (const auto *release = std::get_if<SlotRelease>(&message)) {
@@ -107,7 +109,7 @@
             if (release->serverDown)
                 allocator.serverRefused(release->key, now);
             else if (!release->unused)
-                allocator.serverResponded();
+                allocator.serverResponded(release->key);
         } else if (const auto *renewal = std::get_if<SlotRenewal>(&message)) {
             trackGateway(renewal->gateway, sender, now);
             allocator.renew(renewal->gateway, renewal->sequences, now);
