--- a/test/support/failingcells.h
+++ b/test/support/failingcells.h
@@ -1,5 +1,5 @@
 // Cells of the tables of error.failingserverstable: an answer up to the phase in which its server
-// ends, the request and its path to the server, and the letter for what the caller got.
+// ends, the request and its path to the server, and the code for what the caller got.
 
 #ifndef CORNELSHED_TEST_FAILINGCELLS_H
 #define CORNELSHED_TEST_FAILINGCELLS_H
